--- /dev/null
+++ b/rowanrack/app.py
@@ -0,0 +1,109 @@
+"""The assembly: one sender, from its configuration to its last answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+
+from rowanrack.config import Config, ConfigError, PlatformConfig
+from rowanrack.core.exchange import Exchange
+from rowanrack.fronts.platform import FRONT as PLATFORM
+from rowanrack.fronts.platform.clients import PlatformClients
+from rowanrack.fronts.platform.discovery import DiscoveryWatch
+from rowanrack.fronts.platform.inbox import InboxForm
+from rowanrack.fronts.platform.notices import Notices
+from rowanrack.net.pool import InstancePool
+from rowanrack.net.timing import LoopClock, pause
+from rowanrack.store.journal import Journal
+from rowanspindle import Scope
+
+log = logging.getLogger(__name__)
+
+STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
+SETTLE_US = 3_300_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
+LOOK_US = 20_000  # between looks at whether all is settled
+
+
+class Sender:
+    """One running sender and its parts."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.clock = LoopClock(lambda: self.exchange.pump())
+        self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us)
+        self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
+        self.pool = InstancePool(self.exchange, {PLATFORM: InboxForm()})
+        self.exchange.side = self.pool
+        self.clients: PlatformClients | None = None
+        self.watch: DiscoveryWatch | None = None
+        self.notices: Notices | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Replay the journal, own what is owed, and open the ports."""
+        self.journal.open()
+        owed = list(self.journal.owed.values())
+        if self.config.platform is not None:
+            self._start_platform(self.config.platform)
+        for message in owed:
+            self.exchange.adopt(message)
+        self.exchange.pump()
+        if self.config.platform is not None and self.clients is not None:
+            host, port = self.config.platform.listen
+            try:
+                await self.clients.listen(host, port)
+            except OSError as error:
+                raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
+        log.info("%s: serving; %d messages owed from before", self.config.name, len(owed))
+
+    def _start_platform(self, platform: PlatformConfig) -> None:
+        exchange, most_out = self.exchange, 4 * self.config.settings.slots + 64
+        self.clients = PlatformClients(exchange, max(16, self.config.sockets - most_out))
+        self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq)
+        exchange.watch = self.watch.watch
+        notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
+        exchange.listeners[PLATFORM] = notices.ended
+        self.tasks.append(asyncio.create_task(notices.run()))
+        for message_id, end in self.journal.untold(PLATFORM):
+            notices.tell(message_id, end)
+        exchange.list_instances(Scope.FULL, platform.known)
+
+    async def stop(self) -> None:
+        """After SIGTERM: keep answering, settle what is out, and leave the rest to the journal."""
+        began = self.clock.now_us()
+        log.info(
+            "stopping: %d messages owed, %d calls out", len(self.exchange.messages), len(self.pool.tasks)
+        )
+        await pause(self.exchange.after, STILL_COMING_US)
+        if self.clients is not None:
+            self.clients.drain()
+        while self._unsettled() and self.clock.now_us() - began < SETTLE_US:
+            await pause(self.exchange.after, LOOK_US)
+        log.info("stopped: %d messages stay owed", len(self.exchange.messages))
+        self.close()
+
+    def _unsettled(self) -> bool:
+        told = self.notices is None or not self.notices.pending
+        clients = self.clients is not None and bool(self.clients.streams)
+        return bool(self.exchange.messages) or not told or clients
+
+    def close(self) -> None:
+        """Let go of everything."""
+        self.pool.close()
+        if self.watch is not None:
+            self.watch.close()
+        for task in self.tasks:
+            task.cancel()
+        self.journal.close()
+
+
+async def serve(config: Config) -> None:
+    """Run a sender until SIGTERM or SIGINT."""
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    sender = Sender(config)
+    await sender.start()
+    await stop.wait()
+    await sender.stop()
--- /dev/null
+++ b/rowanrack/core/exchange.py
@@ -0,0 +1,315 @@
+"""The exchange: the one place where the service clients' side and the instances' side meet.
+
+It owns every taken message until its end, drives the decision module with what happens on both sides, and
+carries out what the module decides. Clock, store and both sides reach it through the ports below.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
+from rowanrack.core.wheel import TimerWheel, WheelTimer
+from rowanspindle import (
+    Accept,
+    Action,
+    Arm,
+    Cancel,
+    Disconnect,
+    Event,
+    Fail,
+    Forwarder,
+    Log,
+    Members,
+    Outcome,
+    Refuse,
+    Result,
+    Scope,
+    Send,
+    Settings,
+    Status,
+    Timer,
+    Watch,
+)
+
+log = logging.getLogger(__name__)
+
+MAYBE_RAN = frozenset({Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED})
+GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
+
+
+class Clock(Protocol):
+    """Time, and a wake-up call."""
+
+    def now_us(self) -> int:
+        """Microseconds on a clock that never goes back."""
+
+    def unix_us(self) -> int:
+        """Unix time in microseconds."""
+
+    def wake_at(self, due_us: int) -> None:
+        """Ask for `Exchange.pump` at that time; a sooner call replaces a later one."""
+
+
+class Store(Protocol):
+    """What must outlast the process."""
+
+    def take(self, message: Message) -> bool:
+        """Record a message; False when there is no room for it."""
+
+    def begin(self, message: Message, leg: int) -> None:
+        """Record that an execution is about to begin."""
+
+    def never_ran(self, message: Message, leg: int) -> None:
+        """Record the proof that an execution never ran."""
+
+    def end(self, message: Message, end: End) -> None:
+        """Record the one end of a message."""
+
+    def ended(self, message_id: str) -> End | None:
+        """The recorded end of a message, while it is kept."""
+
+
+class InstanceSide(Protocol):
+    """Calls to instances."""
+
+    def start(self, execution: Execution) -> None:
+        """Make the call; its end comes back by `Exchange.settle`."""
+
+    def abandon(self, execution: Execution) -> None:
+        """Stop waiting: the call's connection is closed, and nothing more comes back."""
+
+    def close_idle(self, name: str) -> None:
+        """Close the idle connections to an instance."""
+
+
+class Exchange:
+    """Taken messages, their deadlines and their executions."""
+
+    def __init__(self, settings: Settings, seed: int, clock: Clock, store: Store, tick_us: int) -> None:
+        self.settings, self.clock, self.store = settings, clock, store
+        self.forwarder = Forwarder(settings, seed)
+        self.wheel = TimerWheel(tick_us, clock.now_us())
+        self.instances: dict[str, Instance] = {}
+        self.messages: dict[str, Message] = {}
+        self.counts = dict.fromkeys(Ending, 0)
+        self.side: InstanceSide | None = None
+        self.watch: Callable[[], None] = lambda: None
+        self.listeners: dict[str, Callable[[Message, End], None]] = {}
+        self._refs: dict[int, Message] = {}
+        self._next_ref = 0
+        self._events: list[Event] = []
+        self._waits: dict[int, int] = {}
+
+    # The service clients' side.
+
+    def submit(self, message: Message) -> Nack | None:
+        """Take a message, or refuse it; once this returns None the sender owes its end."""
+        if len(self.messages) >= self.settings.most_held:
+            return Nack(self._retry_us())
+        if not self.store.take(message):
+            log.warning("no room in the journal, message %s is turned away", message.id)
+            return Nack(self._retry_us())
+        self.adopt(message)
+        return None
+
+    def adopt(self, message: Message) -> None:
+        """Own a message that the store holds already: just taken, or found at the start."""
+        self._next_ref += 1
+        message.ref = self._next_ref
+        left_us = max(0, message.deadline_us - self.clock.unix_us())
+        self.messages[message.id] = self._refs[message.ref] = message
+        message.guard = self.after(left_us + GUARD_US, lambda: self._overdue(message))
+        self._put(
+            Accept(
+                message.ref,
+                message.cls,
+                message.dest,
+                left_us,
+                message.tenant or None,
+                legs=message.legs,
+                ran=bool(message.unsettled),
+            )
+        )
+
+    def known(self, message_id: str) -> Message | End | None:
+        """A message that was handed in before: itself while it is owed, then its end while that is kept."""
+        return self.messages.get(message_id) or self.store.ended(message_id)
+
+    def _retry_us(self) -> int:
+        return min(1_000_000, self.settings.max_come_back_us)
+
+    # The instances' side.
+
+    def list_instances(self, scope: Scope, instances: Iterable[Instance]) -> None:
+        """News of the name table."""
+        news = tuple(instances)
+        if scope is Scope.FULL:
+            self.instances = {i.name: i for i in news if i.status is not Status.REMOVED}
+        elif scope is Scope.DELTA:
+            for instance in news:
+                if instance.status is Status.REMOVED:
+                    self.instances.pop(instance.name, None)
+                else:
+                    self.instances[instance.name] = instance
+        self._put(Members(scope, tuple(i.member() for i in news)))
+        if scope is not Scope.FAILED:
+            for message in list(self.messages.values()):
+                for execution in list(message.out.values()):
+                    # A call still waiting for its connection must not go to what drains or is gone.
+                    if not execution.begun and not self._listed(execution.instance.name):
+                        self._drop(execution, Result.MOOT)
+
+    def begin(self, execution: Execution) -> bool:
+        """Asked right before a call's first byte: whether it may still be sent. The store knows it first."""
+        message = execution.message
+        if execution.settled:
+            return False
+        # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
+        # that was decided on before and waited for its connection.
+        waiting = self._waits.get(message.dest, 0) > self.clock.now_us()
+        if waiting or message.id not in self.messages or not self._listed(execution.instance.name):
+            self.settle(execution, Result.MOOT)
+            return False
+        self.store.begin(message, execution.leg)
+        message.unsettled.add(execution.leg)
+        execution.begun = True
+        return True
+
+    def settle(self, execution: Execution, result: Result, wait_us: int = 0, over: bool = False) -> None:
+        """An execution has ended. Only its first end counts."""
+        if execution.settled:
+            return
+        execution.settled = True
+        if execution.timer is not None:
+            execution.timer.cancel()
+        message, now = execution.message, self.clock.now_us()
+        message.out.pop(execution.leg, None)
+        self._forget(message)
+        if wait_us:
+            until = now + wait_us
+            self._waits[message.dest] = max(until, self._waits.get(message.dest, 0))
+        owed = message.id in self.messages
+        if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
+            message.unsettled.discard(execution.leg)
+            if owed:
+                self.store.never_ran(message, execution.leg)
+        if owed and result is Result.OK:
+            self._end(message, End(Ending.DELIVERED))
+        elif owed and over:
+            self._end(message, End(Ending.OVER))
+        over = message.id not in self.messages
+        latency = now - execution.started_us
+        name = execution.instance.name
+        self._put(Outcome(message.ref, execution.leg, name, result, latency, over, wait_us))
+
+    def _listed(self, name: str) -> bool:
+        instance = self.instances.get(name)
+        return instance is not None and instance.status is Status.LISTED
+
+    # The module.
+
+    def after(self, delay_us: int, action: Callable[[], None]) -> WheelTimer:
+        """A timer on the wheel, for the adapters too."""
+        due = self.clock.now_us() + delay_us
+        timer = self.wheel.at(due, action)
+        self.clock.wake_at(due + self.wheel.tick_us)
+        return timer
+
+    def pump(self) -> None:
+        """Fire what is due, let the module decide on all that happened, and do what it says."""
+        now = self.clock.now_us()
+        self.wheel.advance(now)
+        batch, self._events = self._events, []
+        if batch:
+            try:
+                actions = self.forwarder.decide(now, batch)
+            except Exception:
+                # The messages of this batch stay owned: their guard timers end them in time.
+                log.exception("the decision module failed on %d events", len(batch))
+                actions = []
+            for action in actions:
+                self._do(action, now)
+        due = self.wheel.next_at()
+        if due is not None:
+            self.clock.wake_at(due)
+
+    def _put(self, event: Event) -> None:
+        """Queue an event for the next tick."""
+        self._events.append(event)
+        tick = self.wheel.tick_us
+        self.clock.wake_at((self.clock.now_us() // tick + 1) * tick)
+
+    def _do(self, action: Action, now: int) -> None:
+        match action:
+            case Send():
+                self._send(action, now)
+            case Refuse():
+                self._finish(action.ref, End(Ending.REFUSED, action.come_back_us))
+            case Fail():
+                self._finish(action.ref, End(Ending.FAILED))
+            case Cancel():
+                message = self._refs.get(action.ref)
+                if message is not None and (execution := message.out.get(action.leg)) is not None:
+                    self._drop(execution, Result.CANCELLED)
+            case Disconnect():
+                if self.side is not None:
+                    self.side.close_idle(action.target)
+            case Arm():
+                token = action.token
+                self.wheel.at(now + action.after_us, lambda: self._events.append(Timer(token)))
+            case Watch():
+                self.watch()
+            case Log():
+                log.info("module: %s", action.text)
+
+    def _send(self, action: Send, now: int) -> None:
+        message = self._refs.get(action.ref)
+        instance = self.instances.get(action.target)
+        if message is None or message.id not in self.messages:
+            log.error("the module sends message %d, which has ended", action.ref)
+            return
+        leg, message.legs = message.legs, message.legs + 1
+        if instance is None or self.side is None:
+            self._put(Outcome(action.ref, leg, action.target, Result.MOOT, 0, False))
+            return
+        execution = message.out[leg] = Execution(message, leg, instance, now, action.timeout_us)
+        execution.timer = self.after(action.timeout_us, lambda: self._drop(execution, Result.TIMEOUT))
+        self.side.start(execution)
+
+    def _drop(self, execution: Execution, result: Result) -> None:
+        """Stop waiting for an execution; what was never begun has never run."""
+        if self.side is not None:
+            self.side.abandon(execution)
+        if not execution.begun and result in MAYBE_RAN:
+            result = Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT
+        self.settle(execution, result)
+
+    def _finish(self, ref: int, end: End) -> None:
+        message = self._refs.get(ref)
+        if message is not None and message.id in self.messages:
+            self._end(message, end)
+
+    def _forget(self, message: Message) -> None:
+        """An ended message keeps its number while an execution is out, which may be called off."""
+        if message.id not in self.messages and not message.out:
+            self._refs.pop(message.ref, None)
+
+    def _overdue(self, message: Message) -> None:
+        """Guards against a message without its end, should the module have failed on it."""
+        if message.id in self.messages:
+            log.error("message %s had no end when its time was up", message.id)
+            self._end(message, End(Ending.FAILED))
+
+    def _end(self, message: Message, end: End) -> None:
+        """The one place where a message ends."""
+        del self.messages[message.id]
+        self._forget(message)
+        if message.guard is not None:
+            message.guard.cancel()
+        self.counts[end.ending] += 1
+        self.store.end(message, end)
+        if (listener := self.listeners.get(message.front)) is not None:
+            listener(message, end)
--- /dev/null
+++ b/rowanrack/core/messages.py
@@ -0,0 +1,84 @@
+"""What the core owns: messages, their executions and their ends, and the instances that may take them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from rowanrack.core.wheel import WheelTimer
+from rowanspindle import Member, Status
+
+
+class Ending(Enum):
+    """How a message ended. OVER: its client wants it no more, and nothing is owed."""
+
+    DELIVERED = "delivered"
+    REFUSED = "refused"
+    FAILED = "failed"
+    OVER = "over"
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The one end of a message; a refusal says when to come again."""
+
+    ending: Ending
+    retry_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Nack:
+    """The message is not taken; handing it in again after this time is harmless."""
+
+    retry_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """An endpoint as the name table lists it."""
+
+    name: str
+    host: str
+    port: int
+    zone: str
+    kind: str
+    dest: int
+    status: Status
+    rate: float
+
+    def member(self) -> Member:
+        """The same in the module's terms."""
+        return Member(self.name, self.zone, self.kind, self.dest, self.status, self.rate)
+
+
+@dataclass(slots=True)
+class Message:
+    """A message that was taken. Its deadline is Unix time, so that it holds across a restart."""
+
+    id: str
+    cls: str
+    tenant: str
+    dest: int
+    deadline_us: int
+    body: bytes
+    front: str
+    form: str = ""
+    legs: int = 0
+    unsettled: set[int] = field(default_factory=set)  # executions begun, not proved never to have run
+    ref: int = 0
+    out: dict[int, Execution] = field(default_factory=dict)
+    guard: WheelTimer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """One attempt to deliver a message to an instance."""
+
+    message: Message
+    leg: int
+    instance: Instance
+    started_us: int
+    timeout_us: int
+    timer: WheelTimer | None = None
+    begun: bool = False
+    settled: bool = False
--- /dev/null
+++ b/rowanrack/fronts/otlp/__init__.py
@@ -0,0 +1,3 @@
+"""The OTLP front: export requests from clients, and calls to OTLP servers."""
+
+FRONT = "otlp"
--- /dev/null
+++ b/rowanrack/fronts/platform/discovery.py
@@ -0,0 +1,106 @@
+"""The platform's name table: its lists, and the watch on their changes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from typing import Any
+
+from rowanrack.core.exchange import Exchange
+from rowanrack.core.messages import Instance
+from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller
+from rowanrack.net.stream import Stream
+from rowanrack.net.timing import time_limit
+from rowanspindle import Scope, Status
+
+log = logging.getLogger(__name__)
+
+STATUSES = {"SERVING": Status.LISTED, "DRAINING": Status.DRAINING, "DELETED": Status.REMOVED}
+WAIT_MS = 10_000  # for which a watch waits: a silent loss of it is noticed so much later
+GRACE_US = 1_700_000  # past that: what discovery has to tell counts as told 2 s after the wait
+LIST_LIMIT = 4 << 20
+
+
+class ListError(ValueError):
+    """A list that cannot be read."""
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """A host and a port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ListError(f"not an address: {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def parse_list(doc: Any) -> tuple[int, Scope, list[Instance]]:
+    """The version, the scope and the entries of a list in discovery's form."""
+    try:
+        entries = [
+            Instance(
+                str(h["host"]),
+                *parse_address(h["dial"]),
+                str(h["site"]),
+                str(h["class"]),
+                int(h["block"]),
+                STATUSES[h["health"]],
+                float(h.get("share", 0)),
+            )
+            for h in doc["hosts"]
+        ]
+        return int(doc["seq"]), Scope.FULL if doc["whole"] else Scope.DELTA, entries
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"unreadable list: {error!r}") from None
+
+
+class DiscoveryWatch:
+    """Follows discovery's list once the module has asked, until a call fails; then the module asks again."""
+
+    def __init__(self, exchange: Exchange, host: str, port: int, seq: int) -> None:
+        self.exchange, self._host, self._port, self.seq = exchange, host, port, seq
+        self._task: asyncio.Task[None] | None = None
+        self._caller: HttpCaller | None = None
+
+    def watch(self) -> None:
+        """The module's request."""
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._follow())
+
+    def close(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+        self._drop()
+
+    async def _follow(self) -> None:
+        try:
+            while True:
+                self.seq, scope, entries = await self._ask()
+                self.exchange.list_instances(scope, entries)
+        except (OSError, TimeoutError, CallNotSentError, CallBrokenError, ListError) as error:
+            log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
+        except Exception:
+            log.exception("discovery: the watch failed")
+        self._drop()
+        self.exchange.list_instances(Scope.FAILED, ())
+
+    async def _ask(self) -> tuple[int, Scope, list[Instance]]:
+        async with time_limit(self.exchange.after, WAIT_MS * 1000 + GRACE_US):
+            if self._caller is None or not self._caller.reusable:
+                self._drop()
+                stream = await Stream.connect(self._host, self._port)
+                self._caller = HttpCaller(stream, f"{self._host}:{self._port}", LIST_LIMIT)
+            reply = await self._caller.call(Call("GET", f"/v1/servers?index={self.seq}&wait={WAIT_MS}"))
+        if reply.status != 200:
+            raise ListError(f"answered {reply.status}")
+        try:
+            doc = json.loads(reply.body)
+        except ValueError as error:
+            raise ListError(f"no JSON: {error}") from None
+        return parse_list(doc)
+
+    def _drop(self) -> None:
+        if self._caller is not None:
+            self._caller.stream.abort()
+            self._caller = None
--- /dev/null
+++ b/rowanrack/fronts/platform/inbox.py
@@ -0,0 +1,36 @@
+"""Calls to the platform's instances: POST /inbox, and what their answers mean."""
+
+from __future__ import annotations
+
+from rowanrack.core.messages import Execution
+from rowanrack.net.http import Call, Reply
+from rowanrack.net.pool import Verdict
+from rowanspindle import Result
+
+
+class InboxForm:
+    """The platform's form of a call."""
+
+    def call(self, execution: Execution, left_us: int) -> Call:
+        """The id and the body are passed on unchanged."""
+        headers = (("X-Txn", execution.message.id), ("X-Remaining", f"{left_us // 1000}m"))
+        return Call("POST", "/inbox", headers, execution.message.body)
+
+    def verdict(self, execution: Execution, reply: Reply) -> Verdict:
+        """The table of outcomes in the protocol."""
+        match reply.status:
+            case 200:
+                return Verdict(Result.OK)
+            case 429:
+                wait = reply.headers.get("x-retry-in-ms", "")
+                return Verdict(Result.FULL, int(wait) * 1000 if wait.isdigit() else 0)
+            case 503 if reply.headers.get("x-no-slot") == "1":
+                return Verdict(Result.MOOT)
+            case 503:
+                return Verdict(Result.FULL)
+            case 504:
+                return Verdict(Result.MOOT)
+            case 410:
+                return Verdict(Result.MOOT, over=True)
+            case _:
+                return Verdict(Result.ERROR)
--- /dev/null
+++ b/rowanrack/net/timing.py
@@ -0,0 +1,68 @@
+"""Time for asyncio code, from the one timer wheel."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Protocol
+
+from rowanrack.core.wheel import WheelTimer
+
+
+class After(Protocol):
+    """`Exchange.after`: a timer on the wheel."""
+
+    def __call__(self, delay_us: int, action: Callable[[], None], /) -> WheelTimer:
+        """Call the action once the delay has passed."""
+
+
+class LoopClock:
+    """The clock of the running event loop, and its wake-up call for the core."""
+
+    def __init__(self, wake: Callable[[], None]) -> None:
+        self._loop, self._wake = asyncio.get_running_loop(), wake
+        self._handle: asyncio.TimerHandle | None = None
+
+    def now_us(self) -> int:
+        """Microseconds on the loop's clock."""
+        return int(self._loop.time() * 1_000_000)
+
+    def unix_us(self) -> int:
+        """Unix time in microseconds."""
+        return time.time_ns() // 1000
+
+    def wake_at(self, due_us: int) -> None:
+        """Wake the core at that time, unless a sooner wake-up is set."""
+        due = due_us / 1_000_000
+        if self._handle is not None:
+            if self._handle.when() <= due:
+                return
+            self._handle.cancel()
+        self._handle = self._loop.call_at(due, self._fire)
+
+    def _fire(self) -> None:
+        self._handle = None
+        self._wake()
+
+
+@asynccontextmanager
+async def time_limit(after: After, limit_us: int) -> AsyncIterator[None]:
+    """Raise TimeoutError in the block once the limit has passed."""
+    async with asyncio.timeout(None) as scope:
+        timer = after(limit_us, lambda: scope.reschedule(0))
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+
+async def pause(after: After, delay_us: int) -> None:
+    """Wait for so long."""
+    passed = asyncio.Event()
+    timer = after(delay_us, passed.set)
+    try:
+        await passed.wait()
+    finally:
+        timer.cancel()
--- /dev/null
+++ b/rowanrack/store/__init__.py
@@ -0,0 +1,1 @@
+"""What outlasts the process."""
--- /dev/null
+++ b/rowanrack/store/journal.py
@@ -0,0 +1,320 @@
+"""The durable journal: append-only, checksummed records of every message taken and of what became of it.
+
+A record is its payload's length and CRC-32, then the payload: a type byte, the message's id, and what the
+type adds. Writes go straight to the kernel, which outlasts the process; nothing is synced.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import struct
+import zlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from rowanrack.core.messages import End, Ending, Message
+
+log = logging.getLogger(__name__)
+
+MAGIC = b"rowanrack journal 1\n"
+FRAME = struct.Struct("<II")
+LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
+BLOCK = 512  # bytes in which a file's size counts on the disk
+ROOM_EACH = 512  # bytes kept free for each owed message: its executions and its end
+MARGIN = 8 * BLOCK
+COMPACT_LEAST = 64 * 1024  # bytes of dead records before a compaction is worth its while
+
+TAKEN, BEGUN, NEVER_RAN, ENDED, TOLD = b"T", b"B", b"N", b"E", b"K"
+ENDINGS = {Ending.DELIVERED: b"d", Ending.REFUSED: b"r", Ending.FAILED: b"f", Ending.OVER: b"o"}
+ENDING_OF = {code: ending for ending, code in ENDINGS.items()}
+
+
+class JournalError(Exception):
+    """The journal cannot be used; the text says why."""
+
+
+def pack_text(*parts: bytes) -> bytes:
+    """Byte strings, each behind its length."""
+    return b"".join(struct.pack("<I", len(p)) + p for p in parts)
+
+
+def unpack_text(data: bytes, count: int) -> tuple[list[bytes], bytes]:
+    """So many byte strings, and what is left."""
+    parts: list[bytes] = []
+    for _ in range(count):
+        (size,) = struct.unpack_from("<I", data)
+        if len(data) < 4 + size:
+            raise ValueError("a text is cut off")
+        parts.append(data[4 : 4 + size])
+        data = data[4 + size :]
+    return parts, data
+
+
+def frame(payload: bytes) -> bytes:
+    """A record as it stands in the file."""
+    return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def records(data: bytes) -> Iterator[tuple[int, bytes]]:
+    """The whole records from the start, each with the offset behind it; ends at the first damaged one."""
+    at = len(MAGIC)
+    while at + FRAME.size <= len(data):
+        size, crc = FRAME.unpack_from(data, at)
+        payload = data[at + FRAME.size : at + FRAME.size + size]
+        if not 0 < size <= LONGEST or len(payload) < size or zlib.crc32(payload) != crc:
+            return
+        at += FRAME.size + size
+        yield at, payload
+
+
+def taken_record(m: Message) -> bytes:
+    """The record of a taken message."""
+    texts = (m.cls, m.tenant, m.front, m.form)
+    fixed = struct.pack("<qq", m.deadline_us, m.dest)
+    return TAKEN + pack_text(m.id.encode(), *(t.encode() for t in texts), m.body) + fixed
+
+
+def step_record(kind: bytes, message_id: str, leg: int) -> bytes:
+    """The record of an execution begun, or proved never to have run."""
+    return kind + pack_text(message_id.encode()) + struct.pack("<I", leg)
+
+
+@dataclass(slots=True)
+class Ended:
+    """A recorded end, kept until its time; `told` once the platform has confirmed its notice."""
+
+    end: End
+    front: str
+    keep_until_us: int
+    told: bool = False
+
+    def record(self, message_id: str) -> bytes:
+        """As it stands in the journal."""
+        fixed = ENDINGS[self.end.ending] + struct.pack("<qq", self.end.retry_us, self.keep_until_us)
+        return ENDED + pack_text(message_id.encode(), self.front.encode()) + fixed
+
+
+@dataclass(slots=True)
+class Journal:
+    """The journal in one folder, never larger than its budget, a compaction's second file counted."""
+
+    folder: Path
+    budget: int
+    unix_us: Callable[[], int]
+    keep_us: int = 30_000_000  # for how long an end is kept past its message's time
+    owed: dict[str, Message] = field(default_factory=dict)
+    ends: dict[str, Ended] = field(default_factory=dict)
+    size: int = 0
+    live: int = 0  # bytes that a compaction would write for owed messages
+    fd: int = -1
+
+    @property
+    def path(self) -> Path:
+        """The journal's file."""
+        return self.folder / "messages.log"
+
+    @property
+    def fresh(self) -> Path:
+        """The file that a compaction writes before it takes the journal's place."""
+        return self.folder / "messages.new"
+
+    def open(self) -> None:
+        """Replay what is there, drop a torn tail, and be ready to append."""
+        try:
+            self.fresh.unlink(missing_ok=True)
+            data = self.path.read_bytes() if self.path.exists() else b""
+            if data and not data.startswith(MAGIC[: len(data)]):
+                raise JournalError(f"{self.path.name}: not a journal of rowanrack")
+            end = self.replay(data)
+            if end < len(data):
+                log.warning("journal: torn tail of %d bytes dropped", len(data) - end)
+            self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
+            os.ftruncate(self.fd, end)
+            os.lseek(self.fd, end, os.SEEK_SET)
+            self.size = end
+            if end < len(MAGIC):
+                os.ftruncate(self.fd, 0)
+                os.lseek(self.fd, 0, os.SEEK_SET)
+                os.write(self.fd, MAGIC)
+                self.size = len(MAGIC)
+        except OSError as error:
+            raise JournalError(f"journal: {error.strerror or error}") from None
+
+    def close(self) -> None:
+        """Let go of the file."""
+        if self.fd >= 0:
+            os.close(self.fd)
+            self.fd = -1
+
+    # What the exchange records.
+
+    def take(self, message: Message) -> bool:
+        """Record a taken message, if there is room for it, its executions and its end."""
+        record = frame(taken_record(message))
+        if not self._room(len(record)):
+            return False
+        if not self._append(record):
+            return False
+        self.owed[message.id] = message
+        self.live += len(record)
+        return True
+
+    def begin(self, message: Message, leg: int) -> None:
+        """Record an execution before its first byte."""
+        self._append(frame(step_record(BEGUN, message.id, leg)))
+
+    def never_ran(self, message: Message, leg: int) -> None:
+        """Record the proof that an execution never ran."""
+        self._append(frame(step_record(NEVER_RAN, message.id, leg)))
+
+    def end(self, message: Message, end: End) -> None:
+        """Record the end of a message."""
+        keep = max(message.deadline_us, self.unix_us()) + self.keep_us
+        if self.owed.pop(message.id, None) is not None:
+            self.live -= len(frame(taken_record(message)))
+        ended = self.ends[message.id] = Ended(end, message.front, keep)
+        self._append(frame(ended.record(message.id)))
+
+    def told(self, message_id: str) -> None:
+        """Record that the platform has confirmed a notice."""
+        if (ended := self.ends.get(message_id)) is not None and not ended.told:
+            ended.told = True
+            self._append(frame(step_record(TOLD, message_id, 0)))
+
+    def ended(self, message_id: str) -> End | None:
+        """The end of a message, while it is kept."""
+        ended = self.ends.get(message_id)
+        return ended.end if ended is not None else None
+
+    # Room and compaction.
+
+    def _room(self, more: int) -> bool:
+        """Whether the file may grow so far and a compaction's file still fits beside it."""
+        if self._fits(more):
+            return True
+        return self._compact() and self._fits(more)
+
+    def _fits(self, more: int) -> bool:
+        reserve = (len(self.owed) + 1) * ROOM_EACH
+        grown = self.size + more + reserve
+        return grown + self._compacted() + more + reserve + MARGIN <= self.budget
+
+    def _compacted(self) -> int:
+        """About what a compaction would write."""
+        return len(MAGIC) + self.live + 64 * len(self.owed) + 80 * len(self.ends)
+
+    def _append(self, record: bytes) -> bool:
+        try:
+            written = os.write(self.fd, record)
+            if written < len(record):
+                os.ftruncate(self.fd, self.size)
+                os.lseek(self.fd, self.size, os.SEEK_SET)
+                raise OSError("short write")
+        except OSError as error:
+            log.error("journal: a record was not written: %s", error.strerror or error)
+            return False
+        self.size += len(record)
+        if self.size > COMPACT_LEAST + 3 * self._compacted():
+            self._compact()
+        return True
+
+    def _compact(self) -> bool:
+        """Write what is still of use into a new file, which then takes the old one's place."""
+        now = self.unix_us()
+        self.ends = {i: e for i, e in self.ends.items() if e.keep_until_us > now}
+        parts = [MAGIC]
+        for message in self.owed.values():
+            parts.append(frame(taken_record(message)))
+            begun = frame(step_record(BEGUN, message.id, max(message.legs - 1, 0)))
+            if message.legs:
+                parts.append(begun)
+                if message.legs - 1 not in message.unsettled:
+                    parts.append(frame(step_record(NEVER_RAN, message.id, message.legs - 1)))
+            parts += [frame(step_record(BEGUN, message.id, leg)) for leg in sorted(message.unsettled)]
+        for message_id, ended in self.ends.items():
+            parts.append(frame(ended.record(message_id)))
+            if ended.told:
+                parts.append(frame(step_record(TOLD, message_id, 0)))
+        data = b"".join(parts)
+        if self._blocks(self.size) + self._blocks(len(data)) > self.budget:
+            return False
+        try:
+            fd = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+            try:
+                if os.write(fd, data) < len(data):
+                    raise OSError("short write")
+                os.rename(self.fresh, self.path)
+            except OSError:
+                os.close(fd)
+                self.fresh.unlink(missing_ok=True)
+                raise
+        except OSError as error:
+            log.error("journal: not compacted: %s", error.strerror or error)
+            return False
+        os.close(self.fd)
+        log.info("journal: compacted from %d to %d bytes", self.size, len(data))
+        self.fd, self.size = fd, len(data)
+        return True
+
+    @staticmethod
+    def _blocks(size: int) -> int:
+        return -(-size // BLOCK) * BLOCK
+
+    # Replay.
+
+    def replay(self, data: bytes) -> int:
+        """Take in all whole records, and return the offset behind the last."""
+        end = min(len(data), len(MAGIC)) if data.startswith(MAGIC) else 0
+        for offset, payload in records(data):
+            try:
+                self._read(payload)
+            except (ValueError, KeyError, struct.error) as error:
+                raise JournalError(f"journal: unreadable record before offset {offset}: {error}") from None
+            end = offset
+        now = self.unix_us()
+        self.ends = {i: e for i, e in self.ends.items() if e.keep_until_us > now}
+        self.live = sum(len(frame(taken_record(m))) for m in self.owed.values())
+        return end
+
+    def _read(self, payload: bytes) -> None:
+        kind, (raw, *_), rest = payload[:1], *unpack_text(payload[1:], 1)
+        message_id = raw.decode()
+        if kind == TAKEN:
+            (_, cls, tenant, front, form, body), fixed = unpack_text(payload[1:], 6)
+            deadline_us, dest = struct.unpack("<qq", fixed)
+            self.owed[message_id] = Message(
+                message_id,
+                cls.decode(),
+                tenant.decode(),
+                dest,
+                deadline_us,
+                body,
+                front.decode(),
+                form.decode(),
+            )
+        elif kind == ENDED:
+            self.owed.pop(message_id, None)
+            (_, front), fixed = unpack_text(payload[1:], 2)
+            retry_us, keep_us = struct.unpack("<qq", fixed[1:])
+            self.ends[message_id] = Ended(End(ENDING_OF[fixed[:1]], retry_us), front.decode(), keep_us)
+        elif kind == TOLD:
+            if message_id in self.ends:
+                self.ends[message_id].told = True
+        elif kind in (BEGUN, NEVER_RAN):
+            (leg,) = struct.unpack("<I", rest)
+            if (message := self.owed.get(message_id)) is not None:
+                message.legs = max(message.legs, leg + 1)
+                (message.unsettled.add if kind == BEGUN else message.unsettled.discard)(leg)
+        else:
+            raise ValueError(f"unknown type {kind!r}")
+
+    def untold(self, front: str) -> list[tuple[str, End]]:
+        """Refusals and failures of a front's messages whose notice has not been confirmed."""
+        undelivered = (Ending.REFUSED, Ending.FAILED)
+        return [
+            (i, e.end)
+            for i, e in self.ends.items()
+            if not e.told and e.front == front and e.end.ending in undelivered
+        ]
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -144,7 +144,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Accept:
-    """A new message has been taken."""
+    """A message to be delivered: new, or owed since before a restart, when earlier attempts count."""
 
     ref: int
     cls: str
@@ -152,6 +152,8 @@
     left_us: int
     tenant: str | None = None
     key: str | None = None
+    legs: int = 0  # attempts already used; the next one has this number
+    ran: bool = False  # whether one of them may have run
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -139,9 +139,9 @@
         self.key = event.key if cls.ordered else None
         self.deadline = now + event.left_us
         self.aim_at = self.deadline - cls.deadline_us + cls.aim_us
-        self.share, self.legs, self.taken_at, self.ran_zone = share, 0, now, ""
+        self.share, self.legs, self.taken_at, self.ran_zone = share, event.legs, now, ""
         self.out: dict[int, Call] = {}
-        self.ran_at: int | None = None
+        self.ran_at: int | None = now if event.ran else None
 
     def value(self, at: int, halves: bool) -> float:
         """The worth of this message if it were delivered at that time."""
