--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -6,14 +6,16 @@
 import logging
 import signal
 
-from rowanrack.config import Config, ConfigError, PlatformConfig
+from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig
 from rowanrack.core.exchange import Exchange
+from rowanrack.fronts.otlp import FRONT as OTLP
 from rowanrack.fronts.platform import FRONT as PLATFORM
 from rowanrack.fronts.platform.clients import PlatformClients
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
 from rowanrack.fronts.platform.inbox import InboxForm
 from rowanrack.fronts.platform.notices import Notices
-from rowanrack.net.pool import InstancePool
+from rowanrack.net.listener import Listener
+from rowanrack.net.pool import CallForm, InstancePool
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope
@@ -33,9 +35,10 @@
         self.clock = LoopClock(lambda: self.exchange.pump())
         self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us)
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
-        self.pool = InstancePool(self.exchange, {PLATFORM: InboxForm()})
+        self.forms: dict[str, CallForm] = {PLATFORM: InboxForm()}
+        self.pool = InstancePool(self.exchange, self.forms)
         self.exchange.side = self.pool
-        self.clients: PlatformClients | None = None
+        self.fronts: list[tuple[Listener, tuple[str, int]]] = []
         self.watch: DiscoveryWatch | None = None
         self.notices: Notices | None = None
         self.tasks: list[asyncio.Task[None]] = []
@@ -46,20 +49,29 @@
         owed = list(self.journal.owed.values())
         if self.config.platform is not None:
             self._start_platform(self.config.platform)
+        if self.config.otlp is not None:
+            self._start_otlp(self.config.otlp)
+        if self.config.instances:
+            self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
         for message in owed:
             self.exchange.adopt(message)
         self.exchange.pump()
-        if self.config.platform is not None and self.clients is not None:
-            host, port = self.config.platform.listen
+        for front, (host, port) in self.fronts:
             try:
-                await self.clients.listen(host, port)
+                await front.listen(host, port)
             except OSError as error:
                 raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
         log.info("%s: serving; %d messages owed from before", self.config.name, len(owed))
 
+    @property
+    def _clients_most(self) -> int:
+        """Descriptors for clients: the rest is for calls, idle connections and files."""
+        spare = self.config.sockets - 4 * self.config.settings.slots - 64
+        return max(16, spare // max(1, (self.config.platform is not None) + (self.config.otlp is not None)))
+
     def _start_platform(self, platform: PlatformConfig) -> None:
-        exchange, most_out = self.exchange, 4 * self.config.settings.slots + 64
-        self.clients = PlatformClients(exchange, max(16, self.config.sockets - most_out))
+        exchange = self.exchange
+        self.fronts.append((PlatformClients(exchange, self._clients_most), platform.listen))
         self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq)
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
@@ -69,6 +81,16 @@
             notices.tell(message_id, end)
         exchange.list_instances(Scope.FULL, platform.known)
 
+    def _start_otlp(self, otlp: OtlpConfig) -> None:
+        # Imported only where it is set up: protobuf's classes take memory that the platform counts.
+        from rowanrack.fronts.otlp.calls import OtlpForm
+        from rowanrack.fronts.otlp.server import OtlpServer
+
+        server = OtlpServer(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
+        self.fronts.append((server, otlp.listen))
+        self.exchange.listeners[OTLP] = server.ended
+        self.forms[OTLP] = OtlpForm()
+
     async def stop(self) -> None:
         """After SIGTERM: keep answering, settle what is out, and leave the rest to the journal."""
         began = self.clock.now_us()
@@ -76,20 +98,21 @@
             "stopping: %d messages owed, %d calls out", len(self.exchange.messages), len(self.pool.tasks)
         )
         await pause(self.exchange.after, STILL_COMING_US)
-        if self.clients is not None:
-            self.clients.drain()
+        for front, _ in self.fronts:
+            front.drain()
         while self._unsettled() and self.clock.now_us() - began < SETTLE_US:
             await pause(self.exchange.after, LOOK_US)
         log.info("stopped: %d messages stay owed", len(self.exchange.messages))
-        self.close()
 
     def _unsettled(self) -> bool:
         told = self.notices is None or not self.notices.pending
-        clients = self.clients is not None and bool(self.clients.streams)
+        clients = any(front.streams for front, _ in self.fronts)
         return bool(self.exchange.messages) or not told or clients
 
     def close(self) -> None:
         """Let go of everything."""
+        for front, _ in self.fronts:
+            front.close()
         self.pool.close()
         if self.watch is not None:
             self.watch.close()
@@ -104,6 +127,9 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     sender = Sender(config)
-    await sender.start()
-    await stop.wait()
-    await sender.stop()
+    try:
+        await sender.start()
+        await stop.wait()
+        await sender.stop()
+    finally:
+        sender.close()
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -6,13 +6,15 @@
 import logging
 import os
 import sys
+import time
+from pathlib import Path
 
 import click
 
 from rowanrack import __version__
 from rowanrack.app import serve as serve_config
-from rowanrack.config import ConfigError, platform_config
-from rowanrack.store.journal import JournalError
+from rowanrack.config import Config, ConfigError, operator_config, platform_config
+from rowanrack.store.journal import Journal, JournalError
 
 LOG_FORMAT = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
 
@@ -28,11 +30,64 @@
     click.echo(f"rowanrack {__version__}")
 
 
+CONFIG = click.option(
+    "--config",
+    "path",
+    type=click.Path(path_type=Path),
+    help="An operator's TOML file; without it, the platform's environment configures the sender.",
+)
+
+
+def load_config(path: Path | None) -> Config:
+    """The configuration, or an exit with one clear line."""
+    try:
+        return operator_config(path) if path is not None else platform_config(os.environ)
+    except ConfigError as error:
+        raise SystemExit(f"rowanrack: {error}") from None
+
+
 @main.command()
-def serve() -> None:
+@CONFIG
+def serve(path: Path | None) -> None:
     """Run a sender until SIGTERM."""
     logging.basicConfig(level=logging.INFO, format=LOG_FORMAT, datefmt="%H:%M:%S", stream=sys.stderr)
     try:
-        asyncio.run(serve_config(platform_config(os.environ)))
+        asyncio.run(serve_config(load_config(path)))
     except (ConfigError, JournalError) as error:
         raise SystemExit(f"rowanrack: {error}") from None
+
+
+@main.command()
+@CONFIG
+def check(path: Path | None) -> None:
+    """Read the configuration and the journal, and say what a sender would start with."""
+    config = load_config(path)
+    click.echo(f"{config.name}: configuration is in order")
+    click.echo(f"classes: {', '.join(config.settings.classes)}; {config.settings.slots} slots")
+    for name, front in (("platform", config.platform), ("otlp", config.otlp)):
+        if front is not None:
+            click.echo(f"{name}: listens on {front.listen[0]}:{front.listen[1]}")
+
+
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def journal(folder: Path) -> None:
+    """Print what the journal in FOLDER holds; nothing is changed."""
+    book = Journal(folder, 0, lambda: time.time_ns() // 1000)
+    try:
+        data = book.path.read_bytes()
+        end = book.replay(data)
+    except FileNotFoundError:
+        raise SystemExit(f"rowanrack: {folder} holds no journal") from None
+    except (OSError, JournalError) as error:
+        raise SystemExit(f"rowanrack: {error}") from None
+    for message in book.owed.values():
+        ran = "may have run" if message.unsettled else "has not run"
+        left_s = (message.deadline_us - book.unix_us()) / 1_000_000
+        used = f"{message.legs} executions, {ran}, {left_s:.1f} s left"
+        click.echo(f"owed {message.id} {message.cls} to {message.dest}: {used}")
+    for message_id, ended in book.ends.items():
+        click.echo(f"ended {message_id} {ended.end.ending.value}")
+    click.echo(
+        f"{len(book.owed)} owed, {len(book.ends)} ended, {end} bytes, torn tail of {len(data) - end} bytes"
+    )
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -1,16 +1,19 @@
-"""What a sender is told: the platform's environment, checked before anything starts."""
+"""What a sender is told, checked before it starts: the platform's environment, or an operator's file."""
 
 from __future__ import annotations
 
 import json
+import secrets
+import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from rowanrack.core.messages import Instance
+from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.fronts.platform.discovery import ListError, parse_address, parse_list
-from rowanspindle import Settings
+from rowanspindle import Settings, Status
 from rowanspindle.wire import WireError, parse_settings
 
 
@@ -28,6 +31,24 @@
     known: tuple[Instance, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class OtlpConfig:
+    """Where the OTLP front listens, and how it reads requests."""
+
+    listen: tuple[str, int]
+    body_limit: int
+    mapping: RequestMap
+
+
+@dataclass(frozen=True, slots=True)
+class ConsulConfig:
+    """Consul's agent, and the services whose instances are listed: those named, or those with the tag."""
+
+    address: tuple[str, int]
+    services: tuple[str, ...]
+    tag: str
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a sender needs to know at its start."""
@@ -40,6 +61,10 @@
     disk_bytes: int
     sockets: int
     platform: PlatformConfig | None = None
+    otlp: OtlpConfig | None = None
+    consul: ConsulConfig | None = None
+    console: Path | None = None
+    instances: tuple[Instance, ...] = ()
 
 
 def load_json(path: Path) -> dict[str, Any]:
@@ -87,3 +112,71 @@
         raise ConfigError(f"{env['ROUTER_CONFIG']}: {error}") from None
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"{env['ROUTER_CONFIG']}: bad or missing {error}") from None
+
+
+BODY_LIMIT = 256 * 1024  # bytes of an export request, unless the file says otherwise
+BODY_MOST = 900 * 1024  # what a record of the journal holds
+VALUES = ("class", "tenant", "destination", "id", "left_ms")
+
+
+def operator_config(path: Path) -> Config:
+    """The configuration of a sender at a small site, from its operator's TOML file."""
+    try:
+        doc = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"{path}: no TOML: {error}") from None
+    try:
+        state = Path(doc["state"])
+        if not state.is_dir():
+            raise ValueError(f"state: {state} is not a folder")
+        settings = parse_settings(json.dumps(doc["settings"]))
+        return Config(
+            name=str(doc.get("name", "rowanrack")),
+            settings=settings,
+            tick_us=int(doc["settings"].get("resolution_us", 5000)),
+            seed=secrets.randbits(63),
+            state=state,
+            disk_bytes=int(float(doc.get("disk_mb", 16)) * 1_000_000),
+            sockets=int(doc.get("sockets", 1024)),
+            platform=_platform(doc["platform"]) if "platform" in doc else None,
+            otlp=_otlp(doc["otlp"]) if "otlp" in doc else None,
+            consul=_consul(doc["consul"]) if "consul" in doc else None,
+            console=Path(doc["console"]["socket"]) if "console" in doc else None,
+            instances=tuple(map(_instance, doc.get("instance", []))),
+        )
+    except KeyError as error:
+        raise ConfigError(f"{path}: {error.args[0]} is missing") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _platform(doc: dict[str, Any]) -> PlatformConfig:
+    return PlatformConfig(parse_address(doc["listen"]), parse_address(doc["discovery"]), 0, ())
+
+
+def _otlp(doc: dict[str, Any]) -> OtlpConfig:
+    limit = int(doc.get("body_limit", BODY_LIMIT))
+    if not 0 < limit <= BODY_MOST:
+        raise ValueError(f"body_limit: must lie in 1 to {BODY_MOST}")
+    given = doc["map"]
+    if unknown := set(given) - set(VALUES):
+        raise ValueError(f"map: unknown {min(unknown)}")
+    cls, tenant, destination, message_id, left_ms = (Source(**given.get(name, {})) for name in VALUES)
+    destinations = {str(name): int(number) for name, number in doc.get("destinations", {}).items()}
+    mapping = RequestMap(cls, tenant, destination, message_id, left_ms, destinations)
+    return OtlpConfig(parse_address(doc["listen"]), limit, mapping)
+
+
+def _consul(doc: dict[str, Any]) -> ConsulConfig:
+    services, tag = tuple(map(str, doc.get("services", []))), str(doc.get("tag", ""))
+    if bool(services) == bool(tag):
+        raise ValueError("consul: name either services or a tag")
+    return ConsulConfig(parse_address(doc["address"]), services, tag)
+
+
+def _instance(doc: dict[str, Any]) -> Instance:
+    host, port = parse_address(doc["address"])
+    zone, kind, rate = str(doc.get("zone", "")), str(doc["kind"]), float(doc["rate"])
+    return Instance(str(doc["name"]), host, port, zone, kind, int(doc["dest"]), Status.LISTED, rate)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -8,6 +8,7 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
@@ -102,6 +103,7 @@
         self._next_ref = 0
         self._events: list[Event] = []
         self._waits: dict[int, int] = {}
+        self._sources: dict[str, set[str]] = {}
 
     # The service clients' side.
 
@@ -143,17 +145,20 @@
 
     # The instances' side.
 
-    def list_instances(self, scope: Scope, instances: Iterable[Instance]) -> None:
-        """News of the name table."""
-        news = tuple(instances)
+    def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
+        """News of the name table from one source; a whole list replaces only that source's entries."""
+        news, named = list(instances), self._sources.setdefault(source, set())
         if scope is Scope.FULL:
-            self.instances = {i.name: i for i in news if i.status is not Status.REMOVED}
-        elif scope is Scope.DELTA:
-            for instance in news:
-                if instance.status is Status.REMOVED:
-                    self.instances.pop(instance.name, None)
-                else:
-                    self.instances[instance.name] = instance
+            gone = named - {i.name for i in news}
+            news += [replace(i, status=Status.REMOVED) for n in sorted(gone) if (i := self.instances.get(n))]
+            scope = Scope.DELTA
+        for instance in news:
+            if instance.status is Status.REMOVED:
+                self.instances.pop(instance.name, None)
+                named.discard(instance.name)
+            else:
+                self.instances[instance.name] = instance
+                named.add(instance.name)
         self._put(Members(scope, tuple(i.member() for i in news)))
         if scope is not Scope.FAILED:
             for message in list(self.messages.values()):
@@ -170,7 +175,7 @@
         # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
         # that was decided on before and waited for its connection.
         waiting = self._waits.get(message.dest, 0) > self.clock.now_us()
-        if waiting or message.id not in self.messages or not self._listed(execution.instance.name):
+        if waiting or not self._owed(message) or not self._listed(execution.instance.name):
             self.settle(execution, Result.MOOT)
             return False
         self.store.begin(message, execution.leg)
@@ -178,8 +183,10 @@
         execution.begun = True
         return True
 
-    def settle(self, execution: Execution, result: Result, wait_us: int = 0, over: bool = False) -> None:
-        """An execution has ended. Only its first end counts."""
+    def settle(
+        self, execution: Execution, result: Result, wait_us: int = 0, end: Ending | None = None
+    ) -> None:
+        """An execution has ended, and its message too where `end` says so. Only its first end counts."""
         if execution.settled:
             return
         execution.settled = True
@@ -191,16 +198,16 @@
         if wait_us:
             until = now + wait_us
             self._waits[message.dest] = max(until, self._waits.get(message.dest, 0))
-        owed = message.id in self.messages
+        owed = self._owed(message)
         if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
             message.unsettled.discard(execution.leg)
             if owed:
                 self.store.never_ran(message, execution.leg)
         if owed and result is Result.OK:
             self._end(message, End(Ending.DELIVERED))
-        elif owed and over:
-            self._end(message, End(Ending.OVER))
-        over = message.id not in self.messages
+        elif owed and end is not None:
+            self._end(message, End(end))
+        over = not self._owed(message)
         latency = now - execution.started_us
         name = execution.instance.name
         self._put(Outcome(message.ref, execution.leg, name, result, latency, over, wait_us))
@@ -268,7 +275,7 @@
     def _send(self, action: Send, now: int) -> None:
         message = self._refs.get(action.ref)
         instance = self.instances.get(action.target)
-        if message is None or message.id not in self.messages:
+        if message is None or not self._owed(message):
             log.error("the module sends message %d, which has ended", action.ref)
             return
         leg, message.legs = message.legs, message.legs + 1
@@ -289,17 +296,20 @@
 
     def _finish(self, ref: int, end: End) -> None:
         message = self._refs.get(ref)
-        if message is not None and message.id in self.messages:
+        if message is not None and self._owed(message):
             self._end(message, end)
 
+    def _owed(self, message: Message) -> bool:
+        return self.messages.get(message.id) is message
+
     def _forget(self, message: Message) -> None:
         """An ended message keeps its number while an execution is out, which may be called off."""
-        if message.id not in self.messages and not message.out:
+        if not self._owed(message) and not message.out:
             self._refs.pop(message.ref, None)
 
     def _overdue(self, message: Message) -> None:
         """Guards against a message without its end, should the module have failed on it."""
-        if message.id in self.messages:
+        if self._owed(message):
             log.error("message %s had no end when its time was up", message.id)
             self._end(message, End(Ending.FAILED))
 
--- /dev/null
+++ b/rowanrack/fronts/otlp/calls.py
@@ -0,0 +1,72 @@
+"""Calls to OTLP servers, and what their answers mean under the house's rules."""
+
+from __future__ import annotations
+
+import logging
+from datetime import datetime
+from email.utils import parsedate_to_datetime
+
+from rowanrack.core.messages import Ending, Execution
+from rowanrack.fronts.otlp import OtlpError
+from rowanrack.fronts.otlp.signals import JSON, PROTOBUF, SIGNALS, parse_message
+from rowanrack.net.http import Call, Reply
+from rowanrack.net.pool import Verdict
+from rowanspindle import Result
+
+log = logging.getLogger(__name__)
+
+WAIT_MOST_S = 3600.0  # a longer Retry-After outlives every message that is held
+
+
+def retry_after_us(header: str, now: datetime) -> int:
+    """The wait that a Retry-After asks for, in seconds or as a date; 0 if it asks for none."""
+    text = header.strip()
+    if text.isascii() and text.isdigit():
+        seconds = float(text[:9])
+    else:
+        try:
+            at = parsedate_to_datetime(text)
+        except ValueError:
+            return 0
+        seconds = (at.astimezone(now.tzinfo) - now).total_seconds()
+    return int(max(0.0, min(seconds, WAIT_MOST_S)) * 1_000_000)
+
+
+class OtlpForm:
+    """OTLP/HTTP's form of a call: the export request as it was received, uncompressed."""
+
+    def call(self, execution: Execution, left_us: int) -> Call:
+        """OTLP has no header for the time that the sender waits."""
+        signal, _, kind = execution.message.form.partition(" ")
+        return Call("POST", f"/v1/{signal}", (("Content-Type", kind),), execution.message.body)
+
+    def verdict(self, execution: Execution, reply: Reply) -> Verdict:
+        """429 and 503 are nacks; 502 and 504 may have run; what the specification never repeats is final."""
+        match reply.status:
+            case 200:
+                self._log_partial(execution, reply)
+                return Verdict(Result.OK)
+            case 429 | 503:
+                wait_us = retry_after_us(reply.headers.get("retry-after", ""), datetime.now().astimezone())
+                return Verdict(Result.FULL, wait_us)
+            case 502 | 504:
+                return Verdict(Result.ERROR)
+            case status if 500 <= status < 600:
+                return Verdict(Result.ERROR, end=Ending.FAILED)
+            case status:
+                log.warning("%s: answered %d, message is failed", execution.instance.name, status)
+                return Verdict(Result.MOOT, end=Ending.FAILED)
+
+    @staticmethod
+    def _log_partial(execution: Execution, reply: Reply) -> None:
+        """A partial success is delivered, and must not be repeated; the operators read of it here."""
+        signal = SIGNALS["/v1/" + execution.message.form.partition(" ")[0]]
+        kind = JSON if reply.headers.get("content-type", "").startswith(JSON) else PROTOBUF
+        try:
+            response = parse_message(signal.response(), reply.body, kind)
+        except OtlpError:
+            log.warning("%s: delivered, but the answer cannot be read", execution.instance.name)
+            return
+        if response.HasField("partial_success"):
+            text = " ".join(str(getattr(response, "partial_success")).split())  # noqa: B009
+            log.warning("%s: partial success: %s", execution.instance.name, text)
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
-import logging
-
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
 from rowanrack.fronts.platform import FRONT
 from rowanrack.fronts.platform.resp import RespError, error, parse_command, simple
-from rowanrack.net.stream import CHUNK, Stream
-
-log = logging.getLogger(__name__)
+from rowanrack.net.listener import Listener
+from rowanrack.net.stream import Stream
 
 ID_MOST = 256
 
@@ -39,47 +35,15 @@
     return Message(message_id, cls, tenant, dest, now_unix_us + left_ms * 1000, words[4], FRONT)
 
 
-class PlatformClients:
+class PlatformClients(Listener):
     """The listener for service clients."""
 
     def __init__(self, exchange: Exchange, most: int) -> None:
-        self.exchange, self.most = exchange, most
-        self.streams: dict[Stream, bool] = {}  # each with whether it is between requests
-        self.draining = False
-        self._server: asyncio.Server | None = None
-
-    async def listen(self, host: str, port: int) -> None:
-        """Open the port."""
-        self._server = await asyncio.start_server(self._serve, host, port, limit=CHUNK, backlog=512)
-
-    def drain(self) -> None:
-        """Take no more connections, and close each as soon as it is between requests."""
-        self.draining = True
-        if self._server is not None:
-            self._server.close()
-        for stream, between in list(self.streams.items()):
-            if between:
-                stream.close_soon()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        stream = Stream(reader, writer)
-        if len(self.streams) >= self.most:
-            # Guards the limit on descriptors: the calls to instances need theirs.
-            log.warning("%d clients are connected, one more is turned away", self.most)
-            stream.abort()
-            return
-        self.streams[stream] = True
-        try:
-            await self._talk(stream)
-        except OSError as gone:
-            log.debug("a client went away: %s", gone)
-        except Exception:
-            log.exception("a client's connection failed")
-        finally:
-            self.streams.pop(stream, None)
-            await stream.close()
+        super().__init__(most)
+        self.exchange = exchange
 
-    async def _talk(self, stream: Stream) -> None:
+    async def talk(self, stream: Stream) -> None:
+        """Answer one command after the other; what is no command ends the connection."""
         while True:
             try:
                 words = parse_command(stream.inward)
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from rowanrack.core.messages import Execution
+from rowanrack.core.messages import Ending, Execution
 from rowanrack.net.http import Call, Reply
 from rowanrack.net.pool import Verdict
 from rowanspindle import Result
@@ -31,6 +31,6 @@
             case 504:
                 return Verdict(Result.MOOT)
             case 410:
-                return Verdict(Result.MOOT, over=True)
+                return Verdict(Result.MOOT, end=Ending.OVER)
             case _:
                 return Verdict(Result.ERROR)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Execution, Instance
+from rowanrack.core.messages import Ending, Execution, Instance
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller, Reply
 from rowanrack.net.stream import Stream
@@ -24,11 +24,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What an instance's answer means."""
+    """What an instance's answer means; with `end` the message ends, whatever its result teaches."""
 
     result: Result
     wait_us: int = 0
-    over: bool = False
+    end: Ending | None = None
 
 
 class CallForm(Protocol):
@@ -116,7 +116,7 @@
                 caller.stream.abort()
         if not execution.begun and result.result is Result.RESET:
             result = Verdict(Result.CONNECT_FAILED)
-        self.exchange.settle(execution, result.result, result.wait_us, result.over)
+        self.exchange.settle(execution, result.result, result.wait_us, result.end)
 
     async def _open(self, instance: Instance) -> HttpCaller:
         async with time_limit(self.exchange.after, self.exchange.settings.connect_timeout_us):
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -83,16 +83,21 @@
 
 @dataclass(slots=True)
 class Ended:
-    """A recorded end, kept until its time; `told` once the platform has confirmed its notice."""
+    """A recorded end, kept until its time; `told` once the platform has confirmed its notice.
+
+    A refusal is the answer only until its time to come again: then the same id may be handed in anew.
+    """
 
     end: End
     front: str
     keep_until_us: int
+    again_us: int
     told: bool = False
 
     def record(self, message_id: str) -> bytes:
         """As it stands in the journal."""
-        fixed = ENDINGS[self.end.ending] + struct.pack("<qq", self.end.retry_us, self.keep_until_us)
+        times = (self.end.retry_us, self.keep_until_us, self.again_us)
+        fixed = ENDINGS[self.end.ending] + struct.pack("<qqq", *times)
         return ENDED + pack_text(message_id.encode(), self.front.encode()) + fixed
 
 
@@ -158,6 +163,7 @@
         if not self._append(record):
             return False
         self.owed[message.id] = message
+        self.ends.pop(message.id, None)
         self.live += len(record)
         return True
 
@@ -171,10 +177,11 @@
 
     def end(self, message: Message, end: End) -> None:
         """Record the end of a message."""
-        keep = max(message.deadline_us, self.unix_us()) + self.keep_us
+        now = self.unix_us()
+        keep, again = max(message.deadline_us, now) + self.keep_us, now + end.retry_us
         if self.owed.pop(message.id, None) is not None:
             self.live -= len(frame(taken_record(message)))
-        ended = self.ends[message.id] = Ended(end, message.front, keep)
+        ended = self.ends[message.id] = Ended(end, message.front, keep, again)
         self._append(frame(ended.record(message.id)))
 
     def told(self, message_id: str) -> None:
@@ -184,9 +191,12 @@
             self._append(frame(step_record(TOLD, message_id, 0)))
 
     def ended(self, message_id: str) -> End | None:
-        """The end of a message, while it is kept."""
-        ended = self.ends.get(message_id)
-        return ended.end if ended is not None else None
+        """The end of a message, while it is its answer."""
+        ended, now = self.ends.get(message_id), self.unix_us()
+        if ended is None or now >= ended.keep_until_us:
+            return None
+        lapsed = ended.end.ending is Ending.REFUSED and now >= ended.again_us
+        return None if lapsed else ended.end
 
     # Room and compaction.
 
@@ -297,8 +307,9 @@
         elif kind == ENDED:
             self.owed.pop(message_id, None)
             (_, front), fixed = unpack_text(payload[1:], 2)
-            retry_us, keep_us = struct.unpack("<qq", fixed[1:])
-            self.ends[message_id] = Ended(End(ENDING_OF[fixed[:1]], retry_us), front.decode(), keep_us)
+            retry_us, keep_us, again_us = struct.unpack("<qqq", fixed[1:])
+            end = End(ENDING_OF[fixed[:1]], retry_us)
+            self.ends[message_id] = Ended(end, front.decode(), keep_us, again_us)
         elif kind == TOLD:
             if message_id in self.ends:
                 self.ends[message_id].told = True
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,294 @@
+"""What the socket tests share: stand-ins for instances, discovery and clients, and a sender among them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from rowanrack.app import Sender
+from rowanrack.config import Config, OtlpConfig, PlatformConfig
+from rowanrack.core.messages import End, Execution, Instance, Message
+from rowanrack.fronts.otlp.mapping import RequestMap, Source
+from rowanrack.net.http import Call, HttpCaller, HttpServed, Reply, Request
+from rowanrack.net.stream import Stream
+from rowanspindle import Result, Settings, Status
+from rowanspindle.wire import parse_settings
+
+Behaviour = Callable[[Request], Awaitable[Reply | None]]
+
+SETTINGS: dict[str, Any] = {
+    "grades": [
+        {
+            "name": "album-update",
+            "slo_us": 500_000,
+            "deadline_us": 3_000_000,
+            "worth": 1.0,
+            "late_worth": 0.3,
+            "effect": "retryable",
+        },
+        {
+            "name": "print-order",
+            "slo_us": 500_000,
+            "deadline_us": 3_000_000,
+            "worth": 1.0,
+            "late_worth": 0.5,
+            "effect": "fragile",
+        },
+    ],
+    "kinds": ["print-lab"],
+    "extra": {"slots": 8, "batch_by_kind": [1], "kind_apart": [False]},
+    "limits": {"most_held": 20, "try_limit": 6, "connect_timeout_us": 300_000, "keepalive_us": 10_000_000},
+    "weight_kind": "nominal",
+    "membership_mode": "on_request",
+    "resolution_us": 5000,
+}
+
+
+def on_loop(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    """Run an async test on a loop of its own, with an end in any case."""
+
+    @functools.wraps(test)
+    def run(*args: Any, **kwargs: Any) -> None:
+        asyncio.run(asyncio.wait_for(test(*args, **kwargs), 30))
+
+    return run
+
+
+def answers(*replies: Reply | None) -> Behaviour:
+    """Answer calls with these in turn, the last for ever; None breaks the connection."""
+    left = list(replies)
+
+    async def behave(_request: Request) -> Reply | None:
+        return left.pop(0) if len(left) > 1 else left[0]
+
+    return behave
+
+
+async def silent(_request: Request) -> Reply | None:
+    """Never answer."""
+    await asyncio.Event().wait()
+    return None
+
+
+class HttpStandIn:
+    """A server that keeps what it is asked, and answers as it is told."""
+
+    def __init__(self, behave: Behaviour = answers(Reply(200, {}))) -> None:  # noqa: B008
+        self.behave, self.requests, self.times = behave, list[Request](), list[float]()
+        self.connections, self.closed, self.port = 0, asyncio.Event(), 0
+        self.news = asyncio.Condition()
+
+    async def __aenter__(self) -> HttpStandIn:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        with contextlib.suppress(asyncio.CancelledError, OSError):
+            await self._talk(Stream(reader, writer, 1 << 20))
+
+    async def _talk(self, stream: Stream) -> None:
+        served, more = HttpServed(stream, 1 << 20), True
+        while more and (request := await served.receive()) is not None:
+            async with self.news:
+                self.requests.append(request)
+                self.times.append(asyncio.get_running_loop().time())
+                self.news.notify_all()
+            behaving = asyncio.ensure_future(self.behave(request))
+            ending = asyncio.ensure_future(stream.fill_quietly())
+            await asyncio.wait({behaving, ending}, return_when=asyncio.FIRST_COMPLETED)
+            reply = behaving.result() if behaving.done() else None
+            for task in (behaving, ending):
+                task.cancel()
+            await asyncio.wait({behaving, ending})
+            if reply is None:
+                self.closed.set()
+                stream.abort()
+                return
+            more = await served.answer(reply)
+
+    async def asked(self, count: int) -> list[Request]:
+        """The requests, once there are so many."""
+        async with self.news:
+            await self.news.wait_for(lambda: len(self.requests) >= count)
+        return self.requests
+
+
+class Platform(HttpStandIn):
+    """Discovery: its list, a watch that answers on changes, and the notices that it is told."""
+
+    def __init__(self) -> None:
+        super().__init__(self._behave)
+        self.hosts: list[dict[str, object]] = []
+        self.seq, self.changed, self.notice_status = 1, asyncio.Event(), [204]
+        self.notices: dict[str, dict[str, Any]] = {}
+        self.told = asyncio.Condition()
+
+    def change(self, *hosts: dict[str, object]) -> None:
+        """Tell those who watch."""
+        self.hosts, self.seq = list(hosts), self.seq + 1
+        self.changed.set()
+
+    async def _behave(self, request: Request) -> Reply | None:
+        if request.target == "/v1/outcomes":
+            status = self.notice_status.pop(0) if len(self.notice_status) > 1 else self.notice_status[0]
+            async with self.told:
+                for line in request.body.splitlines() if status == 204 else ():
+                    self.notices[json.loads(line)["message"]] = json.loads(line)
+                self.told.notify_all()
+            return Reply(status, {})
+        await self.changed.wait()
+        self.changed.clear()
+        doc = {"seq": self.seq, "whole": False, "hosts": self.hosts}
+        return Reply(200, {}, json.dumps(doc).encode())
+
+    async def notice(self, message_id: str) -> dict[str, Any]:
+        """The notice of a message, once it has come."""
+        async with self.told:
+            await self.told.wait_for(lambda: message_id in self.notices)
+        return self.notices[message_id]
+
+
+def entry(name: str, port: int, dest: int = 7, health: str = "SERVING") -> dict[str, object]:
+    """An instance in discovery's form."""
+    return {
+        "host": name,
+        "dial": f"127.0.0.1:{port}",
+        "site": "a",
+        "class": "print-lab",
+        "block": dest,
+        "health": health,
+        "share": 50.0,
+        "born_ms": 0,
+    }
+
+
+def instance(name: str, port: int, dest: int = 7) -> Instance:
+    """An instance as the core has it."""
+    return Instance(name, "127.0.0.1", port, "a", "print-lab", dest, Status.LISTED, 50.0)
+
+
+MAPPING = RequestMap(
+    Source(header="x-class", default="print-order"),
+    Source(attribute="service.namespace"),
+    Source(attribute="dest", default="7"),
+    Source(header="x-id"),
+    Source(header="x-left-ms"),
+)
+
+
+class Client:
+    """A service client on the platform's port."""
+
+    def __init__(self, stream: Stream) -> None:
+        self.stream = stream
+
+    async def raw(self, data: bytes) -> bytes:
+        """Write bytes, and return what comes until a line is whole or the connection ends."""
+        await self.stream.send(data)
+        while b"\n" not in self.stream.inward.peek(1 << 16) and await self.stream.fill():
+            pass
+        return self.stream.inward.read(1 << 16)
+
+    async def command(self, *words: str | bytes) -> bytes:
+        """One command and its answer."""
+        raw = [w.encode() if isinstance(w, str) else w for w in words]
+        parts = [f"*{len(raw)}\r\n".encode(), *(b"$%d\r\n%s\r\n" % (len(w), w) for w in raw)]
+        return await self.raw(b"".join(parts))
+
+    async def submit(
+        self, message_id: str, cls: str = "album-update", d: int = 3000, dest: int = 7, body: bytes = b"x"
+    ) -> bytes:
+        """Hand a message in."""
+        return await self.command("SUBMIT", "0", message_id, f"c={cls},t=a,d={d},dest={dest}", body)
+
+
+class Rig(AsyncExitStack):
+    """A sender with both fronts among stand-ins, whose folder outlasts it."""
+
+    def __init__(self, state: Path, *behaviours: Behaviour, **limits: int) -> None:
+        super().__init__()
+        self.state, self.platform = state, Platform()
+        self.servers = [HttpStandIn(b) for b in behaviours]
+        doc = SETTINGS | {"limits": SETTINGS["limits"] | limits}
+        self.settings: Settings = parse_settings(json.dumps(doc))
+        self.known: tuple[Instance, ...] = ()
+        self.results, self.ends = list[Result](), list[tuple[str, End]]()
+        self._news = asyncio.Event()
+
+    async def __aenter__(self) -> Rig:
+        await super().__aenter__()
+        for server in (self.platform, *self.servers):
+            await self.enter_async_context(server)
+        self.known = tuple(instance(f"i{n}", s.port) for n, s in enumerate(self.servers))
+        await self.start()
+        self.callback(lambda: self.sender.close())
+        return self
+
+    async def start(self) -> None:
+        """Start a sender on the folder, after `sender.close()` as after SIGKILL."""
+        host = "127.0.0.1"
+        config = Config("n0", self.settings, 5000, 1, self.state, 3_000_000, 512)
+        config = replace(
+            config,
+            platform=PlatformConfig((host, 0), (host, self.platform.port), self.platform.seq, self.known),
+            otlp=OtlpConfig((host, 0), 256 * 1024, MAPPING),
+        )
+        self.sender = Sender(config)
+        await self.sender.start()
+        exchange, settle = self.sender.exchange, self.sender.exchange.settle
+
+        def settle_and_tell(execution: Execution, result: Result, *rest: Any) -> None:
+            settle(execution, result, *rest)
+            self._tell(self.results, result)
+
+        def listen_and_tell(listener: Callable[[Message, End], None], message: Message, end: End) -> None:
+            listener(message, end)
+            self._tell(self.ends, (message.id, end))
+
+        exchange.settle = settle_and_tell  # type: ignore[method-assign, assignment]
+        for front, listener in exchange.listeners.items():
+            exchange.listeners[front] = functools.partial(listen_and_tell, listener)
+
+    def _tell(self, told: list[Any], news: Any) -> None:
+        told.append(news)
+        self._news.set()
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until what the sender's executions and ends have told makes this true."""
+        while not condition():
+            self._news.clear()
+            await self._news.wait()
+
+    async def ended(self, message_id: str) -> End:
+        """The end of a message, once it has one."""
+        await self.until(lambda: message_id in dict(self.ends))
+        return dict(self.ends)[message_id]
+
+    async def client(self) -> Client:
+        """A new connection to the platform's front."""
+        return Client(await self.connect(0))
+
+    async def export(self, body: bytes, path: str = "/v1/logs", **headers: str) -> Reply:
+        """One export request on a connection of its own."""
+        stream = await self.connect(1)
+        kind = {"content_type": "application/x-protobuf"} | headers
+        named = tuple((name.replace("_", "-"), value) for name, value in kind.items())
+        return await HttpCaller(stream, "otlp", 1 << 20).call(Call("POST", path, named, body))
+
+    async def connect(self, front: int) -> Stream:
+        """A new connection to the platform's front (0) or to OTLP's (1)."""
+        stream = await Stream.connect("127.0.0.1", self.sender.fronts[front][0].port)
+        self.callback(stream.abort)
+        return stream
--- /dev/null
+++ b/tests/test_otlp.py
@@ -0,0 +1,254 @@
+"""The OTLP front against stand-ins: one path from an export request to an OTLP server and back."""
+
+from __future__ import annotations
+
+import asyncio
+import gzip
+import json
+from datetime import UTC, datetime
+from pathlib import Path
+
+import pytest
+from google.protobuf import json_format
+from google.rpc import status_pb2
+from opentelemetry.proto.collector.logs.v1.logs_service_pb2 import (
+    ExportLogsPartialSuccess,
+    ExportLogsServiceRequest,
+    ExportLogsServiceResponse,
+)
+
+from rowanrack.core.messages import Ending
+from rowanrack.fronts.otlp import OtlpError
+from rowanrack.fronts.otlp.calls import retry_after_us
+from rowanrack.fronts.otlp.signals import JSON, PROTOBUF, SIGNALS, media_type, parse_message, plain_body
+from rowanrack.net.http import Call, HttpCaller, Reply
+from tests.rig import Rig, answers, on_loop, silent
+
+OK = Reply(200, {"Content-Type": PROTOBUF})
+
+
+def logs(text: str = "hello", **attributes: str) -> bytes:
+    """An export request with one record."""
+    request = ExportLogsServiceRequest()
+    item = request.resource_logs.add()
+    for key, value in attributes.items():
+        item.resource.attributes.add(key=key).value.string_value = value
+    item.scope_logs.add().log_records.add().body.string_value = text
+    return request.SerializeToString()
+
+
+SPAN = {"spanId": "eee19b7ec3c1b174"}
+AS_JSON = json.dumps(
+    {
+        "resourceSpans": [
+            {
+                "resource": {"attributes": [{"key": "dest", "value": {"intValue": "7"}}]},
+                "scopeSpans": [
+                    {"spans": [{"traceId": "5b8efff798038103d269b633813fc60c", "spanId": "eee19b7ec3c1b174"}]}
+                ],
+                "newField": 1,
+            }
+        ]
+    }
+).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "kind", "body"),
+    [
+        ("/v1/logs", PROTOBUF, logs()),
+        ("/v1/traces", JSON, AS_JSON),
+        ("/v1/metrics", JSON, b"{}"),
+        ("/v1/metrics", PROTOBUF, b""),
+    ],
+)
+@pytest.mark.parametrize("packed", [False, True])
+@on_loop
+async def test_an_export_is_delivered_as_it_came(
+    tmp_path: Path, path: str, kind: str, body: bytes, packed: bool
+) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        headers = {"content_type": kind} | ({"content_encoding": "gzip"} if packed else {})
+        reply = await rig.export(gzip.compress(body) if packed else body, path, **headers)
+        assert (reply.status, reply.headers["content-type"]) == (200, kind)
+        assert reply.body == (b"{}" if kind == JSON else b"")
+        (call,) = await rig.servers[0].asked(1)
+        assert (call.target, call.body, call.headers["content-type"]) == (path, body, kind)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "body", "status"),
+    [
+        ("/v1/profiles", {}, logs(), 404),
+        ("/v1/logs", {"content_type": "text/plain"}, logs(), 415),
+        ("/v1/logs", {"content_encoding": "br"}, logs(), 415),
+        ("/v1/logs", {"content_encoding": "gzip"}, b"no gzip", 400),
+        ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(logs())[:-9], 400),
+        ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(bytes(300 * 1024)), 413),
+        ("/v1/logs", {}, bytes(300 * 1024), 413),
+        ("/v1/logs", {}, b"\xff\xff\xff", 400),
+        ("/v1/logs", {"content_type": JSON}, b"[1]", 400),
+        ("/v1/logs", {"content_type": JSON}, b"{" * 99, 400),
+        ("/v1/logs", {"x_class": "nope"}, logs(), 400),
+        ("/v1/logs", {"x_left_ms": "soon"}, logs(), 400),
+        ("/v1/logs", {}, logs(dest="nowhere"), 400),
+        ("/v1/logs", {}, logs(dest="7") + logs(dest="8"), 400),
+    ],
+)
+@on_loop
+async def test_what_cannot_be_taken_is_answered_plainly(
+    tmp_path: Path, path: str, headers: dict[str, str], body: bytes, status: int
+) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        reply = await rig.export(body, path, **headers)
+        assert reply.status == status and not rig.servers[0].requests
+        kind = JSON if headers.get("content_type") == JSON else PROTOBUF
+        said = parse_message(status_pb2.Status(), reply.body, kind)
+        assert isinstance(said, status_pb2.Status) and said.code and said.message
+
+
+@pytest.mark.parametrize(
+    ("reply", "cls", "status", "calls"),
+    [
+        (Reply(400, {}), "album-update", 500, 1),
+        (Reply(500, {}), "album-update", 500, 1),
+        (Reply(502, {}), "print-order", 500, 1),
+        (Reply(504, {}), "print-order", 500, 1),
+        (None, "print-order", 500, 1),
+        (Reply(502, {}), "album-update", 200, 2),
+        (Reply(503, {}), "print-order", 200, 2),
+        (Reply(429, {"Retry-After": "1"}), "print-order", 200, 2),
+    ],
+)
+@on_loop
+async def test_what_the_servers_answers_mean(
+    tmp_path: Path, reply: Reply | None, cls: str, status: int, calls: int
+) -> None:
+    async with Rig(tmp_path, answers(reply, OK)) as rig:
+        answer = await rig.export(logs(), x_class=cls)
+        assert answer.status == status and len(rig.servers[0].requests) == calls
+        if reply is not None and "Retry-After" in reply.headers:
+            first, second = rig.servers[0].times
+            assert second - first >= 1
+
+
+@on_loop
+async def test_a_refusal_says_when_to_come_again_and_a_failure_does_not(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent, most_held=1) as rig:
+        refused = await rig.export(logs(dest="99"), x_left_ms="200")
+        assert refused.status == 503 and int(refused.headers["retry-after"]) >= 1
+        failed = asyncio.create_task(rig.export(logs("a"), x_left_ms="400"))
+        await rig.servers[0].asked(1)
+        turned_away = await rig.export(logs("b"))
+        assert turned_away.status == 503 and int(turned_away.headers["retry-after"]) >= 1
+        reply = await failed
+        assert reply.status == 500 and "retry-after" not in reply.headers
+        assert status_pb2.Status.FromString(reply.body).message
+
+
+@on_loop
+async def test_a_client_that_left_asks_again_and_gets_the_one_answer(tmp_path: Path) -> None:
+    gate = asyncio.Event()
+
+    async def when_open(_request: object) -> Reply:
+        await gate.wait()
+        return OK
+
+    async with Rig(tmp_path, when_open) as rig:
+        stream = await rig.connect(1)
+        headers = (("Content-Type", PROTOBUF), ("X-Id", "e1"))
+        first = asyncio.create_task(
+            HttpCaller(stream, "otlp", 1 << 16).call(Call("POST", "/v1/logs", headers, logs()))
+        )
+        await rig.servers[0].asked(1)
+        first.cancel()
+        stream.abort()
+        again = asyncio.create_task(rig.export(logs(), x_id="e1"))
+        gate.set()
+        assert (await again).status == 200
+        assert (await rig.export(logs(), x_id="e1")).status == 200
+        assert len(rig.servers[0].requests) == 1
+
+
+@pytest.mark.parametrize(("reply", "status"), [(OK, 200), (Reply(400, {}), 500)])
+@on_loop
+async def test_the_answer_outlasts_a_restart(tmp_path: Path, reply: Reply, status: int) -> None:
+    async with Rig(tmp_path, answers(reply)) as rig:
+        assert (await rig.export(logs())).status == status
+        rig.sender.close()
+        await rig.start()
+        assert (await rig.export(logs())).status == status
+        assert len(rig.servers[0].requests) == 1
+
+
+@on_loop
+async def test_a_call_cut_off_by_a_restart_has_one_end(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig:
+        asking = asyncio.create_task(rig.export(logs()))
+        await rig.servers[0].asked(1)
+        rig.sender.close()
+        asking.cancel()
+        await rig.start()
+        assert (await rig.export(logs())).status == 500
+        assert len(rig.servers[0].requests) == 1
+
+
+@on_loop
+async def test_a_partial_success_is_delivered_and_logged(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    partial = ExportLogsPartialSuccess(rejected_log_records=1, error_message="too old")
+    body = ExportLogsServiceResponse(partial_success=partial).SerializeToString()
+    async with Rig(tmp_path, answers(Reply(200, {"Content-Type": PROTOBUF}, body))) as rig:
+        assert (await rig.export(logs())).status == 200
+    assert "too old" in caplog.text
+
+
+@on_loop
+async def test_both_fronts_end_alike(tmp_path: Path) -> None:
+    """The same messages to stand-ins that act alike: as many delivered, refused and failed on each front."""
+    script = [OK, Reply(503, {}), OK, None, None, OK]
+    other = tmp_path / "other"
+    other.mkdir()
+    async with Rig(tmp_path, answers(*script)) as platform_rig, Rig(other, answers(*script)) as otlp_rig:
+        client = await platform_rig.client()
+        for n in range(6):
+            cls, dest = ("print-order", "album-update")[n % 2], 99 if n == 5 else 7
+            d = 300 if dest == 99 else 3000
+            await client.submit(f"m{n}", cls, d, dest)
+            await platform_rig.ended(f"m{n}")
+            body = logs(str(n), dest=str(dest))
+            await otlp_rig.export(body, x_class=cls, x_left_ms=str(d), x_id=f"m{n}")
+        counts = platform_rig.sender.exchange.counts
+        assert counts == otlp_rig.sender.exchange.counts
+        assert counts[Ending.DELIVERED] == 4 and counts[Ending.REFUSED] == 1 and counts[Ending.FAILED] == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "wait_us"),
+    [
+        ("2", 2_000_000),
+        ("0", 0),
+        ("", 0),
+        ("soon", 0),
+        ("-1", 0),
+        ("Tue, 01 Dec 2026 10:00:05 GMT", 5_000_000),
+        ("Tue, 01 Dec 2026 09:00:00 GMT", 0),
+        ("99999999999", 3_600_000_000),
+    ],
+)
+def test_retry_after_is_read(text: str, wait_us: int) -> None:
+    assert retry_after_us(text, datetime(2026, 12, 1, 10, tzinfo=UTC)) == wait_us
+
+
+def test_json_ids_are_hex() -> None:
+    request = parse_message(SIGNALS["/v1/traces"].request(), AS_JSON, JSON)
+    spans = json_format.MessageToDict(request)["resourceSpans"][0]["scopeSpans"][0]["spans"]
+    assert spans[0]["spanId"] == "7uGbfsPBsXQ="
+
+
+def test_encodings_are_known_by_name() -> None:
+    assert media_type("application/json; charset=utf-8") == JSON
+    assert plain_body(b"x", "Identity", 9) == b"x"
+    with pytest.raises(OtlpError):
+        media_type("")
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,215 @@
+"""The platform's rules, one real-socket test for each."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+import pytest
+
+from rowanrack.core.messages import Ending
+from rowanrack.net.http import Reply
+from rowanrack.net.stream import Stream
+from rowanspindle import Result
+from tests.rig import SETTINGS, Client, Platform, Rig, answers, entry, on_loop, silent
+
+OK = Reply(200, {})
+
+
+@on_loop
+async def test_a_message_is_passed_on_unchanged(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        client, body = await rig.client(), bytes(range(256)) * 200
+        assert await client.command("PING") == b"+PONG\r\n"
+        assert await client.submit("m1", body=body, d=2000) == b"+OK\r\n"
+        (call,) = await rig.servers[0].asked(1)
+        assert (call.method, call.target, call.body) == ("POST", "/inbox", body)
+        assert call.headers["x-txn"] == "m1"
+        assert 0 < int(call.headers["x-remaining"].removesuffix("m")) <= 2000
+
+
+@on_loop
+async def test_one_connection_carries_calls_in_turn(tmp_path: Path) -> None:
+    """Reusing a connection before its idle watch had ended broke each second call."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        client = await rig.client()
+        for n in range(1, 5):
+            await client.submit(f"m{n}")
+            await rig.ended(f"m{n}")
+        assert rig.servers[0].connections == 1
+
+
+@on_loop
+async def test_a_told_wait_silences_the_whole_destination(tmp_path: Path) -> None:
+    full = answers(Reply(429, {"X-Retry-In-Ms": "400"}), OK)
+    async with Rig(tmp_path, full, full) as rig:
+        client = await rig.client()
+        await client.submit("m1")
+        await asyncio.wait(
+            [asyncio.ensure_future(s.asked(1)) for s in rig.servers], return_when="FIRST_COMPLETED"
+        )
+        told_at = asyncio.get_running_loop().time()
+        await rig.until(lambda: Result.FULL in rig.results)
+        await client.submit("m2")
+        assert {(await rig.ended(m)).ending for m in ("m1", "m2")} == {Ending.DELIVERED}
+        times = sorted(t for s in rig.servers for t in s.times)
+        assert len(times) == 3 and times[1] - told_at >= 0.4
+
+
+@pytest.mark.parametrize(("cls", "calls", "noticed"), [("print-order", 1, True), ("album-update", 2, False)])
+@on_loop
+async def test_what_may_have_run_is_repeated_only_if_that_is_safe(
+    tmp_path: Path, cls: str, calls: int, noticed: bool
+) -> None:
+    async with Rig(tmp_path, answers(None, OK)) as rig:
+        await (await rig.client()).submit("m1", cls)
+        if noticed:
+            assert (await rig.platform.notice("m1"))["outcome"] == "given_up"
+        assert len(await rig.servers[0].asked(calls)) == calls
+
+
+@on_loop
+async def test_a_refused_connection_has_never_run(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        port = rig.servers[0].port
+        await rig.servers[0].__aexit__()
+        await (await rig.client()).submit("m1", "print-order")
+        await rig.until(lambda: Result.CONNECT_FAILED in rig.results)
+        rig.servers[0].port = port
+        await rig.servers[0].__aenter__()
+        (call,) = await rig.servers[0].asked(1)
+        assert call.headers["x-txn"] == "m1" and not rig.platform.notices
+
+
+@on_loop
+async def test_giving_a_call_up_closes_its_connection(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig:
+        await (await rig.client()).submit("m1", "print-order", d=300)
+        await rig.servers[0].closed.wait()
+        assert (await rig.platform.notice("m1"))["outcome"] == "given_up"
+
+
+@on_loop
+async def test_notices_come_again_until_they_are_confirmed(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(None)) as rig:
+        rig.platform.notice_status = [503, 400, 204]
+        await (await rig.client()).submit("m1", "print-order")
+        assert await rig.platform.notice("m1") == {"message": "m1", "outcome": "given_up"}
+
+
+@on_loop
+async def test_a_full_sender_answers_busy(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent, most_held=1) as rig:
+        client = await rig.client()
+        assert await client.submit("m1") == b"+OK\r\n"
+        assert await client.submit("m2") == b"-BUSY 1000\r\n"
+        assert "m2" not in rig.sender.journal.owed
+
+
+@on_loop
+async def test_a_message_that_finds_no_instance_is_handed_back(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        await (await rig.client()).submit("m1", d=200, dest=99)
+        notice = await rig.platform.notice("m1")
+        assert notice["outcome"] == "handed_back" and notice["retry_in_ms"] >= 1000
+
+
+@on_loop
+async def test_the_next_watch_follows_at_once_and_drains_are_kept(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(OK), answers(OK)) as rig:
+        await rig.platform.asked(1)
+        answered = asyncio.get_running_loop().time()
+        rig.platform.change(entry("i0", rig.servers[0].port, health="DRAINING"))
+        watches = await rig.platform.asked(2)
+        assert rig.platform.times[1] - answered < 0.2
+        assert watches[1].target.startswith("/v1/servers?index=2&wait=")
+        client = await rig.client()
+        for n in range(4):
+            await client.submit(f"m{n}")
+        await rig.servers[1].asked(4)
+        assert not rig.servers[0].requests
+
+
+@on_loop
+async def test_owed_messages_outlast_the_process(tmp_path: Path) -> None:
+    """A call that was out may have run: the order ends as given up, the update goes again."""
+    async with Rig(tmp_path, silent) as rig:
+        client = await rig.client()
+        for cls in ("print-order", "album-update"):
+            await client.submit(cls, cls)
+        await rig.servers[0].asked(2)
+        rig.sender.close()
+        rig.servers[0].behave = answers(OK)
+        await rig.start()
+        assert (await rig.platform.notice("print-order"))["outcome"] == "given_up"
+        calls = await rig.servers[0].asked(3)
+        assert [c.headers["x-txn"] for c in calls[2:]] == ["album-update"]
+
+
+@on_loop
+async def test_the_try_limit_holds_across_a_restart(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent, try_limit=2) as rig:
+        await (await rig.client()).submit("m1")
+        for calls in (1, 2):
+            await rig.servers[0].asked(calls)
+            rig.sender.close()
+            await rig.start()
+        assert await rig.platform.notice("m1")
+        assert len(rig.servers[0].requests) == 2
+
+
+@pytest.mark.parametrize(
+    ("data", "text"),
+    [
+        (b"GET / HTTP/1.1\r\n\r\n", b"-ERR Protocol error: expected '*'"),
+        (b"*1\r\n$5\r\nHELLO\r\n", b"-ERR unknown command 'HELLO'"),
+        (b"*1\r\n$6\r\nSUBMIT\r\n", b"-ERR SUBMIT takes"),
+        (b"*1\r\n$99999999\r\n", b"-ERR Protocol error: a length is out of range"),
+    ],
+)
+@on_loop
+async def test_bad_commands_end_only_their_connection(tmp_path: Path, data: bytes, text: bytes) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        bad, good = await rig.client(), await rig.client()
+        assert (await bad.raw(data)).startswith(text)
+        assert not await bad.stream.fill()
+        assert await good.command("PING") == b"+PONG\r\n"
+
+
+@on_loop
+async def test_after_sigterm_it_still_answers_settles_and_exits(tmp_path: Path) -> None:
+    release = asyncio.Event()
+
+    async def held_up(_request: object) -> Reply:
+        await release.wait()
+        return OK
+
+    async with Rig(tmp_path, held_up) as rig, Platform() as platform:
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            port = free.getsockname()[1]
+        known = {"seq": 1, "whole": True, "hosts": [entry("i0", rig.servers[0].port)]}
+        listen, discovery = f"127.0.0.1:{port}", f"127.0.0.1:{platform.port}"
+        doc = {"name": "n0", "listen": listen, "discovery": discovery, "settings": SETTINGS, "known": known}
+        (tmp_path / "config.json").write_text(json.dumps(doc))
+        env = os.environ | {"ROUTER_CONFIG": str(tmp_path / "config.json"), "ROUTER_STATE": str(tmp_path)}
+        sender = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "rowanrack", "serve", env=env, stderr=asyncio.subprocess.PIPE
+        )
+        assert sender.stderr is not None
+        assert b"serving" in await sender.stderr.readline()
+        client = Client(await Stream.connect("127.0.0.1", port))
+        assert await client.submit("m1") == b"+OK\r\n"
+        await rig.servers[0].asked(1)
+        sender.send_signal(signal.SIGTERM)
+        assert b"stopping" in await sender.stderr.readline()
+        late = Client(await Stream.connect("127.0.0.1", port))
+        assert await late.submit("m2") == b"+OK\r\n"
+        release.set()
+        rest = await asyncio.wait_for(sender.stderr.read(), 3.6)
+        assert await sender.wait() == 0 and b"0 messages stay owed" in rest
+        assert {r.headers["x-txn"] for r in rig.servers[0].requests} == {"m1", "m2"}
