List instances from Consul, and hold calls back that a restart would cut off

Consul: blocking queries on the catalogue and on each service's health, with the index's rules of reset, as a second source of the name table; tested with a stand-in agent.

Seen in reading `Sender.stop`: calls went out until 3.3 s after SIGTERM and were cut there, which fails an order; now the exchange is frozen at 2 s (`Exchange.freeze`), and what is owed goes on at the next start. Seen in `PlatformClients.talk`: a request that had come in when its connection was closed was still taken, and its client hands it in again elsewhere; it is left now. Idle connections now have a limit, and one to an instance that moved is not reused.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -7,6 +7,7 @@
 import signal
 
 from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig
+from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
 from rowanrack.fronts.otlp import FRONT as OTLP
 from rowanrack.fronts.platform import FRONT as PLATFORM
@@ -23,6 +24,7 @@
 log = logging.getLogger(__name__)
 
 STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
+BEGIN_US = 2_000_000  # after SIGTERM: a call that begins later might be cut off
 SETTLE_US = 3_300_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
 LOOK_US = 20_000  # between looks at whether all is settled
 
@@ -40,6 +42,7 @@
         self.exchange.side = self.pool
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
         self.watch: DiscoveryWatch | None = None
+        self.consul: ConsulSource | None = None
         self.notices: Notices | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -51,6 +54,10 @@
             self._start_platform(self.config.platform)
         if self.config.otlp is not None:
             self._start_otlp(self.config.otlp)
+        if self.config.consul is not None:
+            consul = self.config.consul
+            self.consul = ConsulSource(self.exchange, consul.address, consul.services, consul.tag)
+            self.consul.start()
         if self.config.instances:
             self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
         for message in owed:
@@ -100,22 +107,26 @@
         await pause(self.exchange.after, STILL_COMING_US)
         for front, _ in self.fronts:
             front.drain()
-        while self._unsettled() and self.clock.now_us() - began < SETTLE_US:
+        while self._unsettled() and (gone := self.clock.now_us() - began) < SETTLE_US:
+            if gone >= BEGIN_US:
+                self.exchange.freeze()
             await pause(self.exchange.after, LOOK_US)
         log.info("stopped: %d messages stay owed", len(self.exchange.messages))
 
     def _unsettled(self) -> bool:
         told = self.notices is None or not self.notices.pending
         clients = any(front.streams for front, _ in self.fronts)
-        return bool(self.exchange.messages) or not told or clients
+        owed = not self.exchange.frozen and bool(self.exchange.messages)
+        return owed or bool(self.pool.tasks) or not told or clients
 
     def close(self) -> None:
         """Let go of everything."""
         for front, _ in self.fronts:
             front.close()
         self.pool.close()
-        if self.watch is not None:
-            self.watch.close()
+        for source in (self.watch, self.consul):
+            if source is not None:
+                source.close()
         for task in self.tasks:
             task.cancel()
         self.journal.close()
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -22,6 +22,7 @@
     Event,
     Fail,
     Forwarder,
+    Kind,
     Log,
     Members,
     Outcome,
@@ -102,14 +103,15 @@
         self._refs: dict[int, Message] = {}
         self._next_ref = 0
         self._events: list[Event] = []
-        self._waits: dict[int, int] = {}
+        self.frozen = False
+        self._waits: dict[str | int, int] = {}
         self._sources: dict[str, set[str]] = {}
 
     # The service clients' side.
 
     def submit(self, message: Message) -> Nack | None:
         """Take a message, or refuse it; once this returns None the sender owes its end."""
-        if len(self.messages) >= self.settings.most_held:
+        if self.frozen or len(self.messages) >= self.settings.most_held:
             return Nack(self._retry_us())
         if not self.store.take(message):
             log.warning("no room in the journal, message %s is turned away", message.id)
@@ -174,7 +176,7 @@
             return False
         # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
         # that was decided on before and waited for its connection.
-        waiting = self._waits.get(message.dest, 0) > self.clock.now_us()
+        waiting = self._waits.get(self._limit(execution), 0) > self.clock.now_us()
         if waiting or not self._owed(message) or not self._listed(execution.instance.name):
             self.settle(execution, Result.MOOT)
             return False
@@ -196,8 +198,8 @@
         message.out.pop(execution.leg, None)
         self._forget(message)
         if wait_us:
-            until = now + wait_us
-            self._waits[message.dest] = max(until, self._waits.get(message.dest, 0))
+            limit = self._limit(execution)
+            self._waits[limit] = max(now + wait_us, self._waits.get(limit, 0))
         owed = self._owed(message)
         if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
             message.unsettled.discard(execution.leg)
@@ -212,6 +214,12 @@
         name = execution.instance.name
         self._put(Outcome(message.ref, execution.leg, name, result, latency, over, wait_us))
 
+    def _limit(self, execution: Execution) -> str | int:
+        """What a told wait holds for: the whole destination, or one route where routes are apart."""
+        instance = execution.instance
+        apart = self.settings.kinds.get(instance.kind, Kind()).apart
+        return instance.name if apart else instance.dest
+
     def _listed(self, name: str) -> bool:
         instance = self.instances.get(name)
         return instance is not None and instance.status is Status.LISTED
@@ -225,12 +233,20 @@
         self.clock.wake_at(due + self.wheel.tick_us)
         return timer
 
+    def freeze(self) -> None:
+        """Decide no more: what is out may still settle, and what is owed is left to the next process.
+
+        Guards against calls that begin right before the exit, which would cut them off: an order that may
+        have run can only be failed.
+        """
+        self.frozen = True
+
     def pump(self) -> None:
         """Fire what is due, let the module decide on all that happened, and do what it says."""
         now = self.clock.now_us()
         self.wheel.advance(now)
         batch, self._events = self._events, []
-        if batch:
+        if batch and not self.frozen:
             try:
                 actions = self.forwarder.decide(now, batch)
             except Exception:
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -57,6 +57,10 @@
                 if not await stream.fill():
                     return
                 continue
+            if stream.closing:
+                # Guards against a message taken twice: a client whose connection was closed before its
+                # request was read hands it in again elsewhere.
+                return
             self.streams[stream] = False
             try:
                 answer = self._answer(words)
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -9,8 +9,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Instance
-from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller
-from rowanrack.net.stream import Stream
+from rowanrack.net.http import FAILURES, Call, HttpLine
 from rowanrack.net.timing import time_limit
 from rowanspindle import Scope, Status
 
@@ -58,9 +57,9 @@
     """Follows discovery's list once the module has asked, until a call fails; then the module asks again."""
 
     def __init__(self, exchange: Exchange, host: str, port: int, seq: int) -> None:
-        self.exchange, self._host, self._port, self.seq = exchange, host, port, seq
+        self.exchange, self.seq = exchange, seq
+        self._line = HttpLine(host, port, LIST_LIMIT)
         self._task: asyncio.Task[None] | None = None
-        self._caller: HttpCaller | None = None
 
     def watch(self) -> None:
         """The module's request."""
@@ -71,27 +70,22 @@
         """End the watch."""
         if self._task is not None:
             self._task.cancel()
-        self._drop()
+        self._line.close()
 
     async def _follow(self) -> None:
         try:
             while True:
                 self.seq, scope, entries = await self._ask()
                 self.exchange.list_instances(scope, entries)
-        except (OSError, TimeoutError, CallNotSentError, CallBrokenError, ListError) as error:
+        except (*FAILURES, ListError) as error:
             log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
         except Exception:
             log.exception("discovery: the watch failed")
-        self._drop()
         self.exchange.list_instances(Scope.FAILED, ())
 
     async def _ask(self) -> tuple[int, Scope, list[Instance]]:
         async with time_limit(self.exchange.after, WAIT_MS * 1000 + GRACE_US):
-            if self._caller is None or not self._caller.reusable:
-                self._drop()
-                stream = await Stream.connect(self._host, self._port)
-                self._caller = HttpCaller(stream, f"{self._host}:{self._port}", LIST_LIMIT)
-            reply = await self._caller.call(Call("GET", f"/v1/servers?index={self.seq}&wait={WAIT_MS}"))
+            reply = await self._line.call(Call("GET", f"/v1/servers?index={self.seq}&wait={WAIT_MS}"))
         if reply.status != 200:
             raise ListError(f"answered {reply.status}")
         try:
@@ -99,8 +93,3 @@
         except ValueError as error:
             raise ListError(f"no JSON: {error}") from None
         return parse_list(doc)
-
-    def _drop(self) -> None:
-        if self._caller is not None:
-            self._caller.stream.abort()
-            self._caller = None
--- a/rowanrack/fronts/platform/notices.py
+++ b/rowanrack/fronts/platform/notices.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable
 
 from rowanrack.core.messages import End, Ending, Message
-from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller
-from rowanrack.net.stream import Stream
+from rowanrack.net.http import FAILURES, Call, HttpLine
 from rowanrack.net.timing import After, pause, time_limit
 
 log = logging.getLogger(__name__)
@@ -33,10 +32,10 @@
     """Sends every notice until the platform confirms it with 204."""
 
     def __init__(self, host: str, port: int, after: After, confirmed: Callable[[str], None]) -> None:
-        self._host, self._port, self._after, self._confirmed = host, port, after, confirmed
+        self._after, self._confirmed = after, confirmed
+        self._line = HttpLine(host, port, 4096)
         self.pending: dict[str, End] = {}
         self._news = asyncio.Event()
-        self._caller: HttpCaller | None = None
 
     def ended(self, message: Message, end: End) -> None:
         """The exchange's listener: a message of this front has ended."""
@@ -64,23 +63,13 @@
                 await pause(self._after, RETRY_US)
 
     async def _send(self, lines: str) -> bool:
+        headers = (("Content-Type", "application/x-ndjson"),)
         try:
             async with time_limit(self._after, TRY_US):
-                if self._caller is None or not self._caller.reusable:
-                    self._drop()
-                    stream = await Stream.connect(self._host, self._port)
-                    self._caller = HttpCaller(stream, f"{self._host}:{self._port}", 4096)
-                headers = (("Content-Type", "application/x-ndjson"),)
-                reply = await self._caller.call(Call("POST", "/v1/outcomes", headers, lines.encode()))
-            if reply.status == 204:
-                return True
-            log.warning("notices: answered %d", reply.status)
-        except (OSError, TimeoutError, CallNotSentError, CallBrokenError) as error:
+                reply = await self._line.call(Call("POST", "/v1/outcomes", headers, lines.encode()))
+        except FAILURES as error:
             log.warning("notices: not confirmed: %s", str(error) or type(error).__name__)
-        self._drop()
-        return False
-
-    def _drop(self) -> None:
-        if self._caller is not None:
-            self._caller.stream.abort()
-            self._caller = None
+            return False
+        if reply.status != 204:
+            log.warning("notices: answered %d", reply.status)
+        return reply.status == 204
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -62,6 +62,38 @@
     return {name.decode("ascii").lower(): value.decode("latin-1") for name, value in raw}
 
 
+FAILURES = (OSError, TimeoutError, CallNotSentError, CallBrokenError)
+
+
+class HttpLine:
+    """A connection to one service that is opened at need and kept between calls; a failed call drops it."""
+
+    def __init__(self, host: str, port: int, body_limit: int) -> None:
+        self._host, self._port, self._limit = host, port, body_limit
+        self._caller: HttpCaller | None = None
+
+    async def call(self, call: Call) -> Reply:
+        """Make one call. Raises one of FAILURES."""
+        done = False
+        try:
+            if self._caller is None or not self._caller.reusable:
+                self.close()
+                stream = await Stream.connect(self._host, self._port)
+                self._caller = HttpCaller(stream, f"{self._host}:{self._port}", self._limit)
+            reply = await self._caller.call(call)
+            done = True
+            return reply
+        finally:
+            if not done:
+                self.close()
+
+    def close(self) -> None:
+        """Drop the connection."""
+        if self._caller is not None:
+            self._caller.stream.abort()
+            self._caller = None
+
+
 class HttpCaller:
     """The calling side of one connection, which carries one call at a time."""
 
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -44,8 +44,8 @@
 class Idle:
     """A connection that waits for its next call; whatever arrives meanwhile ends it."""
 
-    def __init__(self, caller: HttpCaller) -> None:
-        self.caller = caller
+    def __init__(self, instance: Instance, caller: HttpCaller) -> None:
+        self.instance, self.caller = instance, caller
         self.watch = asyncio.create_task(caller.stream.fill_quietly())
         self.timer: WheelTimer | None = None
 
@@ -57,6 +57,8 @@
         self.exchange, self.forms = exchange, forms
         self.idle: defaultdict[str, list[Idle]] = defaultdict(list)
         self.tasks: dict[Execution, asyncio.Task[None]] = {}
+        self._aged: dict[Idle, None] = {}  # all idle connections, the one that is idle longest first
+        self._idle_most = 3 * exchange.settings.slots
         self._idle_us = int(exchange.settings.keepalive_us * IDLE_PART)
 
     # What the exchange asks for.
@@ -91,7 +93,7 @@
         try:
             caller = await self._take(execution.instance) or await self._open(execution.instance)
             if not self.exchange.begin(execution):
-                self._keep(execution.instance.name, caller)
+                self._keep(execution.instance, caller)
                 caller = None
                 return
             form = self.forms[execution.message.front]
@@ -100,7 +102,7 @@
             reply = await caller.call(call)
             result = form.verdict(execution, reply)
             if caller.reusable:
-                self._keep(execution.instance.name, caller)
+                self._keep(execution.instance, caller)
                 caller = None
         except CallNotSentError:
             result = Verdict(Result.CONNECT_FAILED)
@@ -128,21 +130,24 @@
         waiting = self.idle.get(instance.name, [])
         while waiting:
             idle = waiting.pop()
+            self._aged.pop(idle, None)
             if idle.timer is not None:
                 idle.timer.cancel()
             # Guards against two readers of one connection: asyncio lets the watch go only once its
             # cancellation has run, and until then the call's own read fails.
             idle.watch.cancel()
             await asyncio.wait([idle.watch])
-            if idle.watch.cancelled() and idle.caller.reusable:
+            moved = (instance.host, instance.port) != (idle.instance.host, idle.instance.port)
+            if idle.watch.cancelled() and idle.caller.reusable and not moved:
                 return idle.caller
             idle.caller.stream.abort()
         return None
 
-    def _keep(self, name: str, caller: HttpCaller) -> None:
-        idle = Idle(caller)
-        waiting = self.idle[name]
+    def _keep(self, instance: Instance, caller: HttpCaller) -> None:
+        idle = Idle(instance, caller)
+        waiting = self.idle[instance.name]
         waiting.append(idle)
+        self._aged[idle] = None
 
         def expire() -> None:
             if idle in waiting:
@@ -151,9 +156,14 @@
 
         idle.timer = self.exchange.after(self._idle_us, expire)
         idle.watch.add_done_callback(lambda _: expire())
-
-    @staticmethod
-    def _discard(idle: Idle) -> None:
+        if len(self._aged) > self._idle_most:
+            # Guards the limit on descriptors: the connection that stands idle longest goes.
+            oldest = next(iter(self._aged))
+            self.idle[oldest.instance.name].remove(oldest)
+            self._discard(oldest)
+
+    def _discard(self, idle: Idle) -> None:
+        self._aged.pop(idle, None)
         idle.watch.cancel()
         if idle.timer is not None:
             idle.timer.cancel()
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -47,13 +47,18 @@
             at += step
             self._writer.write(self.outward.read(CHUNK))
             await self._writer.drain()
-        if self._writer.transport.is_closing():
+        if self.closing:
             raise ConnectionResetError("closed while writing")
 
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, as far as is known."""
-        return self._reader.at_eof() or self._writer.transport.is_closing()
+        return self._reader.at_eof() or self.closing
+
+    @property
+    def closing(self) -> bool:
+        """Whether this side has closed, or the connection is lost."""
+        return self._writer.transport.is_closing()
 
     def abort(self) -> None:
         """Close at once; what is unsent is dropped."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -188,6 +188,13 @@
 )
 
 
+def resp(*words: str | bytes) -> bytes:
+    """A command as RESP2 writes it."""
+    raw = [w.encode() if isinstance(w, str) else w for w in words]
+    parts = [f"*{len(raw)}\r\n".encode(), *(b"$%d\r\n%s\r\n" % (len(w), w) for w in raw)]
+    return b"".join(parts)
+
+
 class Client:
     """A service client on the platform's port."""
 
@@ -203,9 +210,7 @@
 
     async def command(self, *words: str | bytes) -> bytes:
         """One command and its answer."""
-        raw = [w.encode() if isinstance(w, str) else w for w in words]
-        parts = [f"*{len(raw)}\r\n".encode(), *(b"$%d\r\n%s\r\n" % (len(w), w) for w in raw)]
-        return await self.raw(b"".join(parts))
+        return await self.raw(resp(*words))
 
     async def submit(
         self, message_id: str, cls: str = "album-update", d: int = 3000, dest: int = 7, body: bytes = b"x"
--- /dev/null
+++ b/tests/test_consul.py
@@ -0,0 +1,121 @@
+"""Consul as a source of the name table, against a stand-in for its agent."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rowanrack.consul import ConsulError, ConsulSource, next_index, read_instances, status_of
+from rowanrack.net.http import Reply, Request
+from rowanspindle import Scope, Status
+from tests.rig import HttpStandIn, Rig, answers, on_loop
+
+OK = Reply(200, {})
+
+
+class Agent(HttpStandIn):
+    """An agent: each path's answers in turn; a query with none left blocks."""
+
+    def __init__(self, **paths: list[tuple[int, Any]]) -> None:
+        super().__init__(self._behave)
+        self.paths = paths
+
+    async def _behave(self, request: Request) -> Reply | None:
+        left = self.paths[request.target.split("?")[0].rsplit("/", 1)[1]]
+        if not left:
+            await asyncio.Event().wait()
+        index, doc = left.pop(0)
+        if index < 0:
+            return Reply(500, {})
+        return Reply(200, {"X-Consul-Index": str(index)}, json.dumps(doc).encode())
+
+
+def listed(name: str, port: int, *checks: str, **meta: str) -> dict[str, Any]:
+    """An instance as the health API lists it."""
+    service = {
+        "ID": name,
+        "Address": "",
+        "Port": port,
+        "Meta": {"dest": "7", "kind": "print-lab", "rate": "50"} | meta,
+    }
+    found = [{"CheckID": check, "Status": "critical"} for check in checks]
+    return {"Node": {"Node": "n", "Address": "127.0.0.1"}, "Service": service, "Checks": found}
+
+
+@pytest.mark.parametrize(
+    ("last", "header", "index"), [(0, "0", 1), (0, "5", 5), (5, "5", 5), (5, "9", 9), (9, "5", 0)]
+)
+def test_the_index_follows_the_rules_of_reset(last: int, header: str, index: int) -> None:
+    assert next_index(last, header) == index
+
+
+@pytest.mark.parametrize("header", ["", "x", "-1"])
+def test_an_answer_without_an_index_cannot_be_used(header: str) -> None:
+    with pytest.raises(ConsulError):
+        next_index(0, header)
+
+
+@pytest.mark.parametrize(
+    ("checks", "status"),
+    [
+        ([], Status.LISTED),
+        ([{"CheckID": "http", "Status": "passing"}], Status.LISTED),
+        ([{"CheckID": "http", "Status": "critical"}], Status.DRAINING),
+        ([{"CheckID": "_node_maintenance", "Status": "critical"}], Status.DRAINING),
+        ([{"CheckID": "_service_maintenance:i0", "Status": "critical"}], Status.DRAINING),
+    ],
+)
+def test_maintenance_means_draining(checks: list[dict[str, str]], status: Status) -> None:
+    assert status_of(checks) is status
+
+
+def test_an_instance_without_its_meta_is_left_out(caplog: pytest.LogCaptureFixture) -> None:
+    assert read_instances([listed("a", 1, rate="x"), {}]) == []
+    assert caplog.text.count("left out") == 2
+    (one,) = read_instances([listed("a", 1, zone="z")])
+    assert (one.name, one.host, one.port, one.zone, one.dest, one.rate) == ("n/a", "127.0.0.1", 1, "z", 7, 50)
+
+
+@on_loop
+async def test_the_catalogue_leads_to_instances_that_take_messages(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(OK), answers(OK)) as rig:
+        first, second = (s.port for s in rig.servers)
+        labs = [
+            (4, [listed("a", first), listed("b", second)]),
+            (6, [listed("a", first, "_service_maintenance:a"), listed("b", second)]),
+        ]
+        agent = Agent(services=[(3, {"labs": ["sender"], "other": []})], labs=labs)
+        async with agent:
+            rig.sender.exchange.list_instances(Scope.FULL, ())
+            source = ConsulSource(rig.sender.exchange, ("127.0.0.1", agent.port), (), "sender")
+            rig.callback(source.close)
+            source.start()
+            await agent.asked(5)
+            assert {r.target.partition("index=")[2] for r in agent.requests if "labs" in r.target} == {
+                "0&wait=60s",
+                "4&wait=60s",
+                "6&wait=60s",
+            }
+            client = await rig.client()
+            for n in range(3):
+                await client.submit(f"m{n}")
+                await rig.ended(f"m{n}")
+            assert not rig.servers[0].requests and len(rig.servers[1].requests) == 3
+
+
+@on_loop
+async def test_after_a_failure_or_a_reset_it_asks_from_the_start(tmp_path: Path) -> None:
+    async with Rig(tmp_path) as rig:
+        agent = Agent(labs=[(8, [listed("a", 1)]), (-1, None), (9, [listed("b", 1)]), (2, []), (3, [])])
+        async with agent:
+            source = ConsulSource(rig.sender.exchange, ("127.0.0.1", agent.port), ("labs",), "")
+            rig.callback(source.close)
+            source.start()
+            await agent.asked(6)
+            asked = [int(r.target.partition("index=")[2].partition("&")[0]) for r in agent.requests]
+            assert asked == [0, 8, 0, 9, 0, 3]
+            assert not rig.sender.exchange.instances
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -114,6 +114,19 @@
     assert not execution.message.unsettled and not desk.journal.owed["m1"].unsettled
 
 
+def test_a_frozen_exchange_begins_nothing_and_keeps_what_it_owes(tmp_path: Path) -> None:
+    """Calls begun right before the exit were cut off, and an order among them was lost."""
+    desk = Desk(tmp_path)
+    execution = desk.submit("m1")
+    assert desk.exchange.begin(execution)
+    desk.exchange.submit(Message("m2", "print-order", "a", 7, desk.now + 3 * SECOND, b"x", "platform"))
+    desk.exchange.freeze()
+    desk.exchange.settle(execution, Result.OK)
+    desk.run(SECOND)
+    assert desk.ends == {"m1": End(Ending.DELIVERED)} and list(desk.journal.owed) == ["m2"]
+    assert len(desk.calls) == 1
+
+
 def test_a_whole_list_replaces_only_its_source(tmp_path: Path) -> None:
     desk = Desk(tmp_path)
     desk.exchange.list_instances(Scope.FULL, [instance("c0", 2), instance("c1", 3)], "consul")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -15,8 +16,8 @@
 from rowanrack.core.messages import Ending
 from rowanrack.net.http import Reply
 from rowanrack.net.stream import Stream
-from rowanspindle import Result
-from tests.rig import SETTINGS, Client, Platform, Rig, answers, entry, on_loop, silent
+from rowanspindle import Result, Scope
+from tests.rig import SETTINGS, Client, Platform, Rig, answers, entry, on_loop, resp, silent
 
 OK = Reply(200, {})
 
@@ -44,6 +45,32 @@
         assert rig.servers[0].connections == 1
 
 
+@on_loop
+async def test_idle_connections_stay_under_their_limit(tmp_path: Path) -> None:
+    async with Rig(tmp_path, *(answers(OK) for _ in range(4))) as rig:
+        rig.sender.pool._idle_most = 2
+        rig.sender.exchange.list_instances(Scope.FULL, [replace(i, dest=n) for n, i in enumerate(rig.known)])
+        client = await rig.client()
+        for n in range(4):
+            await client.submit(f"m{n}", dest=n)
+            await rig.ended(f"m{n}")
+        assert [bool(rig.sender.pool.idle[f"i{n}"]) for n in range(4)] == [False, False, True, True]
+
+
+@on_loop
+async def test_a_request_that_crosses_the_closing_is_not_taken(tmp_path: Path) -> None:
+    """It was taken after the closing, and again elsewhere, where the client handed it in anew."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        client = await rig.client()
+        assert await client.command("PING") == b"+PONG\r\n"
+        (served,) = rig.sender.fronts[0][0].streams
+        listed = "c=album-update,t=a,d=3000,dest=7"
+        served._reader.feed_data(resp("SUBMIT", "0", "m1", listed, "x"))  # come in, and not yet read
+        rig.sender.fronts[0][0].drain()
+        assert not await client.stream.fill()
+        assert not rig.sender.journal.owed and not rig.sender.journal.ends
+
+
 @on_loop
 async def test_a_told_wait_silences_the_whole_destination(tmp_path: Path) -> None:
     full = answers(Reply(429, {"X-Retry-In-Ms": "400"}), OK)
