--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -7,6 +7,7 @@
 import signal
 
 from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig
+from rowanrack.console.server import ConsoleServer
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
 from rowanrack.fronts.otlp import FRONT as OTLP
@@ -43,6 +44,7 @@
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
         self.watch: DiscoveryWatch | None = None
         self.consul: ConsulSource | None = None
+        self.console: ConsoleServer | None = None
         self.notices: Notices | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -68,6 +70,13 @@
                 await front.listen(host, port)
             except OSError as error:
                 raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
+        if self.config.console is not None:
+            self.console = ConsoleServer(self.config.name, self.exchange)
+            try:
+                await self.console.listen_at(self.config.console)
+            except OSError as error:
+                where = self.config.console
+                raise ConfigError(f"cannot open {where}: {error.strerror or error}") from None
         log.info("%s: serving; %d messages owed from before", self.config.name, len(owed))
 
     @property
@@ -123,6 +132,8 @@
         """Let go of everything."""
         for front, _ in self.fronts:
             front.close()
+        if self.console is not None:
+            self.console.close()
         self.pool.close()
         for source in (self.watch, self.consul):
             if source is not None:
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -91,3 +91,35 @@
     click.echo(
         f"{len(book.owed)} owed, {len(book.ends)} ended, {end} bytes, torn tail of {len(data) - end} bytes"
     )
+
+
+@main.command()
+@click.option(
+    "--config", "path", type=click.Path(path_type=Path), required=True, help="The operator's TOML file."
+)
+@click.option("--once", is_flag=True, help="Print one frame and leave.")
+def console(path: Path, once: bool) -> None:
+    """Watch a running sender: its queues, windows and waits."""
+    from rich.console import Console
+    from rich.live import Live
+
+    from rowanrack.console.view import ConsoleError, render, snapshots
+
+    where = load_config(path).console
+    if where is None:
+        raise SystemExit(f"rowanrack: {path}: [console] names no socket")
+    try:
+        frames = snapshots(where)
+        if once:
+            Console().print(render(next(frames)))
+            return
+        with Live(screen=True, auto_refresh=False) as live:
+            for frame in frames:
+                live.update(render(frame), refresh=True)
+    except ConsoleError as error:
+        raise SystemExit(f"rowanrack: {error}") from None
+    except StopIteration:
+        raise SystemExit(f"rowanrack: {where}: the sender has closed") from None
+    except KeyboardInterrupt:
+        return
+    raise SystemExit(f"rowanrack: {where}: the sender has closed")
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import h11
 
@@ -152,6 +153,11 @@
         return Reply(status, headers, bytes(body[: self._limit]))
 
 
+def phrase(status: int) -> str:
+    """The standard words for a status."""
+    return HTTPStatus(status).phrase if status in HTTPStatus._value2member_map_ else ""
+
+
 class HttpServed:
     """The serving side of one connection."""
 
@@ -196,7 +202,7 @@
         """Answer the request; True if the connection may carry another one."""
         headers = [*reply.headers.items(), ("Content-Length", str(len(reply.body)))]
         events = (
-            h11.Response(status_code=reply.status, headers=headers),
+            h11.Response(status_code=reply.status, headers=headers, reason=phrase(reply.status)),
             h11.Data(data=reply.body),
             h11.EndOfMessage(),
         )
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -234,7 +234,7 @@
 def test_the_operators_example_is_in_order() -> None:
     path = Path(__file__).parent.parent / "deploy" / "operator.example.toml"
     config = operator_config(path)
-    assert config.otlp is not None and config.instances
+    assert config.otlp is not None and config.console is not None and config.instances
 
 
 @pytest.mark.parametrize(
