Compact before a record is written, never behind it

Seen in a probe that compacts at every record: a message just taken was gone at the next start ([] owed), and an execution just begun was unknown, so that an order could have gone twice. Ruled out: replay and the framing, the file held just what the compaction had written. After: the message is owed, the execution unsettled, tested at every type of record.

--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -216,6 +216,10 @@
         return len(MAGIC) + self.live + 64 * len(self.owed) + 80 * len(self.ends)
 
     def _append(self, record: bytes) -> bool:
+        if self.size > COMPACT_LEAST + 3 * self._compacted():
+            # Before the record, never behind it: what it says is known here only once it is written, and a
+            # compaction in between would drop a message just taken, or an execution just begun.
+            self._compact()
         try:
             written = os.write(self.fd, record)
             if written < len(record):
@@ -226,8 +230,6 @@
             log.error("journal: a record was not written: %s", error.strerror or error)
             return False
         self.size += len(record)
-        if self.size > COMPACT_LEAST + 3 * self._compacted():
-            self._compact()
         return True
 
     def _compact(self) -> bool:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -194,6 +194,24 @@
     assert (again.owed["a"].legs, again.owed["a"].unsettled) == (3, {1})
 
 
+def test_a_compaction_at_any_record_loses_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A compaction behind a record dropped the message just taken, or the execution just begun."""
+    monkeypatch.setattr("rowanrack.store.journal.COMPACT_LEAST", -(1 << 40))
+    book = Book(tmp_path)
+    message = book.message("a")
+    assert book.journal.take(message)
+    assert list(Book(tmp_path).journal.owed) == ["a"]
+    message.legs = 1
+    assert book.journal.begin(message, 0)
+    assert Book(tmp_path).journal.owed["a"].unsettled == {0}
+    book.journal.end(message, End(Ending.FAILED))
+    assert Book(tmp_path).journal.untold("platform") == [("a", End(Ending.FAILED))]
+    book.journal.told("a")
+    assert Book(tmp_path).journal.untold("platform") == []
+
+
 def test_a_foreign_file_is_no_journal(tmp_path: Path) -> None:
     (tmp_path / "messages.log").write_text("something else entirely")
     with pytest.raises(JournalError, match="not a journal"):
