Give the name table a place of its own, and refuse ids that no header can carry

Seen in reading `read_submit`: an id with a space was taken, and h11 refused it in the call, behind the record of its execution: it then counted as one that may have run. Such ids get a plain error now.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -12,10 +12,10 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.fronts.otlp import FRONT as OTLP
 from rowanrack.fronts.platform import FRONT as PLATFORM
-from rowanrack.fronts.platform.clients import PlatformClients
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
 from rowanrack.fronts.platform.inbox import InboxForm
 from rowanrack.fronts.platform.notices import Notices
+from rowanrack.fronts.platform.service_clients import PlatformServiceClients
 from rowanrack.net.listener import Listener
 from rowanrack.net.pool import CallForm, InstancePool
 from rowanrack.net.timing import LoopClock, pause
@@ -87,7 +87,7 @@
 
     def _start_platform(self, platform: PlatformConfig) -> None:
         exchange = self.exchange
-        self.fronts.append((PlatformClients(exchange, self._clients_most), platform.listen))
+        self.fronts.append((PlatformServiceClients(exchange, self._clients_most), platform.listen))
         self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq)
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
@@ -100,9 +100,9 @@
     def _start_otlp(self, otlp: OtlpConfig) -> None:
         # Imported only where it is set up: protobuf's classes take memory that the platform counts.
         from rowanrack.fronts.otlp.calls import OtlpForm
-        from rowanrack.fronts.otlp.server import OtlpServer
+        from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
 
-        server = OtlpServer(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
+        server = OtlpServiceClients(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
         self.fronts.append((server, otlp.listen))
         self.exchange.listeners[OTLP] = server.ended
         self.forms[OTLP] = OtlpForm()
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -8,10 +8,10 @@
 
 import logging
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 from typing import Protocol
 
 from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
+from rowanrack.core.name_table import NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanspindle import (
     Accept,
@@ -24,14 +24,12 @@
     Forwarder,
     Kind,
     Log,
-    Members,
     Outcome,
     Refuse,
     Result,
     Scope,
     Send,
     Settings,
-    Status,
     Timer,
     Watch,
 )
@@ -94,7 +92,7 @@
         self.settings, self.clock, self.store = settings, clock, store
         self.forwarder = Forwarder(settings, seed)
         self.wheel = TimerWheel(tick_us, clock.now_us())
-        self.instances: dict[str, Instance] = {}
+        self.table = NameTable()
         self.messages: dict[str, Message] = {}
         self.counts = dict.fromkeys(Ending, 0)
         self.side: InstanceSide | None = None
@@ -105,7 +103,6 @@
         self._events: list[Event] = []
         self.frozen = False
         self._waits: dict[str | int, int] = {}
-        self._sources: dict[str, set[str]] = {}
 
     # The service clients' side.
 
@@ -148,25 +145,13 @@
     # The instances' side.
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
-        """News of the name table from one source; a whole list replaces only that source's entries."""
-        news, named = list(instances), self._sources.setdefault(source, set())
-        if scope is Scope.FULL:
-            gone = named - {i.name for i in news}
-            news += [replace(i, status=Status.REMOVED) for n in sorted(gone) if (i := self.instances.get(n))]
-            scope = Scope.DELTA
-        for instance in news:
-            if instance.status is Status.REMOVED:
-                self.instances.pop(instance.name, None)
-                named.discard(instance.name)
-            else:
-                self.instances[instance.name] = instance
-                named.add(instance.name)
-        self._put(Members(scope, tuple(i.member() for i in news)))
+        """News from a source of the name table."""
+        self._put(self.table.update(scope, instances, source))
         if scope is not Scope.FAILED:
             for message in list(self.messages.values()):
                 for execution in list(message.out.values()):
                     # A call still waiting for its connection must not go to what drains or is gone.
-                    if not execution.begun and not self._listed(execution.instance.name):
+                    if not execution.begun and not self.table.listed(execution.instance.name):
                         self._drop(execution, Result.MOOT)
 
     def begin(self, execution: Execution) -> bool:
@@ -177,7 +162,7 @@
         # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
         # that was decided on before and waited for its connection.
         waiting = self._waits.get(self._limit(execution), 0) > self.clock.now_us()
-        barred = waiting or not self._owed(message) or not self._listed(execution.instance.name)
+        barred = waiting or not self._owed(message) or not self.table.listed(execution.instance.name)
         # Guards against a second effect after a restart: what the store does not know must not begin.
         if barred or not self.store.begin(message, execution.leg):
             self.settle(execution, Result.MOOT)
@@ -221,10 +206,6 @@
         apart = self.settings.kinds.get(instance.kind, Kind()).apart
         return instance.name if apart else instance.dest
 
-    def _listed(self, name: str) -> bool:
-        instance = self.instances.get(name)
-        return instance is not None and instance.status is Status.LISTED
-
     # The module.
 
     def after(self, delay_us: int, action: Callable[[], None]) -> WheelTimer:
@@ -295,7 +276,7 @@
 
     def _send(self, action: Send, now: int) -> None:
         message = self._refs.get(action.ref)
-        instance = self.instances.get(action.target)
+        instance = self.table.get(action.target)
         if message is None or not self._owed(message):
             log.error("the module sends message %d, which has ended", action.ref)
             return
--- a/rowanrack/fronts/otlp/server.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -29,7 +29,7 @@
 IDLE_US = 60_000_000  # for which a client's connection may stand idle, or a request take to come in
 
 
-class OtlpServer(Listener):
+class OtlpServiceClients(Listener):
     """The listener for OTLP clients."""
 
     def __init__(self, exchange: Exchange, mapping: RequestMap, body_limit: int, most: int) -> None:
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
 from rowanrack.fronts.platform import FRONT
@@ -9,7 +11,7 @@
 from rowanrack.net.listener import Listener
 from rowanrack.net.stream import Stream
 
-ID_MOST = 256
+HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the id travels in a header
 
 
 def read_submit(words: list[bytes], now_unix_us: int) -> Message:
@@ -20,7 +22,7 @@
         message_id, listed = words[2].decode("ascii"), words[3].decode("utf-8")
     except UnicodeDecodeError:
         raise RespError("ERR the id or the list is no text") from None
-    if not message_id or len(message_id) > ID_MOST or not message_id.isprintable():
+    if not HEADER_SAFE.fullmatch(message_id):
         raise RespError("ERR bad id")
     values = dict(pair.partition("=")[::2] for pair in listed.split(","))
     try:
@@ -35,7 +37,7 @@
     return Message(message_id, cls, tenant, dest, now_unix_us + left_ms * 1000, words[4], FRONT)
 
 
-class PlatformClients(Listener):
+class PlatformServiceClients(Listener):
     """The listener for service clients."""
 
     def __init__(self, exchange: Exchange, most: int) -> None:
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -118,4 +118,4 @@
             await agent.asked(6)
             asked = [int(r.target.partition("index=")[2].partition("&")[0]) for r in agent.requests]
             assert asked == [0, 8, 0, 9, 0, 3]
-            assert not rig.sender.exchange.instances
+            assert not rig.sender.exchange.table.names()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -140,7 +140,7 @@
     desk = Desk(tmp_path)
     desk.exchange.list_instances(Scope.FULL, [instance("c0", 2), instance("c1", 3)], "consul")
     desk.exchange.list_instances(Scope.FULL, [instance("c1", 3)], "consul")
-    assert set(desk.exchange.instances) == {"i0", "c1"}
+    assert desk.exchange.table.names() == {"i0", "c1"}
 
 
 def test_the_wheel_fires_in_order_at_whole_ticks_and_never_early() -> None:
--- a/tests/test_otlp.py
+++ b/tests/test_otlp.py
@@ -149,6 +149,8 @@
     async with Rig(tmp_path, silent, most_held=1) as rig:
         refused = await rig.export(logs(dest="99"), x_left_ms="200")
         assert refused.status == 503 and int(refused.headers["retry-after"]) >= 1
+        assert await rig.export(logs(dest="99"), x_left_ms="200") == refused
+        assert rig.sender.exchange.counts[Ending.REFUSED] == 1
         failed = asyncio.create_task(rig.export(logs("a"), x_left_ms="400"))
         await rig.servers[0].asked(1)
         turned_away = await rig.export(logs("b"))
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,10 +13,10 @@
 
 from rowanrack.config import ConfigError, operator_config, platform_config
 from rowanrack.core.messages import End, Ending, Message
-from rowanrack.fronts.platform.clients import read_submit
 from rowanrack.fronts.platform.discovery import ListError, parse_list
 from rowanrack.fronts.platform.notices import notice_line
 from rowanrack.fronts.platform.resp import RespError, parse_command
+from rowanrack.fronts.platform.service_clients import read_submit
 from rowanrack.net.ring import RingBuffer
 from rowanrack.store.journal import Journal, JournalError
 from rowanspindle import Scope
@@ -97,6 +97,13 @@
         read_submit([b"SUBMIT", b"0", b"id", listed.encode(), b""], 0)
 
 
+@pytest.mark.parametrize("raw", [b"", b"a b", b"\xff", b"a\r\nX: y", b"x" * 257])
+def test_a_bad_id_is_said_so(raw: bytes) -> None:
+    """An id that no header can carry broke the call after its execution had begun."""
+    with pytest.raises(RespError, match="id"):
+        read_submit([b"SUBMIT", b"0", raw, b"c=a,t=b,d=5,dest=1", b""], 0)
+
+
 def test_a_submit_is_read() -> None:
     message = read_submit([b"SUBMIT", b"0", b"id", b"c=a,t=b,d=8000,dest=7,r=1", b"\0"], 5)
     assert message == Message("id", "a", "b", 7, 8_000_005, b"\0", "platform")
@@ -194,9 +201,7 @@
     assert (again.owed["a"].legs, again.owed["a"].unsettled) == (3, {1})
 
 
-def test_a_compaction_at_any_record_loses_nothing(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
+def test_a_compaction_at_any_record_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """A compaction behind a record dropped the message just taken, or the execution just begun."""
     monkeypatch.setattr("rowanrack.store.journal.COMPACT_LEAST", -(1 << 40))
     book = Book(tmp_path)
