Make a watch that breaks go on at once

Seen in reading `DiscoveryWatch._follow`: after one failed call the module waited 1 s or more before it asked again, so that a new watch began and what had changed counted as told before it could arrive. The protocol continues a watch if the next call comes within 200 ms: the first failure is now followed by a call at once, the second in a row goes to the module as before.

--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -16,7 +16,7 @@
 
 STATUSES = {"SERVING": Status.LISTED, "DRAINING": Status.DRAINING, "DELETED": Status.REMOVED}
 WAIT_MS = 10_000  # for which a watch waits: a silent loss of it is noticed so much later
-GRACE_US = 1_700_000  # past that: what discovery has to tell counts as told 2 s after the wait
+GRACE_US = 1_500_000  # past that: what discovery has to tell counts as told 2 s after the wait
 LIST_LIMIT = 4 << 20
 
 
@@ -53,7 +53,7 @@
 
 
 class DiscoveryWatch:
-    """Follows discovery's list once the module has asked, until a call fails; then the module asks again."""
+    """Follows discovery's list once the module has asked. After two failures in a row it must ask again."""
 
     def __init__(self, exchange: Exchange, host: str, port: int, seq: int) -> None:
         self.exchange, self.seq = exchange, seq
@@ -72,14 +72,18 @@
         self._line.close()
 
     async def _follow(self) -> None:
-        try:
-            while True:
+        failures = 0
+        while failures < 2:  # the second call comes at once: within 200 ms it continues the watch
+            try:
                 self.seq, scope, entries = await self._ask()
                 self.exchange.list_instances(scope, entries)
-        except (*FAILURES, ListError) as error:
-            log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
-        except Exception:
-            log.exception("discovery: the watch failed")
+                failures = 0
+            except (*FAILURES, ListError) as error:
+                log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
+                failures += 1
+            except Exception:
+                log.exception("discovery: the watch failed")  # a defect must not end the watch unnoticed
+                failures += 1
         self.exchange.list_instances(Scope.FAILED, ())
 
     async def _ask(self) -> tuple[int, Scope, list[Instance]]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -157,6 +157,20 @@
         assert not rig.servers[0].requests
 
 
+@pytest.mark.parametrize(("resets", "asked", "lost"), [(1, 2, False), (2, 3, True)])
+@on_loop
+async def test_a_watch_that_breaks_goes_on_at_once(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, resets: int, asked: int, lost: bool
+) -> None:
+    caplog.set_level("INFO")
+    rig = Rig(tmp_path, answers(OK))
+    rig.platform.resets = resets
+    async with rig:
+        await rig.platform.asked(asked)
+        assert rig.platform.times[1] - rig.platform.times[0] < 0.2
+        assert ("list of endpoints lost" in caplog.text) is lost
+
+
 @on_loop
 async def test_owed_messages_outlast_the_process(tmp_path: Path) -> None:
     """A call that was out may have run: the order ends as given up, the update goes again."""
