Leave a busy discovery alone: a 503 goes to the module, a break is tried again at once

Now a 503 or an unreadable list goes straight to the module, whose retry waits a second with jitter.

--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -53,7 +53,7 @@
 
 
 class DiscoveryWatch:
-    """Follows discovery's list once the module has asked. After two failures in a row it must ask again."""
+    """Follows discovery's list once the module has asked, until a 503 or two breaks in a row."""
 
     def __init__(self, exchange: Exchange, host: str, port: int, seq: int) -> None:
         self.exchange, self.seq = exchange, seq
@@ -73,14 +73,17 @@
 
     async def _follow(self) -> None:
         failures = 0
-        while failures < 2:  # the second call comes at once: within 200 ms it continues the watch
+        while (
+            failures < 2
+        ):  # behind a break the next call comes at once: within 200 ms it continues the watch
             try:
                 self.seq, scope, entries = await self._ask()
                 self.exchange.list_instances(scope, entries)
                 failures = 0
             except (*FAILURES, ListError) as error:
                 log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
-                failures += 1
+                # Discovery that answers but cannot serve is busy: the module asks again, later.
+                failures += 2 if isinstance(error, ValueError) else 1
             except Exception:
                 log.exception("discovery: the watch failed")  # a defect must not end the watch unnoticed
                 failures += 1
