--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,8 @@
 import pytest
 
 from rowanrack.core.messages import Ending
-from rowanrack.net.http import Reply
+from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller, Reply
+from rowanrack.net.stream import Stream
 from rowanspindle import Result, Scope
 from tests.rig import Process, Rig, answers, entry, on_loop, resp, silent
 
@@ -95,6 +96,28 @@
         assert len(await rig.servers[0].asked(calls)) == calls
 
 
+@pytest.mark.parametrize(("reads", "error"), [(False, CallNotSentError), (True, CallBrokenError)])
+@on_loop
+async def test_the_last_byte_decides_whether_a_broken_call_may_have_run(
+    reads: bool, error: type[Exception]
+) -> None:
+    """The body is more than the kernels hold: an instance that reads nothing breaks the call half written."""
+    body = bytes(8 << 20)
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if reads:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(body))
+        writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        stream = await Stream.connect("127.0.0.1", server.sockets[0].getsockname()[1])
+        with pytest.raises(error):
+            await HttpCaller(stream, "instance", 4096).call(Call("POST", "/inbox", (), body))
+        stream.abort()
+
+
 @on_loop
 async def test_a_refused_connection_has_never_run(tmp_path: Path) -> None:
     async with Rig(tmp_path, answers(OK)) as rig:
