--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -5,7 +5,7 @@
 import json
 import secrets
 import tomllib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -66,17 +66,26 @@
     console: Path | None = None
     instances: tuple[Instance, ...] = ()
 
+    def __post_init__(self) -> None:
+        for value, name in (
+            (self.tick_us, "resolution_us"),
+            (self.disk_bytes, "disk_mb"),
+            (self.sockets, "sockets"),
+        ):
+            if value < 1:
+                raise ValueError(f"{name}: must be above 0")
 
-def load_json(path: Path) -> dict[str, Any]:
-    """A JSON object from a file."""
+
+def load(path: Path, parse: Callable[[str], Any], form: str) -> dict[str, Any]:
+    """The object in a file of that form."""
     try:
-        doc = json.loads(path.read_text(encoding="utf-8"))
+        doc = parse(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: no JSON: {error}") from None
+    except (ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: no {form}: {error}") from None
     if not isinstance(doc, dict):
-        raise ConfigError(f"{path}: not a JSON object")
+        raise ConfigError(f"{path}: not a {form} object")
     return doc
 
 
@@ -84,7 +93,7 @@
     """The configuration of a sender on the platform, from its environment."""
     if not env.get("ROUTER_CONFIG"):
         raise ConfigError("ROUTER_CONFIG is not set")
-    doc = load_json(Path(env["ROUTER_CONFIG"]))
+    doc = load(Path(env["ROUTER_CONFIG"]), json.loads, "JSON")
     state = env.get("ROUTER_STATE")
     if not state or not Path(state).is_dir():
         raise ConfigError("ROUTER_STATE is not a folder")
@@ -124,12 +133,7 @@
 
 def operator_config(path: Path) -> Config:
     """The configuration of a sender at a small site, from its operator's TOML file."""
-    try:
-        doc = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
-    except ValueError as error:
-        raise ConfigError(f"{path}: no TOML: {error}") from None
+    doc = load(path, tomllib.loads, "TOML")
     try:
         only(doc, TOP, "the file")
         state = Path(doc["state"])
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -238,6 +238,9 @@
         json.dumps(CONFIG | {"known": KNOWN, "listen": "x"}),
         json.dumps(CONFIG | {"known": KNOWN, "settings": {}}),
         json.dumps(CONFIG | {"known": KNOWN, "seed": "z"}),
+        json.dumps(CONFIG | {"known": KNOWN, "settings": SETTINGS | {"resolution_us": 0}}),
+        json.dumps(CONFIG | {"known": KNOWN, "limits": {"disk_mb": 0}}),
+        "[" * 100_000,
     ],
 )
 def test_a_bad_configuration_ends_with_one_line(tmp_path: Path, text: str) -> None:
