Reload on SIGHUP: read it all, check it, then move the watch and the notices

A handler alone is not enough: with the file's new address behind ROUTER_DISCOVERY (config.py, platform_config) the reload test still finds the old one, so the file now comes first for that key. Ruled out: the name table's version; the watch goes on at the new address from the version read last.

Now the whole configuration is loaded and checked before any of it is used; a bad file is logged and the old one stays. DiscoveryWatch.move and Notices.move end what is under way at the old address and begin at the new one at once; for 3 s no failed watch counts, since a new address may open late. needs_restart names what a reload leaves. An infinite number in a configuration (OverflowError) is now a plain error as well.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -5,8 +5,11 @@
 import asyncio
 import logging
 import signal
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
-from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig
+from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig, needs_restart
 from rowanrack.console.server import ConsoleServer
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
@@ -22,6 +25,9 @@
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope
 
+if TYPE_CHECKING:
+    from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
+
 log = logging.getLogger(__name__)
 
 STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
@@ -46,7 +52,7 @@
         self.consul: ConsulSource | None = None
         self.console: ConsoleServer | None = None
         self.notices: Notices | None = None
-        self.tasks: list[asyncio.Task[None]] = []
+        self.otlp: OtlpServiceClients | None = None
 
     async def start(self) -> None:
         """Replay the journal, own what is owed, and open the ports."""
@@ -92,7 +98,6 @@
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
         exchange.listeners[PLATFORM] = notices.ended
-        self.tasks.append(asyncio.create_task(notices.run()))
         for message_id, end in self.journal.untold(PLATFORM):
             notices.tell(message_id, end)
         exchange.list_instances(Scope.FULL, platform.known)
@@ -103,10 +108,33 @@
         from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
 
         server = OtlpServiceClients(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
+        self.otlp = server
         self.fronts.append((server, otlp.listen))
         self.exchange.listeners[OTLP] = server.ended
         self.forms[OTLP] = OtlpForm()
 
+    def reload(self, new: Config) -> None:
+        """Take over what a reload may change (see `needs_restart`); messages and calls go on unharmed."""
+        old = self.config
+        for key in needs_restart(old, new):
+            log.warning("reload: %s has changed, which needs a restart", key)
+        if old.platform is not None and new.platform is not None:
+            if old.platform.discovery != new.platform.discovery:
+                log.info("reload: discovery is now at %s:%d", *new.platform.discovery)
+                # Guards against a move by halves: the watch and the notices share the address.
+                for mover in (self.watch, self.notices):
+                    if mover is not None:
+                        mover.move(*new.platform.discovery)
+            platform = replace(old.platform, discovery=new.platform.discovery)
+            self.config = replace(self.config, platform=platform)
+        if self.otlp is not None and old.otlp is not None and new.otlp is not None:
+            self.otlp.mapping = new.otlp.mapping
+            self.config = replace(self.config, otlp=replace(old.otlp, mapping=new.otlp.mapping))
+        if old.instances != new.instances:
+            self.exchange.list_instances(Scope.FULL, new.instances, "file")
+            self.config = replace(self.config, instances=new.instances)
+        log.info("reload: the configuration is taken over")
+
     async def stop(self) -> None:
         """After SIGTERM: keep answering, settle what is out, and leave the rest to the journal."""
         began = self.clock.now_us()
@@ -136,22 +164,38 @@
         if self.console is not None:
             self.console.close()
         self.pool.close()
-        for source in (self.watch, self.consul):
+        for source in (self.watch, self.consul, self.notices):
             if source is not None:
                 source.close()
-        for task in self.tasks:
-            task.cancel()
         self.journal.close()
 
 
-async def serve(config: Config) -> None:
-    """Run a sender until SIGTERM or SIGINT."""
+async def serve(load: Callable[[], Config]) -> None:
+    """Run a sender until SIGTERM or SIGINT; SIGHUP loads the configuration again, whole or not at all."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    started = asked = False
+
+    def reload() -> None:
+        nonlocal asked
+        if not started:
+            asked = True  # done once the parts are there
+            return
+        try:
+            sender.reload(load())
+        except ConfigError as error:
+            log.error("reload: the old configuration stays: %s", error)
+        except Exception:
+            log.exception("reload: failed")  # a defect here must not end the sender
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    sender = Sender(config)
+    sender = Sender(load())
     try:
         await sender.start()
+        started = True
+        if asked:
+            reload()
         await stop.wait()
         await sender.stop()
     finally:
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -38,10 +38,15 @@
 )
 
 
+def read_config(path: Path | None) -> Config:
+    """The configuration as it stands now. Raises ConfigError."""
+    return operator_config(path) if path is not None else platform_config(os.environ)
+
+
 def load_config(path: Path | None) -> Config:
     """The configuration, or an exit with one clear line."""
     try:
-        return operator_config(path) if path is not None else platform_config(os.environ)
+        return read_config(path)
     except ConfigError as error:
         raise SystemExit(f"rowanrack: {error}") from None
 
@@ -52,7 +57,7 @@
     """Run a sender until SIGTERM."""
     logging.basicConfig(level=logging.INFO, format=LOG_FORMAT, datefmt="%H:%M:%S", stream=sys.stderr)
     try:
-        asyncio.run(serve_config(load_config(path)))
+        asyncio.run(serve_config(lambda: read_config(path)))
     except (ConfigError, JournalError) as error:
         raise SystemExit(f"rowanrack: {error}") from None
 
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -76,6 +76,25 @@
                 raise ValueError(f"{name}: must be above 0")
 
 
+def needs_restart(old: Config, new: Config) -> list[str]:
+    """The keys in which a configuration differs from the one in use, but for those that a reload takes over.
+
+    A reload takes over: the platform's `discovery`, the file's instances, and OTLP's map and destinations.
+    """
+    changed = [
+        key
+        for key in ("name", "settings", "tick_us", "state", "disk_bytes", "sockets", "consul", "console")
+        if getattr(old, key) != getattr(new, key)
+    ]
+    for front in ("platform", "otlp"):
+        was, wanted = getattr(old, front), getattr(new, front)
+        if (was and was.listen) != (wanted and wanted.listen):
+            changed.append(f"{front}.listen")
+    if old.otlp is not None and new.otlp is not None and old.otlp.body_limit != new.otlp.body_limit:
+        changed.append("otlp.body_limit")
+    return changed
+
+
 def load(path: Path, parse: Callable[[str], Any], form: str) -> dict[str, Any]:
     """The object in a file of that form."""
     try:
@@ -112,14 +131,15 @@
             sockets=int(limits.get("sockets", 1024)),
             platform=PlatformConfig(
                 parse_address(env.get("ROUTER_LISTEN") or doc["listen"]),
-                parse_address(env.get("ROUTER_DISCOVERY") or doc["discovery"]),
+                # The file first: it may have been replaced since the environment was set.
+                parse_address(doc.get("discovery") or env["ROUTER_DISCOVERY"]),
                 seq,
                 tuple(known),
             ),
         )
     except (WireError, ListError) as error:
         raise ConfigError(f"{env['ROUTER_CONFIG']}: {error}") from None
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{env['ROUTER_CONFIG']}: bad or missing {error}") from None
 
 
@@ -158,7 +178,7 @@
         )
     except KeyError as error:
         raise ConfigError(f"{path}: {error.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError) as error:
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -9,7 +9,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Instance
 from rowanrack.net.http import FAILURES, HttpLine
-from rowanrack.net.timing import time_limit
+from rowanrack.net.timing import pause, time_limit
 from rowanspindle import Scope, Status
 
 log = logging.getLogger(__name__)
@@ -17,6 +17,8 @@
 STATUSES = {"SERVING": Status.LISTED, "DRAINING": Status.DRAINING, "DELETED": Status.REMOVED}
 WAIT_MS = 10_000  # for which a watch waits: a silent loss of it is noticed so much later
 GRACE_US = 1_500_000  # past that: what discovery has to tell counts as told 2 s after the wait
+MOVED_US = 3_000_000  # after a move no failure counts: news count as told 4 s after it
+AGAIN_US = 100_000  # between the tries meanwhile
 LIST_LIMIT = 4 << 20
 
 
@@ -59,12 +61,21 @@
         self.exchange, self.seq = exchange, seq
         self._line = HttpLine(exchange.after, host, port, LIST_LIMIT)
         self._task: asyncio.Task[None] | None = None
+        self._moved_at: int | None = None
+        self.failed = 0  # tries since the move
 
     def watch(self) -> None:
         """The module's request."""
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._follow())
 
+    def move(self, host: str, port: int) -> None:
+        """Watch at this address from now on: the list goes on from the version that was read last."""
+        self.close()
+        self._line = HttpLine(self.exchange.after, host, port, LIST_LIMIT)
+        self._moved_at = self.exchange.clock.now_us()
+        self._task = asyncio.create_task(self._follow())
+
     def close(self) -> None:
         """End the watch."""
         if self._task is not None:
@@ -72,7 +83,7 @@
         self._line.close()
 
     async def _follow(self) -> None:
-        failures = 0
+        failures = self.failed = 0
         while (
             failures < 2
         ):  # behind a break the next call comes at once: within 200 ms it continues the watch
@@ -87,8 +98,16 @@
             except Exception:
                 log.exception("discovery: the watch failed")  # a defect must not end the watch unnoticed
                 failures += 1
+            if failures and self._just_moved():
+                failures, self.failed = 0, self.failed + 1
+                await pause(self.exchange.after, AGAIN_US)
         self.exchange.list_instances(Scope.FAILED, ())
 
+    def _just_moved(self) -> bool:
+        """Guards against a new address that opens late: the module would ask again only seconds on."""
+        now = self.exchange.clock.now_us()
+        return self._moved_at is not None and now - self._moved_at < MOVED_US
+
     async def _ask(self) -> tuple[int, Scope, list[Instance]]:
         async with time_limit(self.exchange.after, WAIT_MS * 1000 + GRACE_US):
             target = f"/v1/servers?index={self.seq}&wait={WAIT_MS}"
--- a/rowanrack/fronts/platform/notices.py
+++ b/rowanrack/fronts/platform/notices.py
@@ -33,9 +33,22 @@
 
     def __init__(self, host: str, port: int, after: After, confirmed: Callable[[str], None]) -> None:
         self._after, self._confirmed = after, confirmed
-        self._line = HttpLine(after, host, port, 4096)
         self.pending: dict[str, End] = {}
         self._news = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self.move(host, port)
+
+    def move(self, host: str, port: int) -> None:
+        """Send to this address from now on, what is pending or under way too: a notice twice does no harm."""
+        self.close()
+        self._line = HttpLine(self._after, host, port, 4096)
+        self._task = asyncio.create_task(self._run())
+
+    def close(self) -> None:
+        """Send no more; a try that is under way ends, and what it told stays pending."""
+        if self._task is not None:
+            self._task.cancel()
+            self._line.close()
 
     def ended(self, message: Message, end: End) -> None:
         """The exchange's listener: a message of this front has ended."""
@@ -47,7 +60,7 @@
         self.pending[message_id] = end
         self._news.set()
 
-    async def run(self) -> None:
+    async def _run(self) -> None:
         """Send what is queued, for ever."""
         while True:
             await self._news.wait()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -319,6 +319,7 @@
     def __init__(self, rig: Rig, folder: Path) -> None:
         super().__init__()
         self.rig, self.folder, self.platform = rig, folder / "process", Platform()
+        self.config = self.folder / "config.json"
 
     async def __aenter__(self) -> Process:
         await super().__aenter__()
@@ -326,23 +327,27 @@
         self.folder.mkdir()
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
+        self.configure(self.platform)
+        self.push_async_callback(self._end)
+        await self.start()
+        return self
+
+    def configure(self, platform: Platform) -> None:
+        """Write its configuration, which names this platform's address."""
         hosts = [entry(f"i{n}", s.port) for n, s in enumerate(self.rig.servers)]
         doc = {
             "name": "n0",
             "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{self.platform.port}",
+            "discovery": f"127.0.0.1:{platform.port}",
             "settings": SETTINGS,
             "known": {"seq": 1, "whole": True, "hosts": hosts},
         }
-        (self.folder / "config.json").write_text(json.dumps(doc))
-        self.push_async_callback(self._end)
-        await self.start()
-        return self
+        self.config.write_text(json.dumps(doc))
 
     async def start(self) -> None:
-        """Start it, at first or again."""
-        config = str(self.folder / "config.json")
-        env = os.environ | {"ROUTER_CONFIG": config, "ROUTER_STATE": str(self.folder)}
+        """Start it, at first or again. The environment names the first platform, whatever the file says."""
+        env = os.environ | {"ROUTER_CONFIG": str(self.config), "ROUTER_STATE": str(self.folder)}
+        env["ROUTER_DISCOVERY"] = f"127.0.0.1:{self.platform.port}"
         command = (sys.executable, "-m", "rowanrack", "serve")
         self.child = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
         await self.logged("serving")
