Judge spoilt answers by their first line, and keep bad clients from crowding the others

Checked: the first bytes of every answer, logged in a probe. Good answers came with a second copy behind them. HttpCaller.reusable looked at the inward ring only; the copy stood in h11's buffer, became the answer to the next call, and each later call on that connection read its predecessor's. Listener turned newcomers away at its limit, whoever stood in it; read_submit took any destination. Ruled out: the module (its ends were all in time), and closing across a request: a probe kept each closed socket open and nothing came.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -6,7 +6,7 @@
 import logging
 import signal
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig, needs_restart
@@ -33,9 +33,25 @@
 STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
 BEGIN_US = 2_000_000  # after SIGTERM: a call that begins later might be cut off
 SETTLE_US = 3_200_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
+FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
 LOOK_US = 20_000  # between looks at whether all is settled
 
 
+@dataclass(frozen=True, slots=True)
+class Descriptors:
+    """How the limit on descriptors is divided."""
+
+    idle: int  # connections to instances that stand idle
+    clients: int
+
+    @classmethod
+    def of(cls, sockets: int, slots: int) -> Descriptors:
+        """A third is what clients hold for requests at most; silent and idle ones stand beside those."""
+        spare = sockets - FILES - slots - sockets // 3
+        idle = max(8, min(3 * slots, spare // 2))
+        return cls(idle, sockets - FILES - slots - idle)
+
+
 class Sender:
     """One running sender and its parts."""
 
@@ -45,7 +61,8 @@
         self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us)
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
         self.forms: dict[str, CallForm] = {PLATFORM: InboxForm()}
-        self.pool = InstancePool(self.exchange, self.forms)
+        self.room = Descriptors.of(config.sockets, config.settings.slots)
+        self.pool = InstancePool(self.exchange, self.forms, self.room.idle)
         self.exchange.side = self.pool
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
         self.watch: DiscoveryWatch | None = None
@@ -87,9 +104,9 @@
 
     @property
     def _clients_most(self) -> int:
-        """Descriptors for clients: the rest is for calls, idle connections and files."""
-        spare = self.config.sockets - 4 * self.config.settings.slots - 64
-        return max(16, spare // max(1, (self.config.platform is not None) + (self.config.otlp is not None)))
+        """Descriptors for the clients of one front."""
+        fronts = (self.config.platform is not None) + (self.config.otlp is not None)
+        return max(16, self.room.clients // max(1, fronts))
 
     def _start_platform(self, platform: PlatformConfig) -> None:
         exchange = self.exchange
--- a/rowanrack/console/server.py
+++ b/rowanrack/console/server.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
+import socket
 import stat
 from contextlib import suppress
 from pathlib import Path
 
 from rowanrack.console.snapshot import snapshot
 from rowanrack.core.exchange import Exchange
-from rowanrack.net.listener import Listener
-from rowanrack.net.stream import CHUNK, Stream
+from rowanrack.net.listener import Listener, State
+from rowanrack.net.stream import Stream
 from rowanrack.net.timing import pause
 
 EVERY_US = 500_000
@@ -23,7 +23,7 @@
     """Shows the sender to whoever may open the socket's file; it takes no input."""
 
     def __init__(self, name: str, exchange: Exchange) -> None:
-        super().__init__(VIEWERS_MOST)
+        super().__init__(VIEWERS_MOST, exchange.after)
         self.name, self.exchange = name, exchange
 
     async def listen_at(self, path: Path) -> None:
@@ -33,12 +33,19 @@
                 path.unlink()
         mask = os.umask(0o177)
         try:
-            self._server = await asyncio.start_unix_server(self._accept, path, limit=CHUNK)
+            opened = socket.socket(socket.AF_UNIX)
+            try:
+                opened.bind(str(path))
+            except OSError:
+                opened.close()
+                raise
+            self.serve_on(opened)
         finally:
             os.umask(mask)
 
     async def talk(self, stream: Stream) -> None:
         """One line after the other, until the viewer leaves."""
+        self.mark(stream, State.BUSY)
         while True:
             await stream.send(json.dumps(snapshot(self.name, self.exchange)).encode() + b"\n")
             await pause(self.exchange.after, EVERY_US)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -110,6 +110,10 @@
         """Take a message, or refuse it; once this returns None the sender owes its end."""
         if self.frozen or len(self.messages) >= self.settings.most_held:
             return Nack(self._retry_us())
+        if not self.table.knows(message.dest, self.clock.now_us()):
+            # Guards the hold against destinations that do not exist. A real one that is not listed yet can be
+            # told from them by nobody, so its client is asked to come again.
+            return Nack(self._retry_us())
         if not self.store.take(message):
             log.warning("no room in the journal, message %s is turned away", message.id)
             return Nack(self._retry_us())
@@ -146,7 +150,7 @@
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
         """News from a source of the name table."""
-        self._put(self.table.update(scope, instances, source))
+        self._put(self.table.update(scope, instances, source, self.clock.now_us()))
         if scope is not Scope.FAILED:
             for message in list(self.messages.values()):
                 for execution in list(message.out.values()):
--- a/rowanrack/fronts/otlp/mapping.py
+++ b/rowanrack/fronts/otlp/mapping.py
@@ -8,7 +8,7 @@
 
 from rowanrack.core.messages import Message
 from rowanrack.fronts.otlp import FRONT, OtlpError
-from rowanspindle import MessageClass
+from rowanspindle import Settings
 
 ID_MOST = 256
 
@@ -44,7 +44,7 @@
 
     def message(
         self,
-        classes: Mapping[str, MessageClass],
+        settings: Settings,
         headers: Mapping[str, str],
         pairs: Iterable[tuple[str, str]],
         body: bytes,
@@ -56,9 +56,11 @@
         for name, value in pairs:
             attributes.setdefault(name, set()).add(value)
         cls = self.cls.find(headers, attributes)
-        if cls not in classes:
+        if cls not in settings.classes:
             raise OtlpError(400, f"unknown class {cls[:32]!r}")
         tenant = self.tenant.find(headers, attributes)
+        if tenant and settings.tenants and tenant not in settings.tenants:
+            raise OtlpError(400, f"unknown tenant {tenant[:32]!r}")
         named = self.destination.find(headers, attributes)
         dest = self.destinations.get(named, int(named) if named.isascii() and named.isdigit() else -1)
         if not 0 <= dest < 1 << 62:
@@ -66,7 +68,7 @@
         left = self.left_ms.find(headers, attributes)
         if left and not (left.isascii() and left.isdigit() and len(left) < 9):
             raise OtlpError(400, "the time left must be milliseconds")
-        left_us = min(int(left) * 1000 if left else NO_LIMIT, classes[cls].deadline_us)
+        left_us = min(int(left) * 1000 if left else NO_LIMIT, settings.classes[cls].deadline_us)
         message_id = self.id.find(headers, attributes) or digest(tenant, body)
         if len(message_id) > ID_MOST or not message_id.isprintable():
             raise OtlpError(400, "bad id")
--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -22,18 +22,21 @@
     write_status,
 )
 from rowanrack.net.http import HttpError, HttpServed, Reply, Request
-from rowanrack.net.listener import Listener
+from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
-from rowanrack.net.timing import time_limit
 
-IDLE_US = 60_000_000  # for which a client's connection may stand idle, or a request take to come in
+OWED_US = 10_000_000  # for a whole request, which may be much larger than the platform's
+SPARED_US = 2_000_000
 
 
 class OtlpServiceClients(Listener):
     """The listener for OTLP clients."""
 
+    owed_us, spared_us = OWED_US, SPARED_US
+    too_slow = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
     def __init__(self, exchange: Exchange, mapping: RequestMap, body_limit: int, most: int) -> None:
-        super().__init__(most)
+        super().__init__(most, exchange.after)
         self.exchange, self.mapping, self.limit = exchange, mapping, body_limit
         self._waiting: dict[str, list[asyncio.Future[End]]] = {}
 
@@ -48,16 +51,17 @@
         served, more = HttpServed(stream, self.limit), True
         while more and not self.draining:
             try:
-                async with time_limit(self.exchange.after, IDLE_US):
-                    request = await served.receive()
+                request = await served.receive(lambda: self.mark(stream, State.OWING))
             except HttpError as bad:
-                await served.answer(refusal(bad.status, str(bad), PROTOBUF, close=True))
+                last = served.wire(refusal(bad.status, str(bad), PROTOBUF, close=True))
+                await self.farewell(stream, last, str(bad))
                 return
-            if request is None:
+            if request is None or stream.closing:
                 return
-            self.streams[stream] = False
+            self.mark(stream, State.BUSY)
             more = await served.answer(await self._answer(request))
-            self.streams[stream] = True
+            self.mark(stream, State.IDLE)
+            await asyncio.sleep(0)  # guards the other connections against one that never pauses
 
     async def _answer(self, request: Request) -> Reply:
         kind = PROTOBUF
@@ -86,7 +90,7 @@
         body = plain_body(request.body, request.headers.get("content-encoding", ""), self.limit)
         export = parse_message(signal.request(), body, kind)
         return self.mapping.message(
-            self.exchange.settings.classes,
+            self.exchange.settings,
             request.headers,
             resource_attributes(signal, export),
             body,
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -7,6 +7,14 @@
 from rowanrack.net.pool import Verdict
 from rowanspindle import Result
 
+WAIT_MOST_MS = 3_600_000  # a longer wait outlives every message that is held
+
+
+def wait_us(header: str) -> int:
+    """The wait that X-Retry-In-Ms tells; 0 if it cannot be read."""
+    text = header.strip()
+    return min(int(text[:12]), WAIT_MOST_MS) * 1000 if text.isascii() and text.isdigit() else 0
+
 
 class InboxForm:
     """The platform's form of a call."""
@@ -22,8 +30,7 @@
             case 200:
                 return Verdict(Result.OK)
             case 429:
-                wait = reply.headers.get("x-retry-in-ms", "")
-                return Verdict(Result.FULL, int(wait) * 1000 if wait.isdigit() else 0)
+                return Verdict(Result.FULL, wait_us(reply.headers.get("x-retry-in-ms", "")))
             case 503 if reply.headers.get("x-no-slot") == "1":
                 return Verdict(Result.MOOT)
             case 503:
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -2,19 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
 from rowanrack.fronts.platform import FRONT
 from rowanrack.fronts.platform.resp import RespError, error, parse_command, simple
-from rowanrack.net.listener import Listener
+from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
+from rowanspindle import Settings
 
+WHOLE = re.compile(r"[0-9]{1,15}")
 HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the id travels in a header
 
 
-def read_submit(words: list[bytes], now_unix_us: int) -> Message:
+def read_submit(words: list[bytes], settings: Settings, now_unix_us: int) -> Message:
     """The message of a SUBMIT command. Raises RespError with a text for the client."""
     if len(words) != 5:
         raise RespError("ERR SUBMIT takes a key, an id, a list and a body")
@@ -25,23 +28,29 @@
     if not HEADER_SAFE.fullmatch(message_id):
         raise RespError("ERR bad id")
     values = dict(pair.partition("=")[::2] for pair in listed.split(","))
-    try:
-        left_ms, dest = int(values["d"]), int(values["dest"])
-        cls, tenant = values["c"], values.get("t", "")
-    except KeyError as missing:
-        raise RespError(f"ERR the list lacks {missing.args[0]}") from None
-    except ValueError:
-        raise RespError("ERR d and dest must be whole numbers") from None
-    if not 0 <= left_ms <= 86_400_000 or not 0 <= dest < 1 << 62:
-        raise RespError("ERR d or dest is out of range")
+    if missing := [name for name in ("c", "d", "dest") if name not in values]:
+        raise RespError(f"ERR the list lacks {missing[0]}")
+    if not (WHOLE.fullmatch(values["d"]) and WHOLE.fullmatch(values["dest"])):
+        raise RespError("ERR d and dest must be whole numbers")
+    left_ms, dest = int(values["d"]), int(values["dest"])
+    cls, tenant = values["c"], values.get("t", "")
+    if cls not in settings.classes:
+        raise RespError(f"ERR unknown class {cls[:32]!r}")
+    if tenant and settings.tenants and tenant not in settings.tenants:
+        raise RespError(f"ERR unknown tenant {tenant[:32]!r}")
+    # Guards the hold against a message that would stay in it for ever. Clients add a little to the deadline.
+    if left_ms * 1000 > 2 * settings.classes[cls].deadline_us:
+        raise RespError("ERR d is far over the deadline of the class")
     return Message(message_id, cls, tenant, dest, now_unix_us + left_ms * 1000, words[4], FRONT)
 
 
 class PlatformServiceClients(Listener):
     """The listener for service clients."""
 
+    too_slow = error("ERR Protocol error: the command does not come whole in time")
+
     def __init__(self, exchange: Exchange, most: int) -> None:
-        super().__init__(most)
+        super().__init__(most, exchange.after)
         self.exchange = exchange
 
     async def talk(self, stream: Stream) -> None:
@@ -50,11 +59,12 @@
             try:
                 words = parse_command(stream.inward)
             except RespError as bad:
-                await stream.send(error(f"ERR {bad}"))
+                await self.farewell(stream, error(f"ERR {bad}"), str(bad))
                 return
             if words is None:
-                self.streams[stream] = not len(stream.inward)
-                if self.draining and not len(stream.inward):
+                if len(stream.inward):
+                    self.mark(stream, State.OWING)
+                elif self.draining:
                     return
                 if not await stream.fill():
                     return
@@ -63,13 +73,16 @@
                 # Guards against a message taken twice: a client whose connection was closed before its
                 # request was read hands it in again elsewhere.
                 return
-            self.streams[stream] = False
+            self.mark(stream, State.BUSY)
             try:
                 answer = self._answer(words)
             except RespError as bad:
-                await stream.send(error(str(bad)))
+                await self.farewell(stream, error(str(bad)), str(bad))
                 return
             await stream.send(answer)
+            self.mark(stream, State.IDLE)
+            if len(stream.inward):
+                await asyncio.sleep(0)  # guards the other connections against one that never pauses
 
     def _answer(self, words: list[bytes]) -> bytes:
         name = words[0].upper()
@@ -77,9 +90,7 @@
             return simple("PONG")
         if name != b"SUBMIT":
             raise RespError(f"ERR unknown command {words[0][:32].decode('ascii', 'replace')!r}")
-        message = read_submit(words, self.exchange.clock.unix_us())
-        if message.cls not in self.exchange.settings.classes:
-            raise RespError(f"ERR unknown class {message.cls[:32]!r}")
+        message = read_submit(words, self.exchange.settings, self.exchange.clock.unix_us())
         if self.exchange.known(message.id) is not None:
             return simple("OK")  # handed in twice under one id: it is taken already, and has one end
         nack = self.exchange.submit(message)
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable
-from contextlib import suppress
+import re
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -15,7 +15,10 @@
 from rowanrack.net.timing import After, time_limit
 
 HEAD_LIMIT = 16 * 1024
-REST_US = 1_000_000  # for the rest of an answer once its head has come
+REST_US = 1_000_000  # for the rest of an answer's head once it has begun, and for its body once that has come
+AHEAD_MOST = 16  # answers 1xx ahead of the one that counts
+SAYS_200 = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
+PRESSURE = re.compile(rb"(?im)^x-pressure:[^\n]*\n")
 FRAMED = frozenset({"content-length", "transfer-encoding"})  # else a body lasts as long as its connection
 BODILESS = frozenset({204, 304})
 CONNECT_US = 1_000_000  # for opening a line: a machine that is cut off says nothing
@@ -127,11 +130,12 @@
         self.stream, self._host, self._limit = stream, host, body_limit
         self._after, self._rest_us = after, rest_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
+        self._raw = bytearray()  # the answer from its first line on, until its head has been read
 
     @property
     def reusable(self) -> bool:
-        """Whether the connection may carry another call."""
-        return self._h11.our_state is h11.IDLE and not self.stream.ended and not len(self.stream.inward)
+        """Whether the connection may carry another call: all is read, and no more than that has come."""
+        return self._h11.our_state is h11.IDLE and not self.stream.ended and not self.stream.unread
 
     async def call(self, call: Call) -> Reply:
         """Make one call. Nothing here ever sends it a second time."""
@@ -152,35 +156,82 @@
 
     async def _reply(self) -> Reply:
         try:
-            head = await self._event()
-            while isinstance(head, h11.InformationalResponse):
-                head = await self._event()
-        except (OSError, h11.RemoteProtocolError) as error:
-            raise CallBrokenError(str(error)) from None
+            head = await self._head()
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            return self._spoilt(str(error) or "its head did not end")
         if not isinstance(head, h11.Response):
-            raise CallBrokenError("closed without an answer")
-        headers, body = plain_headers(head.headers), bytearray()
-        # Guards against an answer whose body is cut off, late or never ends: its first line has said how the
-        # call went, and must not turn into a time-out.
-        with suppress(OSError, TimeoutError, h11.RemoteProtocolError):
-            if head.status_code in BODILESS or FRAMED & headers.keys():
+            return self._spoilt("closed without an answer")
+        headers, body, whole = plain_headers(head.headers), bytearray(), True
+        if head.status_code in BODILESS or FRAMED & headers.keys():
+            try:
                 async with time_limit(self._after, self._rest_us):
-                    await self._rest(body)
-        return Reply(head.status_code, headers, bytes(body[: self._limit]))
-
-    async def _rest(self, body: bytearray) -> None:
+                    whole = await self._rest(body, int(headers.get("content-length", "0")))
+            except (OSError, TimeoutError, h11.RemoteProtocolError):
+                whole = False
+        # Guards against an answer whose body is cut off, late, endless or not as long as it says. A first
+        # line with 200 has said how the call went; any other proves nothing then: the call may have run.
+        if not whole and head.status_code != 200:
+            raise CallBrokenError(f"answered {head.status_code} with a spoilt body")
+        return Reply(head.status_code, headers, bytes(body))
+
+    async def _head(self) -> h11.Event | type[h11.PAUSED]:
+        """The head of the answer behind any 1xx, whenever it comes; once begun it must come whole."""
+        for _ in range(AHEAD_MOST):
+            self._raw[:] = self._h11.trailing_data[0]
+            if not self._raw:
+                await self._receive()
+            async with time_limit(self._after, self._rest_us):
+                head = await self._event()
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise h11.RemoteProtocolError(f"more than {AHEAD_MOST} answers 1xx")
+
+    def _spoilt(self, why: str) -> Reply:
+        """An answer whose head cannot be read: the call may have run, unless its first line says 200."""
+        if SAYS_200.match(self._raw):
+            return Reply(200, {})
+        # Guards against a load report that h11 takes for a broken head: what stands beside it still counts.
+        cleaned, again = PRESSURE.sub(b"", bytes(self._raw)), h11.Connection(h11.CLIENT)
+        if cleaned != self._raw:
+            again.send(h11.Request(method="POST", target="/", headers=[("Host", "x")]))
+            again.send(h11.EndOfMessage())
+            again.receive_data(cleaned)
+            try:
+                head, rest = again.next_event(), again.next_event()
+            except h11.RemoteProtocolError:
+                head = rest = h11.NEED_DATA
+            if isinstance(head, h11.Response) and isinstance(rest, h11.EndOfMessage):
+                return Reply(head.status_code, plain_headers(head.headers))
+        raise CallBrokenError(f"unreadable answer: {why}")
+
+    async def _rest(self, body: bytearray, length: int) -> bool:
+        """The body; False if it is longer than we read, and then no more of it is read."""
+        if length > self._limit:
+            return False
         while isinstance(event := await self._event(), h11.Data):
-            if len(body) <= self._limit:
-                body += event.data
-        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            body += event.data
+            if len(body) > self._limit:
+                return False
+        # Guards against what comes behind the answer: it would be read as the answer to the next call.
+        surplus = bool(self._h11.trailing_data[0])
+        if not surplus and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
+        return isinstance(event, h11.EndOfMessage)
+
+    async def _event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            await self._receive()
 
-    async def _event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        while (event := self._h11.next_event()) is h11.NEED_DATA:
-            if not len(self.stream.inward):
-                await self.stream.fill()
-            self._h11.receive_data(self.stream.inward.read(len(self.stream.inward)))
-        return event
+    async def _receive(self) -> None:
+        if not len(self.stream.inward):
+            await self.stream.fill()
+        data = self.stream.inward.read(len(self.stream.inward))
+        if len(self._raw) < HEAD_LIMIT:
+            self._raw += data
+        self._h11.receive_data(data)
 
 
 def phrase(status: int) -> str:
@@ -195,8 +246,11 @@
         self.stream, self._limit = stream, body_limit
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
 
-    async def receive(self) -> Request | None:
-        """The next request, or None at the end of the connection. Raises HttpError on what is no HTTP."""
+    async def receive(self, begun: Callable[[], None] = lambda: None) -> Request | None:
+        """The next request, or None at the end of the connection. Raises HttpError on what is no HTTP.
+
+        `begun` is called whenever a part of it has come.
+        """
         head: h11.Request | None = None
         body = bytearray()
         try:
@@ -220,23 +274,27 @@
                         if self._h11.they_are_waiting_for_100_continue:
                             go_on = h11.InformationalResponse(status_code=100, headers=[])
                             await self.stream.send(self._h11.send(go_on) or b"")
-                        if not len(self.stream.inward):
-                            await self.stream.fill()
+                        if not len(self.stream.inward) and await self.stream.fill():
+                            begun()
                         self._h11.receive_data(self.stream.inward.read(len(self.stream.inward)))
                     case _:
                         return None
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, str(error)) from None
 
-    async def answer(self, reply: Reply) -> bool:
-        """Answer the request; True if the connection may carry another one."""
+    def wire(self, reply: Reply) -> bytes:
+        """An answer as it goes out."""
         headers = [*reply.headers.items(), ("Content-Length", str(len(reply.body)))]
         events = (
             h11.Response(status_code=reply.status, headers=headers, reason=phrase(reply.status)),
             h11.Data(data=reply.body),
             h11.EndOfMessage(),
         )
-        await self.stream.send(b"".join(self._h11.send(event) or b"" for event in events))
+        return b"".join(self._h11.send(event) or b"" for event in events)
+
+    async def answer(self, reply: Reply) -> bool:
+        """Answer the request; True if the connection may carry another one."""
+        await self.stream.send(self.wire(reply))
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
             self._h11.start_next_cycle()
             return True
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -1,68 +1,194 @@
-"""A listening port and its connections: what the fronts' servers have in common."""
+"""A listening port and its connections: what the fronts' servers have in common.
+
+What guards against bad clients stands here, once for all fronts: a limit on connections that silent ones
+cannot use up, a time limit for a request that does not come whole, and a parting that lets the last answer
+arrive.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import socket
 from abc import ABC, abstractmethod
+from collections.abc import Coroutine
+from contextlib import suppress
+from enum import Enum
+from typing import Any
 
-from rowanrack.net.stream import CHUNK, Stream
+from rowanrack.net.rare_log import RareLog
+from rowanrack.net.stream import Stream, stream_protocol
+from rowanrack.net.timing import After, pause, time_limit
 
 log = logging.getLogger(__name__)
 
+BACKLOG = 1024  # connections that wait in the kernel until there is room for them
+OWED_US = 2_000_000  # for a whole request, from the opening of a connection or from its first byte
+IDLE_US = 60_000_000  # for which a connection may stand between requests
+LOOK_US = 250_000  # between looks at these limits
+SPARED_US = 200_000  # a connection that owes a request so long may have to make room for another
+KEPT_US = 2_000_000  # and one between requests after so long
+FULL_US = 20_000  # between looks for room
+PENALTY_US = 250_000  # by which the answer to bad input is late
+PENALTIES_MOST = 32  # connections that are kept waiting so at once
+LINGER_US = 1_000_000  # for which a connection stays after its last answer, for the client to close it
+LINGER_BYTES = 1 << 20  # read and dropped meanwhile
+
+
+class State(Enum):
+    """What a connection is at."""
+
+    OWING = "owing"  # no whole request yet, or a part of the next one
+    BUSY = "busy"  # its request is being answered
+    IDLE = "idle"  # between requests
+    LEAVING = "leaving"  # its last answer is written
+
 
 class Listener(ABC):
     """Serves each connection until it ends; a failure ends only its own connection."""
 
-    def __init__(self, most: int) -> None:
-        self.most = most
-        self.streams: dict[Stream, bool] = {}  # each with whether it is between requests
+    too_slow = b""  # what a client hears whose request does not come whole in time
+    owed_us, spared_us = OWED_US, SPARED_US
+
+    def __init__(self, most: int, after: After) -> None:
+        self.most, self.after = most, after
+        self.streams: dict[Stream, tuple[State, int]] = {}  # each with the time; the latest change comes last
         self.draining = False
+        self.port = 0
+        self._accepting_task: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server: asyncio.Server | None = None
+        self._rare = RareLog(log)
+        self._bad = RareLog(log)
+        self._penalties = 0
 
     @abstractmethod
     async def talk(self, stream: Stream) -> None:
-        """Serve one connection, and keep `streams` up to date; return to close it."""
+        """Serve one connection, and `mark` what it is at; return to close it."""
+
+    def mark(self, stream: Stream, state: State) -> None:
+        """A connection is at something else."""
+        if stream not in self.streams or self.streams[stream][0] is not state:
+            self.streams.pop(stream, None)
+            self.streams[stream] = state, self._now()
 
     async def listen(self, host: str, port: int) -> None:
-        """Open the port."""
-        self._server = await asyncio.start_server(self._accept, host, port, limit=CHUNK, backlog=512)
+        """Open the port; with 0 the system chooses one."""
+        family, _, _, _, address = (await asyncio.get_running_loop().getaddrinfo(host, port))[0]
+        opened = socket.socket(family, socket.SOCK_STREAM)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            opened.bind(address)
+        except OSError:
+            opened.close()
+            raise
+        self.port = opened.getsockname()[1]
+        self.serve_on(opened)
 
-    @property
-    def port(self) -> int:
-        """The port that is open; it was chosen by the system if 0 was asked for."""
-        return int(self._server.sockets[0].getsockname()[1]) if self._server is not None else 0
+    def serve_on(self, opened: socket.socket) -> None:
+        """Serve on a socket that is bound."""
+        opened.listen(BACKLOG)
+        opened.setblocking(False)
+        accepting = self._start(self._accepting(opened))
+        # Not before: until its cancelling has run, the loop still watches the socket's number.
+        accepting.add_done_callback(lambda _: opened.close())
+        self._accepting_task = accepting
+        self._start(self._looking())
 
     def drain(self) -> None:
         """Take no more connections, and close each as soon as it is between requests."""
         self.draining = True
-        if self._server is not None:
-            self._server.close()
-        for stream, between in list(self.streams.items()):
-            if between:
-                stream.close_soon()
+        self._close_port()
+        for stream, (state, _) in list(self.streams.items()):
+            if state in (State.IDLE, State.OWING) and not stream.unread:
+                stream.close_at_once()
 
     def close(self) -> None:
         """Close the port and all connections."""
-        if self._server is not None:
-            self._server.close()
+        self._close_port()
         for task in self._tasks:
             task.cancel()
 
-    def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        # A task of our own: asyncio reports the cancelling of its own ones as errors.
-        task = asyncio.create_task(self._serve(Stream(reader, writer)))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    async def farewell(self, stream: Stream, last: bytes, why: str) -> None:
+        """Answer bad input, and part.
+
+        Guards against clients that come back as soon as they are turned away: the answer is a little late.
+        Guards the answer itself: closing with bytes unread would reset the connection and destroy it. So only
+        our sending ends, and what still comes is read and dropped, for a while.
+        """
+        self._bad.warning("a client's input is refused: %s", why)
+        self.mark(stream, State.BUSY)
+        if self._penalties < PENALTIES_MOST:
+            self._penalties += 1
+            try:
+                await pause(self.after, PENALTY_US)
+            finally:
+                self._penalties -= 1
+        await stream.send(last)
+        self.mark(stream, State.LEAVING)
+        stream.end_sending()
+        with suppress(TimeoutError):
+            async with time_limit(self.after, LINGER_US):
+                left = LINGER_BYTES
+                while left > 0 and (gone := await stream.skip()):
+                    left -= gone
+                if left <= 0:  # let it wait for us, rather than read at its pace
+                    await pause(self.after, LINGER_US)
+
+    # Room, and time.
+
+    async def _accepting(self, opened: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                while len(self.streams) >= self.most and not self._make_room():
+                    self._rare.warning("%d clients are connected, others wait", self.most)
+                    await pause(self.after, FULL_US)
+                accepted, _ = await loop.sock_accept(opened)
+                try:
+                    await loop.connect_accepted_socket(lambda: stream_protocol(self._accept), accepted)
+                except BaseException:
+                    accepted.close()
+                    raise
+            except OSError as error:
+                # Guards the port against a client that is gone again, and against a lack of descriptors.
+                self._rare.warning("a connection was not accepted: %s", error.strerror or error)
+                await pause(self.after, FULL_US)
+
+    def _make_room(self) -> bool:
+        """Part with a connection that nobody misses: silent ones must not keep the usual clients out."""
+        now = self._now()
+        spared = ((State.LEAVING, 0), (State.OWING, self.spared_us), (State.IDLE, KEPT_US))
+        for state, least_us in spared:
+            for stream, (at, since) in self.streams.items():
+                if now - since < least_us:
+                    break  # and those behind it are younger
+                # Guards a request that has come in and is not read yet.
+                if at is state and (state is State.LEAVING or not stream.unread):
+                    del self.streams[stream]
+                    stream.close_at_once()
+                    return True
+        return False
+
+    async def _looking(self) -> None:
+        while True:
+            await pause(self.after, LOOK_US)
+            now = self._now()
+            for stream, (state, since) in list(self.streams.items()):
+                if stream.closing or now - since < min(self.owed_us, IDLE_US) or stream.unread_outside:
+                    continue
+                if state is State.OWING and now - since >= self.owed_us:
+                    if stream.came:
+                        self._bad.warning("a client's input is refused: it does not come whole in time")
+                        stream.send_last(self.too_slow)
+                    stream.close_at_once()
+                elif state is State.IDLE and now - since >= IDLE_US:
+                    stream.close_at_once()
+
+    def _accept(self, stream: Stream) -> None:
+        self.mark(stream, State.OWING)
+        self._start(self._serve(stream))
 
     async def _serve(self, stream: Stream) -> None:
-        if len(self.streams) >= self.most:
-            # Guards the limit on descriptors: the calls to instances need theirs.
-            log.warning("%d clients are connected, one more is turned away", self.most)
-            stream.abort()
-            return
-        self.streams[stream] = True
         try:
             await self.talk(stream)
         except (OSError, TimeoutError) as gone:
@@ -72,3 +198,18 @@
         finally:
             self.streams.pop(stream, None)
             stream.close_soon()
+
+    def _start(self, serving: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        # A task of our own: asyncio reports the cancelling of its own ones as errors.
+        task = asyncio.create_task(serving)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _close_port(self) -> None:
+        if self._accepting_task is not None:
+            self._accepting_task.cancel()
+
+    @staticmethod
+    def _now() -> int:
+        return int(asyncio.get_running_loop().time() * 1_000_000)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -12,6 +12,7 @@
 from rowanrack.core.messages import Ending, Execution, Instance
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller, Reply
+from rowanrack.net.rare_log import RareLog
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
 from rowanspindle import Result
@@ -54,12 +55,13 @@
 class InstancePool:
     """Connections to instances, each with one call at a time, and a task for each execution."""
 
-    def __init__(self, exchange: Exchange, forms: dict[str, CallForm]) -> None:
+    def __init__(self, exchange: Exchange, forms: dict[str, CallForm], idle_most: int) -> None:
         self.exchange, self.forms = exchange, forms
         self.idle: defaultdict[str, list[Idle]] = defaultdict(list)
         self.tasks: dict[Execution, asyncio.Task[None]] = {}
         self._aged: dict[Idle, None] = {}  # all idle connections, the one that is idle longest first
-        self._idle_most = 3 * exchange.settings.slots
+        self._idle_most = idle_most
+        self._rare = RareLog(log)
         self._idle_us = int(exchange.settings.keepalive_us * IDLE_PART)
 
     # What the exchange asks for.
@@ -107,7 +109,8 @@
                 caller = None
         except CallNotSentError:
             result = Verdict(Result.CONNECT_FAILED)
-        except CallBrokenError:
+        except CallBrokenError as error:
+            self._rare.warning("%s: %s, the call may have run", execution.instance.name, error)
             result = Verdict(Result.RESET)
         except (OSError, TimeoutError):
             # Only opening the connection raises these: nothing of the call was written.
--- a/rowanrack/net/ring.py
+++ b/rowanrack/net/ring.py
@@ -8,7 +8,8 @@
 
     def __init__(self, limit: int, start: int = 4096) -> None:
         self.limit = limit
-        self._data = bytearray(min(start, limit))
+        self._start = min(start, limit)
+        self._data = bytearray(self._start)
         self._head = self._size = 0
 
     def __len__(self) -> int:
@@ -43,6 +44,9 @@
         data = self.peek(count)
         self._head = (self._head + len(data)) % len(self._data)
         self._size -= len(data)
+        if not self._size and len(self._data) > self._start:
+            # Guards against a connection that holds the memory of its largest message for good.
+            self._data, self._head = bytearray(self._start), 0
         return data
 
     def find(self, mark: bytes, within: int) -> int:
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -27,6 +27,7 @@
             await server.listen_at(path)
         rig.callback(server.close)
         assert stat.S_IMODE(path.stat().st_mode) == 0o600
+        rig.once_listed(99)
         client = await rig.client()
         await client.submit("m1", dest=99)
         await client.submit("m2")
--- a/tests/test_otlp.py
+++ b/tests/test_otlp.py
@@ -150,6 +150,7 @@
 @on_loop
 async def test_a_refusal_says_when_to_come_again_and_a_failure_does_not(tmp_path: Path) -> None:
     async with Rig(tmp_path, silent, most_held=1) as rig:
+        rig.once_listed(99)
         refused = await rig.export(logs(dest="99"), x_left_ms="200")
         assert refused.status == 503 and int(refused.headers["retry-after"]) >= 1
         assert await rig.export(logs(dest="99"), x_left_ms="200") == refused
@@ -230,6 +231,7 @@
     async with Rig(tmp_path, answers(*script), answers(*script)) as rig:
         near, far = rig.known
         rig.sender.exchange.list_instances(Scope.FULL, [near, replace(far, dest=8)])
+        rig.once_listed(98, 99)
 
         async def by_resp() -> None:
             client = await rig.client()
