Let what is kept by a name or an id end with it

Checked: sizes of what is kept by id. The name table and the module's state do end with an instance (test_what_a_hundred_names_leave_behind_is_nothing). Ruled out: the wheel, whose cancelled timers go with their tick. Now: idle connections are closed when their instance drains or goes, and none is kept after; waits are pruned with the list; ends on the platform are kept for 1 s past the message's time, longer only while a notice is untold; empty rings start at 1 KiB.

Each line taken out fails a test in tests/test_gone.py.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -33,6 +33,7 @@
 STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
 BEGIN_US = 2_000_000  # after SIGTERM: a call that begins later might be cut off
 SETTLE_US = 3_200_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
+PLATFORM_KEEP_US = 1_000_000  # its clients hand nothing in under an old id once the message's time is up
 FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
 LOOK_US = 20_000  # between looks at whether all is settled
 
@@ -58,7 +59,8 @@
     def __init__(self, config: Config) -> None:
         self.config = config
         self.clock = LoopClock(lambda: self.exchange.pump())
-        self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us)
+        keep = {PLATFORM: PLATFORM_KEEP_US}
+        self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us, keep_us_of=keep)
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
         self.forms: dict[str, CallForm] = {PLATFORM: InboxForm()}
         self.room = Descriptors.of(config.sockets, config.settings.slots)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -150,6 +150,7 @@
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
         """News from a source of the name table."""
+        before = self.table.names()
         self._put(self.table.update(scope, instances, source, self.clock.now_us()))
         if scope is not Scope.FAILED:
             for message in list(self.messages.values()):
@@ -157,6 +158,17 @@
                     # A call still waiting for its connection must not go to what drains or is gone.
                     if not execution.begun and not self.table.listed(execution.instance.name):
                         self._drop(execution, Result.MOOT)
+            self._tidy(before)
+
+    def _tidy(self, before: set[str]) -> None:
+        """What is kept by an instance's name ends with it: another may come under its name or address."""
+        for name in before:
+            if not self.table.listed(name) and self.side is not None:
+                self.side.close_idle(name)
+        for name in before - self.table.names():
+            self._waits.pop(name, None)
+        now = self.clock.now_us()
+        self._waits = {limit: until for limit, until in self._waits.items() if until > now}
 
     def begin(self, execution: Execution) -> bool:
         """Asked right before a call's first byte: whether it may still be sent. The store knows it first."""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -153,6 +153,10 @@
         return None
 
     def _keep(self, instance: Instance, caller: HttpCaller) -> None:
+        if not self.exchange.table.listed(instance.name):
+            # Guards the instance, and our descriptors: nothing new goes to one that drains or is gone.
+            caller.stream.abort()
+            return
         idle = Idle(instance, caller)
         waiting = self.idle[instance.name]
         waiting.append(idle)
@@ -162,6 +166,8 @@
             if idle in waiting:
                 waiting.remove(idle)
                 self._discard(idle)
+            if not waiting and self.idle.get(instance.name) is waiting:
+                del self.idle[instance.name]  # names are ever new
 
         idle.timer = self.exchange.after(self._idle_us, expire)
         idle.watch.add_done_callback(lambda _: expire())
--- a/rowanrack/net/ring.py
+++ b/rowanrack/net/ring.py
@@ -6,7 +6,7 @@
 class RingBuffer:
     """Bytes in the order written, never more than its limit. The memory grows with use, up to the limit."""
 
-    def __init__(self, limit: int, start: int = 4096) -> None:
+    def __init__(self, limit: int, start: int = 1024) -> None:
         self.limit = limit
         self._start = min(start, limit)
         self._data = bytearray(self._start)
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -10,7 +10,7 @@
 import os
 import struct
 import zlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -24,6 +24,7 @@
 BLOCK = 512  # bytes in which a file's size counts on the disk
 ROOM_EACH = 512  # bytes kept free for each owed message: its executions and its end
 MARGIN = 8 * BLOCK
+TIDY_EACH = 256  # ends between two looks for those that need not be kept any more
 COMPACT_LEAST = 64 * 1024  # bytes of dead records before a compaction is worth its while
 
 TAKEN, BEGUN, NEVER_RAN, ENDED, TOLD = b"T", b"B", b"N", b"E", b"K"
@@ -94,6 +95,11 @@
     again_us: int
     told: bool = False
 
+    @property
+    def untold(self) -> bool:
+        """Whether its notice may still have to be sent."""
+        return not self.told and self.end.ending in (Ending.REFUSED, Ending.FAILED)
+
     def record(self, message_id: str) -> bytes:
         """As it stands in the journal."""
         times = (self.end.retry_us, self.keep_until_us, self.again_us)
@@ -109,11 +115,13 @@
     budget: int
     unix_us: Callable[[], int]
     keep_us: int = 30_000_000  # for how long an end is kept past its message's time
+    keep_us_of: Mapping[str, int] = field(default_factory=dict)  # the same for a front that needs another
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, Ended] = field(default_factory=dict)
     size: int = 0
     live: int = 0  # bytes that a compaction would write for owed messages
     fd: int = -1
+    _ended: int = 0
 
     @property
     def path(self) -> Path:
@@ -178,10 +186,14 @@
     def end(self, message: Message, end: End) -> None:
         """Record the end of a message."""
         now = self.unix_us()
-        keep, again = max(message.deadline_us, now) + self.keep_us, now + end.retry_us
+        keep_us = self.keep_us_of.get(message.front, self.keep_us)
+        keep, again = max(message.deadline_us, now) + keep_us, now + end.retry_us
         if self.owed.pop(message.id, None) is not None:
             self.live -= len(frame(taken_record(message)))
         ended = self.ends[message.id] = Ended(end, message.front, keep, again)
+        self._ended += 1
+        if self._ended % TIDY_EACH == 0:
+            self._tidy()
         self._append(frame(ended.record(message.id)))
 
     def told(self, message_id: str) -> None:
@@ -198,6 +210,11 @@
         lapsed = ended.end.ending is Ending.REFUSED and now >= ended.again_us
         return None if lapsed else ended.end
 
+    def _tidy(self) -> None:
+        """Forget ends whose time is over; one whose notice is not confirmed is kept longer, for a restart."""
+        now = self.unix_us()
+        self.ends = {i: e for i, e in self.ends.items() if now < e.keep_until_us + e.untold * self.keep_us}
+
     # Room and compaction.
 
     def _room(self, more: int) -> bool:
@@ -234,8 +251,7 @@
 
     def _compact(self) -> bool:
         """Write what is still of use into a new file, which then takes the old one's place."""
-        now = self.unix_us()
-        self.ends = {i: e for i, e in self.ends.items() if e.keep_until_us > now}
+        self._tidy()
         parts = [MAGIC]
         for message in self.owed.values():
             parts.append(frame(taken_record(message)))
@@ -285,8 +301,7 @@
             except (ValueError, KeyError, struct.error) as error:
                 raise JournalError(f"journal: unreadable record before offset {offset}: {error}") from None
             end = offset
-        now = self.unix_us()
-        self.ends = {i: e for i, e in self.ends.items() if e.keep_until_us > now}
+        self._tidy()
         self.live = sum(len(frame(taken_record(m))) for m in self.owed.values())
         return end
 
@@ -325,9 +340,4 @@
 
     def untold(self, front: str) -> list[tuple[str, End]]:
         """Refusals and failures of a front's messages whose notice has not been confirmed."""
-        undelivered = (Ending.REFUSED, Ending.FAILED)
-        return [
-            (i, e.end)
-            for i, e in self.ends.items()
-            if not e.told and e.front == front and e.end.ending in undelivered
-        ]
+        return [(i, e.end) for i, e in self.ends.items() if e.untold and e.front == front]
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,98 @@
+"""Instances that go and come under ever new names: what is kept by name ends with them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from rowanrack.core.messages import End, Ending, Message
+from rowanrack.net.http import Reply
+from rowanrack.store.journal import TIDY_EACH, Journal
+from rowanspindle import Scope, Status
+from tests.rig import Rig, answers, instance, on_loop
+
+OK = Reply(200, {})
+
+
+@pytest.mark.parametrize("status", [Status.DRAINING, Status.REMOVED])
+@on_loop
+async def test_connections_end_with_their_instance(tmp_path: Path, status: Status) -> None:
+    """They stayed open for seconds, and counted against what the address's next instance takes."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        await (await rig.client()).submit("m1")
+        await rig.ended("m1")
+        pool, (stand_in,) = rig.sender.pool, rig.servers
+        assert len(pool.idle["i0"]) == 1
+        (serving,) = stand_in.tasks
+        rig.sender.exchange.list_instances(Scope.DELTA, [replace(rig.known[0], status=status)])
+        await asyncio.wait({serving})  # it has seen the end of its connection
+        assert not pool.idle and not pool._aged
+
+
+@on_loop
+async def test_an_answer_of_one_that_has_gone_leaves_no_connection(tmp_path: Path) -> None:
+    answer = asyncio.Event()
+
+    async def held_up(_request: object) -> Reply:
+        await answer.wait()
+        return OK
+
+    async with Rig(tmp_path, held_up) as rig:
+        await (await rig.client()).submit("m1")
+        await rig.servers[0].asked(1)
+        (serving,) = rig.servers[0].tasks
+        rig.sender.exchange.list_instances(Scope.FULL, ())
+        answer.set()
+        await rig.ended("m1")
+        await asyncio.wait({serving})
+        assert not rig.sender.pool.idle
+
+
+@on_loop
+async def test_what_a_hundred_names_leave_behind_is_nothing(tmp_path: Path) -> None:
+    """Each takes the address of the last, tells a wait where routes are apart, serves and goes."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        client, exchange = await rig.client(), rig.sender.exchange
+        for n in range(100):
+            exchange.list_instances(Scope.FULL, [instance(f"n{n}", rig.servers[0].port)])
+            exchange._waits[f"n{n}"] = 1 << 60
+            await client.submit(f"m{n}")
+            await rig.ended(f"m{n}")
+        exchange.list_instances(Scope.FULL, ())
+        exchange.pump()
+        assert not rig.sender.pool.idle and not rig.sender.pool._aged and not exchange._waits
+        forwarder = exchange.forwarder
+        assert not forwarder.endpoints and not forwarder.unlisted and not forwarder.attempts
+        assert not exchange.table.names() and not exchange._refs
+
+
+@pytest.mark.parametrize(
+    ("end", "told", "after_s", "kept"),
+    [
+        (Ending.DELIVERED, False, 0, True),
+        (Ending.DELIVERED, False, 2, False),
+        (Ending.FAILED, True, 2, False),
+        (Ending.FAILED, False, 2, True),
+        (Ending.FAILED, False, 40, False),
+    ],
+)
+def test_ends_are_forgotten_behind_their_message_but_not_before_their_notice(
+    tmp_path: Path, end: Ending, told: bool, after_s: int, kept: bool
+) -> None:
+    """They were kept for 30 s, and memory grew all through a day of one minute."""
+    now = [0]
+    journal = Journal(tmp_path, 3_000_000, lambda: now[0], keep_us_of={"platform": 1_000_000})
+    journal.open()
+    message = Message("m", "c", "t", 3, 5_000_000, b"", "platform")
+    journal.take(message)
+    journal.end(message, End(end))
+    if told:
+        journal.told("m")
+    now[0] = 5_000_000 + after_s * 1_000_000
+    for n in range(TIDY_EACH):
+        journal.end(Message(str(n), "c", "t", 3, 0, b"", "platform"), End(Ending.DELIVERED))
+    assert ("m" in journal.ends) is kept
+    journal.close()
