--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -47,8 +47,8 @@
         rig.sender.exchange.list_instances(Scope.FULL, ())
         answer.set()
         await rig.ended("m1")
-        await asyncio.wait({serving})
         assert not rig.sender.pool.idle
+        await asyncio.wait({serving})
 
 
 @on_loop
