Let a far zone weigh more while slots are scarce

Checked: a probe of the module every 3 s. All 16 slots are taken from 3 s on, the oldest call is under 0.8 s old, tasks and calls begun agree with the module's count, windows stand at their limit, no wait, hardly a pace: slots are the bottleneck, and 59 to 627 messages wait for one. A third of the calls cross zones, and those take 250 to 400 ms where near ones take 66 to 120 ms. Ruled out: slots that leak, stale windows, paces, waits. At fault: Forwarder.distance weighed a zone by its time alone, which is right while slots are free.

With FAR_WHEN_FULL at 0 the new test fails.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -27,6 +27,7 @@
 REUSE_LEAST = 3.0  # calls expected while an idle connection is trusted: below, it is closed after its answer
 TRUST_GROW = 1.005  # factor of each answer on the idle time for which a connection is trusted
 TRUST_LEAST_US = 500_000  # idle time below which a failure is the endpoint's, not the connection's
+FAR_WHEN_FULL = 3.0  # times more that a far zone weighs when every slot is taken
 NEW_CONNECTION = 1.5  # in-flight calls that the lack of a warm idle connection weighs
 
 SMOOTH = 0.15  # weight of a new answer time in the running mean and deviation (about the last dozen answers)
@@ -664,7 +665,8 @@
         from the others there. It hurts where one slow destination makes up most of a zone's calls.
         """
         least = min(self.zones.values(), default=1.0)
-        return self.zones.get(endpoint.zone, least) / least - 1
+        scarce = 1 + FAR_WHEN_FULL * len(self.calls) / self.settings.slots  # a far call keeps its slot longer
+        return (self.zones.get(endpoint.zone, least) / least - 1) * scarce
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
--- a/tests/test_measured.py
+++ b/tests/test_measured.py
@@ -122,3 +122,22 @@
     for dest in (6, 7):
         caller.accept(dest=dest)
         assert caller.sends()[-1][1].target == f"n{dest}"
+
+
+def near_calls(others: int) -> int:
+    """How many calls go to the near zone before the first goes to one that answers in twice the time."""
+    caller = Caller(member("near", zone="z"), member("far", zone="y"), member("other", dest=2))
+    caller.forwarder.zones = {"z": 50_000.0, "y": 100_000.0}
+    for _ in range(others):
+        caller.accept(dest=2)
+    sent: list[str] = []
+    while "far" not in sent and len(sent) < 5:
+        caller.accept()
+        sent = [t for t in caller.out.values() if t != "other"]
+    return sent.count("near")
+
+
+def test_a_far_zone_weighs_more_while_slots_are_scarce() -> None:
+    """With every slot taken, far calls kept the slots for which hundreds of messages waited."""
+    assert near_calls(others=0) <= 2
+    assert near_calls(others=6) >= 4
