Decide from ordered structures, so that a round costs what happened in it

Change: agendas, a ranking and lists by deadline (rowanspindle/order.py, held.py, no decision in them) are kept up to date; logic.py looks at a bounded number of places.

--- a/rowanrack/console/snapshot.py
+++ b/rowanrack/console/snapshot.py
@@ -25,7 +25,7 @@
     return {
         "dest": number,
         "held": len(destination.hold),
-        "oldest_s": max(0, now - destination.since) / 1e6 if destination.hold else 0.0,
+        "oldest_s": max(0, now - destination.hold.since) / 1e6 if destination.hold else 0.0,
         "wait_s": max(0, gate.opens_at - now) / 1e6 if gate is not None else 0.0,
         "window": gate.window.size if gate is not None else 0.0,
         "out": len(gate.calls) if gate is not None else 0,
--- /dev/null
+++ b/rowanspindle/held.py
@@ -0,0 +1,120 @@
+"""What is held, in order: messages, sorted so that the few that may matter are found without a walk.
+
+Nothing here decides. Of messages that are alike in class, share and route only the deadline differs, so worth
+and urgency are functions of it, and what a decision looks for stands at the ends or beside a known deadline.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterator
+
+from rowanspindle.api import Accept, MessageClass
+from rowanspindle.order import ByTime
+
+NEVER = 1 << 62  # microseconds; no clock gets there
+
+# The class, the share of the worth, the only zone that it may go to ("": any), and whether it is its turn.
+Sort = tuple[MessageClass, float, str, bool]
+
+
+class Message:
+    """A message that is held or out, with what is known of its attempts."""
+
+    def __init__(self, event: Accept, cls: MessageClass, now: int, share: float) -> None:
+        self.ref, self.cls, self.dest = event.ref, cls, event.dest
+        self.key = event.key if cls.ordered else None
+        self.deadline = now + event.left_us
+        self.aim_at = self.deadline - cls.deadline_us + cls.aim_us
+        self.share, self.legs, self.taken_at, self.ran_zone = share, event.legs, now, ""
+        self.out: set[int] = set()  # the numbers of its attempts that are out
+        self.ran_at: int | None = now if event.ran else None
+        self.sort: Sort | None = None  # among which it is held, if it is
+
+    def value(self, at: int, halves: bool) -> float:
+        """The worth of this message if it were delivered at that time."""
+        return 0.0 if at > self.deadline else self.share * self.cls.worth_at(at - self.aim_at, halves)
+
+    def sort_of(self, turn: bool) -> Sort:
+        """What it has in common with others: their worth and urgency differ by the deadline alone."""
+        zone = self.ran_zone if self.cls.same_zone and self.ran_at is not None else ""
+        return self.cls, self.share, zone, turn
+
+
+def turns(cls: MessageClass, answer: int, drain_us: int, halves: bool) -> tuple[int, ...]:
+    """The deadlines at which the urgency of a class turns, given when an answer comes and the hold drains.
+
+    That is where the worth, now or once the hold has drained, starts to fall, has fallen as far as it will,
+    or is gone, and where age comes to outweigh the fall.
+    """
+    fall = cls.deadline_us - cls.aim_us
+    if halves:
+        rest = max(0, fall - int(cls.aim_us * -math.log2(max(cls.late_worth, 1e-9))))
+        inner: tuple[int, ...] = (rest, rest + drain_us)
+    else:
+        top = fall / max(2 * (1 - cls.late_worth), 1e-9) - (cls.deadline_us + cls.aim_us) / 2
+        inner = (fall - int(min(max(0, top), fall)),)
+    return tuple(answer + at for at in (0, drain_us, fall, fall + drain_us, *inner))
+
+
+class KeyLine:
+    """The messages of one key, in the order taken; only the first may go."""
+
+    def __init__(self) -> None:
+        self.waiting: deque[Message] = deque()
+        self.out = self.rest_until = 0
+
+    def in_turn(self, message: Message, now: int) -> bool:
+        """Whether it is a message's turn: the first, with none out, and rested unless it has been tried."""
+        return self.waiting[0] is message and self.out == 0 and (message.legs > 0 or now >= self.rest_until)
+
+
+class Hold:
+    """The messages held for one destination, each sort by deadline."""
+
+    def __init__(self) -> None:
+        self.sorts: dict[Sort, ByTime[Message]] = {}
+        self.since = NEVER  # when the oldest message held was taken, as long as any is
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, message: Message, sort: Sort) -> None:
+        """Hold a message among its sort."""
+        self.sorts.setdefault(sort, ByTime()).add(message.deadline, message.ref, message)
+        message.sort = sort
+        self.since = min(self.since, message.taken_at)
+        self._count += 1
+
+    def remove(self, message: Message) -> None:
+        """Hold it no longer. Raises KeyError if it is not held here."""
+        sort = message.sort
+        if sort is None:
+            raise KeyError(message.ref)
+        self.sorts[sort].remove(message.deadline, message.ref)
+        if not self.sorts[sort]:
+            del self.sorts[sort]
+        message.sort = None
+        self._count -= 1
+        if not self._count:
+            self.since = NEVER
+
+    def move(self, message: Message, sort: Sort) -> bool:
+        """A message that is held may be of another sort by now; whether it is."""
+        if message.sort in (None, sort):
+            return False
+        since = self.since
+        self.remove(message)
+        self.add(message, sort)
+        self.since = since
+        return True
+
+    def sendable(self) -> Iterator[tuple[MessageClass, str, ByTime[Message]]]:
+        """The sorts whose turn it is: class, zone and messages of each."""
+        return ((cls, zone, line) for (cls, _, zone, turn), line in self.sorts.items() if turn)
+
+    def refusable(self) -> Iterator[ByTime[Message]]:
+        """The sorts that are not bound to the zone where they have run: coming again is safe for them."""
+        return (line for (_, _, zone, _), line in self.sorts.items() if not zone)
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict, deque
+from collections import defaultdict
+from itertools import islice
 from random import Random
 
 from rowanspindle.api import (
-    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, MessageClass,
-    Outcome, Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
+    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, Outcome,
+    Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
+from rowanspindle.held import NEVER, Hold, KeyLine, Message, turns
+from rowanspindle.order import Agenda, Bucket, Ranking
 
 SECOND = 1_000_000  # microseconds
-NEVER = 1 << 62  # microseconds; no clock gets there
 
 FLOOR = 1.0  # every window lets one call out, as in Dialogue; outages and waits are guarded elsewhere
 START_LEAST = 3.0  # calls of a first window, and one second of own calls: enough for a healthy destination
@@ -58,10 +60,14 @@
 JITTER = 0.25  # part of a wait or backoff by which its end is spread
 
 HOLD_FULL = 0.92  # part of most_held from which the least valuable messages are refused
+HOLD_EASY = 0.8  # and below which what each destination could spare is no longer kept in mind
 DRAIN_MOST_S = 10.0  # seconds looked ahead when messages are compared
 HORIZON_S = 1.0  # seconds for which the loss by waiting is weighed, at least
 WATCH_RETRY_S = 1.0  # seconds before a failed watch is asked for again; doubles up to a quarter of ask_within
 STANDS_US = 50_000  # time for which a pick stands: urgencies hardly change, and picks are the costly part
+LOOKS = 8  # picks that have stood longer looked at anew before the most urgent is taken, at most
+WEIGHED = 64  # destinations weighed in one round for what they could spare, at most
+IN_TURN = 8  # and those that have stood longest, in each round: a pick far down may have become urgent
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
 
 
@@ -88,19 +94,6 @@
             self.cut_at = now
 
 
-class Bucket:
-    """Tokens that come at a rate; each call takes one."""
-
-    def __init__(self, tokens: float) -> None:
-        self.tokens, self.filled_at = tokens, 0
-
-    def next_at(self, now: int, rate: float, most: float) -> int:
-        """When there is a token to take."""
-        self.tokens = min(most, self.tokens + rate * (now - self.filled_at) / SECOND)
-        self.filled_at = now
-        return now if self.tokens >= 1 else now + math.ceil((1 - self.tokens) / max(rate, 1e-6) * SECOND)
-
-
 class Meter:
     """A rate measured from events, that forgets; the first guess counts like GUESS events."""
 
@@ -132,31 +125,6 @@
         return self.endpoint.answered_at > self.sent_at and now - self.sent_at >= self.endpoint.silence_us()
 
 
-class Message:
-    """A message that is held or out, with what is known of its attempts."""
-
-    def __init__(self, event: Accept, cls: MessageClass, now: int, share: float) -> None:
-        self.ref, self.cls, self.dest = event.ref, cls, event.dest
-        self.key = event.key if cls.ordered else None
-        self.deadline = now + event.left_us
-        self.aim_at = self.deadline - cls.deadline_us + cls.aim_us
-        self.share, self.legs, self.taken_at, self.ran_zone = share, event.legs, now, ""
-        self.out: dict[int, Call] = {}
-        self.ran_at: int | None = now if event.ran else None
-
-    def value(self, at: int, halves: bool) -> float:
-        """The worth of this message if it were delivered at that time."""
-        return 0.0 if at > self.deadline else self.share * self.cls.worth_at(at - self.aim_at, halves)
-
-
-class KeyLine:
-    """The messages of one key, in the order taken; only the first may go."""
-
-    def __init__(self) -> None:
-        self.waiting: deque[Message] = deque()
-        self.out = self.rest_until = 0
-
-
 class Gate:
     """What shares one limit: a destination, or a single route where routes are apart."""
 
@@ -237,7 +205,7 @@
     def rank(self, now: int) -> float:
         """Dialogue's balanced rank, with a preference for a warm connection."""
         recent = self.failures * math.exp(-(now - self.failed_at) / (FAILURE_DECAY_S * SECOND))
-        warm = any(now - t < self.settings.keepalive_us for t in self.warm) or self.shares_connection()
+        warm = (self.warm and now - self.warm[-1] < self.settings.keepalive_us) or self.shares_connection()
         return len(self.calls) + FAILURE_WEIGHT * recent + (0.0 if warm else NEW_CONNECTION)
 
     def shares_connection(self) -> bool:
@@ -308,10 +276,9 @@
     def __init__(self) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self.gate: Gate | None = None
-        self.hold: list[Message] = []
-        self.since = NEVER  # when the oldest message held was taken, as long as any is
-        self.choice: tuple[float, Message, Endpoint] | None = None  # the last pick, which
-        self.stands_until = 0  # holds so long unless something happens here: work follows the event
+        self.hold = Hold()
+        self.choice: tuple[float, Message, Endpoint] | None = None  # the last pick
+        self.opens_at = NEVER  # when the next route opens that was closed then
 
 
 class Forwarder:
@@ -327,6 +294,17 @@
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[Call, None] = {}
         self.waiting: dict[int, Destination] = {}
+        self.stirred: dict[int, None] = {}  # destinations where something happened since they were looked at,
+        self.unweighed: dict[int, None] = {}  # and since it was weighed what they could spare
+        self.ready: Ranking[int] = Ranking()  # destinations with a choice, the most urgent first
+        self.spare: Ranking[int] = Ranking()  # while the hold is nearly full: the least valuable first
+        self.opens: Agenda[int] = Agenda()  # when a destination without a choice may have one
+        self.ends: Agenda[int] = Agenda()  # when a message is out of time, or may not go again
+        self.silences: Agenda[Endpoint] = Agenda()
+        self.lapses: Agenda[Call] = Agenda()  # when a call has been out for longer than the silence,
+        self.lapsed: dict[Call, None] = {}  # and those that have
+        self.rests: Agenda[str] = Agenda()  # when a key has rested
+        self.leaving: Agenda[Endpoint] = Agenda()  # when an unlisted endpoint may be forgotten
         self.unlisted: dict[str, Endpoint] = {}
         self.answered: dict[Endpoint, None] = {}
         self.zones: dict[str, float] = {}
@@ -357,6 +335,8 @@
             self.watch_at = NEVER
             self.actions.append(Watch())
         self.look_for_silence()
+        for key in self.rests.due(now_us):
+            self.line_up(key)
         self.expire()
         self.dispatch()
         self.close_idle()
@@ -372,26 +352,45 @@
         message = self.messages[event.ref] = Message(event, cls, self.now, self.tenant_share(event.tenant))
         self.measure(self.destinations[message.dest])
         self.own.count += 1
-        self.keep(message)
         if message.key is not None:
             self.keys.setdefault(message.key, KeyLine()).waiting.append(message)
+        self.keep(message)
 
     def keep(self, message: Message) -> None:
-        """Hold a message for its destination."""
+        """Hold a message for its destination, until its time is up or it may go no more."""
         destination = self.waiting[message.dest] = self.destinations[message.dest]
-        destination.hold.append(message)
-        destination.stands_until = 0
-        destination.since = min(destination.since, message.taken_at)
+        turn = message.key is None or self.keys[message.key].in_turn(message, self.now)
+        destination.hold.add(message, message.sort_of(turn))
+        self.stir(message.dest)
+        lapse = message.deadline
+        if message.ran_at is not None and message.cls.effect is Effect.KEYED:
+            lapse = min(lapse, message.ran_at + message.cls.key_ttl_us)
+        self.ends.set(message.ref, self.now if self.hopeless(message) else lapse)
 
     def release(self, message: Message) -> None:
         """Hold a message no longer."""
         destination = self.waiting[message.dest]
         destination.hold.remove(message)
-        destination.stands_until = 0
+        self.stir(message.dest)
         if not destination.hold:
-            destination.since = NEVER
             del self.waiting[message.dest]
 
+    def stir(self, number: int) -> None:
+        """Something happened at a destination: what was picked or weighed there stands no more."""
+        self.stirred[number] = None
+        if self.spare or self.unweighed:
+            self.unweighed[number] = None
+
+    def line_up(self, key: str) -> None:
+        """Something happened to a key: its first message may have come to its turn, or lost it."""
+        if (line := self.keys.get(key)) is None:
+            return
+        if line.waiting:
+            first = line.waiting[0]
+            if self.destinations[first.dest].hold.move(first, first.sort_of(line.in_turn(first, self.now))):
+                self.stir(first.dest)
+        self.tidy_key(key, line)
+
     def tenant_share(self, tenant: str | None) -> float:
         """Full worth within the tenant's share, little beyond it."""
         if tenant is None or (bucket := self.quota.get(tenant)) is None:
@@ -429,7 +428,7 @@
                     self.unlist(known)
                     self.drop(known)
                 destination = self.destinations[member.dest]
-                destination.stands_until = 0
+                self.stir(member.dest)
                 apart = self.settings.kinds.get(member.kind, Kind()).apart
                 gate = (None if apart else destination.gate) or Gate(
                     self.settings, member.weight, self.usual_rate(), self.now)
@@ -437,7 +436,8 @@
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
                 gate.routes += 1
             else:
-                known.listed, self.destinations[known.dest].stands_until = True, 0
+                known.listed = True
+                self.stir(known.dest)
                 if not known.gate.measured:
                     known.gate.weight = max(member.weight, 0.1)
                 known.gate.routes += self.unlisted.pop(known.target, None) is not None
@@ -464,22 +464,27 @@
     def unlist(self, endpoint: Endpoint) -> None:
         """Send nothing new there. It is forgotten later: listed again, it keeps its told wait."""
         if endpoint.listed:
-            endpoint.listed, self.destinations[endpoint.dest].stands_until = False, 0
+            endpoint.listed = False
+            self.stir(endpoint.dest)
             self.unlisted[endpoint.target] = endpoint
             endpoint.gate.routes -= 1
+            self.leaving.set(endpoint, self.now)
 
     def forget(self) -> None:
         """Drop what is unlisted with nothing out or to remember, and destinations that stand empty."""
-        for endpoint in list(self.unlisted.values()):
+        for endpoint in self.leaving.due(self.now):
             kept_until = max(endpoint.gate.opens_at, endpoint.failed_at + self.settings.ramp_us)
-            if not endpoint.calls and self.now >= kept_until:
+            if endpoint.listed or endpoint.calls or self.unlisted.get(endpoint.target) is not endpoint:
+                continue  # listed again, or its last call's end looks here again
+            if self.now >= kept_until:
                 self.drop(endpoint)
-        for key, line in list(self.keys.items()) if self.settings.key_rest_us else ():
-            self.tidy_key(key, line)
+            else:
+                self.leaving.set(endpoint, kept_until)
 
     def drop(self, endpoint: Endpoint) -> None:
         """Forget an endpoint that was unlisted."""
         del self.endpoints[endpoint.target], self.unlisted[endpoint.target]
+        self.leaving.drop(endpoint)
         del self.destinations[endpoint.dest].endpoints[endpoint.target]
         self.tidy_destination(endpoint.dest)
 
@@ -488,8 +493,8 @@
         call, message = self.attempts.pop((event.ref, event.leg), (None, None))
         if call is None or message is None:
             return
-        message.out.pop(event.leg, None)
-        self.destinations[call.endpoint.dest].stands_until = 0
+        message.out.discard(event.leg)
+        self.stir(call.endpoint.dest)
         told_until = self.now + event.wait_us + 1 if event.wait_us else 0  # any message may be told (h80106d)
         call.endpoint.gate.opens_at = max(call.endpoint.gate.opens_at, told_until)
         if not call.judged:
@@ -500,23 +505,29 @@
             for calls in (call.endpoint.calls, call.endpoint.gate.calls):
                 calls.remove(call)
             del self.calls[call]
+            self.lapses.drop(call)
+            self.lapsed.pop(call, None)
+            if not (call.endpoint.listed or call.endpoint.calls):
+                self.leaving.set(call.endpoint, self.now)
             if event.result in (Result.OK, Result.ERROR, Result.FULL):  # the connection stays, idle
                 call.endpoint.warm = [*call.endpoint.warm[-int(call.endpoint.window.most) :], self.now]
                 self.answered[call.endpoint] = None
+        self.listen(call.endpoint)
         maybe_ran = event.result not in (Result.OK, Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
         if maybe_ran and (message.ran_at is None or call.sent_at < message.ran_at):
             message.ran_at, message.ran_zone = call.sent_at, call.endpoint.zone  # a key lives from here
         if message.key is not None:
             line = self.keys[message.key]
             line.out -= 1
-            if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
+            if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and self.settings.key_rest_us:
                 line.rest_until = self.now + self.settings.key_rest_us
+                self.rests.set(message.key, line.rest_until)
         if event.over or event.result is Result.OK:
             self.end(message)
         elif message.ref in self.messages and not message.out:
             self.keep(message)
-        elif message.key is not None and message.key in self.keys:
-            self.tidy_key(message.key, self.keys[message.key])
+        if message.key is not None:
+            self.line_up(message.key)
 
     def close_idle(self) -> None:
         """Close connections that will hardly be used again while they live.
@@ -555,6 +566,7 @@
                     for other in self.destinations[endpoint.dest].endpoints.values():
                         if other.gate is gate and other.out_since is not None:
                             other.returned(now, self.rng)
+                            self.listen(other)
                 endpoint.succeeded(now, event.latency_us)
                 gate.window.grow(len(gate.calls))
                 endpoint.window.grow(len(endpoint.calls))
@@ -592,15 +604,30 @@
             endpoint.struck_at = since if endpoint.ramp_from is None else endpoint.struck_at
             endpoint.ramp_from, endpoint.proved = None, endpoint.row > 0
             endpoint.next_trial(self.now, self.rng)
-            self.destinations[endpoint.dest].stands_until = 0
+            self.stir(endpoint.dest)
             self.actions.append(Log(f"{endpoint.target}: out, {why}"))
 
     def look_for_silence(self) -> None:
         """Calls out far beyond the usual time, with no later answer, mean an outage before any time-out."""
-        for endpoint in {c.endpoint: None for c in self.calls}:
+        for endpoint in self.silences.due(self.now):
             if endpoint.out_since is None and self.now >= endpoint.silent_at():
                 endpoint.window.cut(self.now, endpoint.calls[0].sent_at)
                 self.out(endpoint, "silent", endpoint.calls[0].sent_at)
+        for call in self.lapses.due(self.now):
+            if (lapse := call.sent_at + int(call.endpoint.silence_us()) + 1) > self.now:
+                self.lapses.set(call, lapse)  # the usual time has grown meanwhile
+                continue
+            self.lapsed[call] = None
+            self.stir(call.endpoint.dest)  # it may hold no permit any more
+
+    def listen(self, endpoint: Endpoint) -> None:
+        """Its calls or its usual time have changed: note when silence will be a symptom."""
+        if endpoint.out_since is None and (at := endpoint.silent_at()) < NEVER:
+            self.silences.set(endpoint, at)
+        else:
+            self.silences.drop(endpoint)
+        if endpoint.calls and endpoint.calls[0] not in self.lapsed:
+            self.lapses.set(endpoint.calls[0], endpoint.calls[0].sent_at + int(endpoint.silence_us()) + 1)
 
     def hopeless(self, message: Message) -> bool:
         """The one place that decides whether a message may go again (True: never)."""
@@ -609,17 +636,6 @@
             effect is Effect.KEYED and self.now < ran_at + message.cls.key_ttl_us)
         return message.legs >= self.settings.try_limit or not repeat
 
-    def may_go(self, message: Message, endpoint: Endpoint) -> bool:
-        """Whether it is this message's turn: none out, its key's first and rested, in its group."""
-        elsewhere = message.ran_at is not None and message.cls.same_zone and message.ran_zone != endpoint.zone
-        if message.out or elsewhere or self.hopeless(message):
-            return False
-        if message.key is None:
-            return True
-        line = self.keys[message.key]
-        rested = message.legs > 0 or self.now >= line.rest_until
-        return line.waiting[0] is message and line.out == 0 and rested
-
     def gate_opens(self, endpoint: Endpoint) -> int:
         """The one place that decides whether, and when, an endpoint may be sent to."""
         gate, now = endpoint.gate, self.now
@@ -631,32 +647,32 @@
         elif gate.window.full(gate.calls, now) or endpoint.window.full(endpoint.calls, now):
             lapse = (c.sent_at + int(c.endpoint.silence_us()) + 1 for c in gate.calls)
             return min((at for at in lapse if at > now), default=NEVER)
-        age = now - self.destinations[endpoint.dest].since
+        age = now - self.destinations[endpoint.dest].hold.since
         return max(gate.next_token(now, age), endpoint.next_send(now))
 
-    def pick(self, destination: Destination) -> tuple[float, Message, Endpoint] | None:
-        """The one place that picks the next message of a destination, and its route."""
-        if destination.stands_until > self.now:
-            return destination.choice
-        destination.choice = None
+    def pick(self, destination: Destination) -> None:
+        """The one place that picks the next message of a destination, and its route.
+
+        Among messages of a sort the urgency turns at a few deadlines only, and the most urgent stands beside
+        one of those: a hold of thousands costs no more than one of a dozen.
+        """
+        now, destination.choice = self.now, None
         opens = [(self.gate_opens(e), e) for e in destination.endpoints.values()]
-        open_now = [e for at, e in opens if at <= self.now]
-        if not open_now:
-            destination.stands_until = min((at for at, _ in opens), default=NEVER)
-            return None
-        drain_us = self.drain_us(destination)
-        routes = sorted(open_now, key=lambda e: (e.rank(self.now) + self.distance(e), e.lot))
-        best: tuple[tuple[int, float], Message, Endpoint] | None = None
-        for message in destination.hold:
-            route = next((e for e in routes if self.may_go(message, e)), None)
-            if route is not None:
-                trial = 0 if route.out_since is None else TRIAL_ORDER.index(message.cls.effect)
-                key = (trial, self.urgency(message, route, drain_us))
-                if best is None or key > best[0]:
-                    best = key, message, route
-        if best is not None:
-            destination.choice, destination.stands_until = (best[0][1], *best[1:]), self.now + STANDS_US
-        return destination.choice
+        destination.opens_at = min((at for at, _ in opens if at > now), default=NEVER)
+        routes = [e for at, e in opens if at <= now]
+        if len(routes) > 1:
+            routes.sort(key=lambda e: (e.rank(now) + self.distance(e), e.lot))
+        drain_us = self.drain_us(destination) if routes else 0
+        best: tuple[int, float] | None = None
+        for cls, zone, line in destination.hold.sendable() if routes else ():
+            if (route := next((e for e in routes if zone in ("", e.zone)), None)) is None:
+                continue
+            trial = 0 if route.out_since is None else TRIAL_ORDER.index(cls.effect)
+            answer = now + int(route.mean)
+            for message in line.around(turns(cls, answer, drain_us, self.settings.halves)):
+                key = trial, self.urgency(message, answer, drain_us)
+                if best is None or key > best:
+                    best, destination.choice = key, (key[1], message, route)
 
     def distance(self, endpoint: Endpoint) -> float:
         """The answer time of an endpoint's zone against the quickest zone's, as calls in flight.
@@ -670,40 +686,62 @@
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
-        age = self.now - destination.since
+        age = self.now - destination.hold.since
         rate = sum((e.gate.pace or e.part()) / e.gate.crowd(age) for e in destination.endpoints.values())
         return int(min(max(HORIZON_S, len(destination.hold) / max(rate, 0.1)), DRAIN_MOST_S) * SECOND)
 
-    def urgency(self, message: Message, endpoint: Endpoint, drain_us: int) -> float:
+    def urgency(self, message: Message, answer: int, drain_us: int) -> float:
         """Worth lost if this message waits for the time that the hold needs to drain."""
-        answer, halves = self.now + int(endpoint.mean), self.settings.halves
+        halves = self.settings.halves
         now_worth = message.value(answer, halves)
         loss = now_worth - message.value(answer + drain_us, halves)
         age = 1 - (message.deadline - self.now) / message.cls.deadline_us
         return loss + 0.1 * now_worth * (1 + age)
 
+    def look(self, number: int) -> None:
+        """Pick at a destination anew, and rank it among those that are ready."""
+        if (destination := self.waiting.get(number)) is None:
+            self.ready.drop(number)
+            self.opens.drop(number)
+            return
+        self.pick(destination)
+        if destination.choice is None:
+            self.ready.drop(number)
+            self.opens.set(number, destination.opens_at)
+        else:
+            self.ready.set(number, (-destination.choice[0], number), self.now)
+            self.opens.drop(number)
+
     def dispatch(self) -> None:
         """Send while slots and permits last, the most urgent message of all destinations first."""
-        if len(self.calls) >= self.settings.slots and not any(
-                self.now - c.sent_at >= c.endpoint.silence_us() for c in self.calls if not c.called_off):
+        if len(self.calls) >= self.settings.slots and not self.lapsed:
             return  # nothing can go, and no call is out for so long that it may be called off
-        ready = {n: c for n, d in self.waiting.items() if (c := self.pick(d)) is not None}
-        while ready and len(self.calls) < self.settings.slots:
-            number = max(ready, key=lambda n: (ready[n][0], -n))
-            _, message, endpoint = ready.pop(number)
-            self.send(endpoint, message, self.destinations[number])
-            if (choice := self.pick(self.destinations[number])) is not None:
-                ready[number] = choice
-        self.reclaim(sum(c[2].out_since is None for c in ready.values()))
-
-    def reclaim(self, wanted: int) -> None:
+        for number in {**self.stirred, **dict.fromkeys(self.opens.due(self.now))}:
+            self.look(number)
+        self.stirred.clear()
+        stale = self.now - STANDS_US  # urgencies drift: the first picks and those in turn are looked at anew
+        self.ready.refresh(stale, IN_TURN, self.look)
+        while len(self.calls) < self.settings.slots:
+            if (first := self.ready.fresh_first(stale, LOOKS, self.look)) is None:
+                break
+            destination = self.destinations[first]
+            if destination.choice is not None:
+                self.send(destination, *destination.choice[1:])
+            self.stirred.pop(first, None)
+            self.look(first)
+        self.reclaim()
+
+    def reclaim(self) -> None:
         """With every slot taken and others ready, call off what a silent endpoint has kept too long.
 
         Answers hung, silent and very slow destinations that starve the others of slots, and their trials. It
         hurts where the late answers would have come: what may not go again elsewhere is given longer.
         """
         now, stuck = self.now, list[tuple[bool, int, int, Call]]()
-        for call in (c for c in self.calls if not c.called_off):
+        choices = (self.destinations[n].choice for n in self.ready) if self.lapsed else ()
+        sound = (c for c in choices if c is not None and c[2].out_since is None)
+        wanted = sum(1 for _ in islice(sound, len(self.lapsed)))
+        for call in (c for c in self.lapsed if wanted and not c.called_off):
             unsafe = any(m.cls.effect is Effect.UNSAFE or m.cls.same_zone for m in call.open.values())
             out, lost = call.endpoint.out_since is not None, call.endpoint.answered_at > call.sent_at
             patience = call.endpoint.silence_us() * (TIMEOUT_SILENCES if unsafe else 1)
@@ -713,7 +751,7 @@
             call.called_off = True
             self.actions += [Cancel(ref, leg) for ref, leg in call.open]
 
-    def send(self, endpoint: Endpoint, first: Message, destination: Destination) -> None:
+    def send(self, destination: Destination, first: Message, endpoint: Endpoint) -> None:
         """Start one call, with as many messages as travel together."""
         trial, gate, call = endpoint.out_since is not None, endpoint.gate, Call(endpoint, self.now)
         if gate.pace is not None:
@@ -731,18 +769,11 @@
         endpoint.calls.append(call)
         gate.calls.append(call)
         self.calls[call] = None
-        batch, together, keys = self.settings.kinds.get(endpoint.kind, Kind()).batch, [first], {first.key}
-        if batch > 1 and not trial:
-            drain_us = self.drain_us(destination)
-            for other in sorted(destination.hold, key=lambda m: -self.urgency(m, endpoint, drain_us)):
-                if len(together) < batch and other is not first and self.may_go(other, endpoint) \
-                        and (other.key is None or other.key not in keys):
-                    together.append(other)
-                    keys.add(other.key)
-        for message in together:
-            self.release(message)
+        batch = 1 if trial else self.settings.kinds.get(endpoint.kind, Kind()).batch
+        for message in self.together(first, endpoint, destination, batch):
             leg, message.legs = message.legs, message.legs + 1
-            message.out[leg], call.open[message.ref, leg] = call, message
+            call.open[message.ref, leg] = message
+            message.out.add(leg)
             self.attempts[message.ref, leg] = call, message
             if message.key is not None:
                 self.keys[message.key].out += 1
@@ -750,22 +781,72 @@
             if message.cls.effect is not Effect.UNSAFE:
                 timeout = min(timeout, int(endpoint.silence_us() * TIMEOUT_SILENCES))
             self.actions.append(Send(message.ref, endpoint.target, max(1, timeout)))
+        self.lapses.set(call, self.now + int(endpoint.silence_us()) + 1)
+        self.listen(endpoint)
+
+    def together(
+            self, first: Message, endpoint: Endpoint, destination: Destination, most: int) -> list[Message]:
+        """What goes in one call, taken out of the hold: the choice, and the most urgent that may join it."""
+        taken, answer, drain_us = [first], self.now + int(endpoint.mean), self.drain_us(destination)
+        self.release(first)
+        while len(taken) < most and destination.hold:
+            others = [m for cls, zone, line in destination.hold.sendable() if zone in ("", endpoint.zone)
+                      for m in line.around(turns(cls, answer, drain_us, self.settings.halves))]
+            if not others:
+                break
+            taken.append(max(others, key=lambda m: self.urgency(m, answer, drain_us)))
+            self.release(taken[-1])
+        return taken
 
     def expire(self) -> None:
         """Answer what can be delivered no more: its time is up, or it may not go again."""
-        for message in list(self.messages.values()):
+        for ref in self.ends.due(self.now):
+            if (message := self.messages.get(ref)) is None:
+                continue
             if self.now >= message.deadline or (not message.out and self.hopeless(message)):
                 self.give_up(message)
+            else:
+                self.ends.set(ref, message.deadline)
 
     def shed(self) -> None:
         """With the hold nearly full, refuse what may earn least; the door would turn away anything."""
+        if len(self.messages) <= self.settings.most_held * HOLD_FULL:
+            if len(self.messages) <= self.settings.most_held * HOLD_EASY:
+                self.spare.clear()
+                self.unweighed.clear()
+            return
+        if not self.spare:
+            self.unweighed = dict.fromkeys(self.waiting)
+        for stirred in list(islice(self.unweighed, WEIGHED)):
+            del self.unweighed[stirred]
+            self.weigh(stirred)
         while len(self.messages) > self.settings.most_held * HOLD_FULL:
-            spare = [m for d in self.waiting.values() for m in d.hold if self.may_refuse(m)]
-            if not spare:
+            if (number := self.spare.fresh_first(self.now - 1, LOOKS, self.weigh)) is None:
                 return
-            drained = {n: self.now + self.drain_us(d) for n, d in self.waiting.items()}
-            self.give_up(min(spare, key=lambda m: (
-                m.value(drained[m.dest], self.settings.halves), -m.deadline)))
+            if (least := self.least(self.destinations[number])) is not None:
+                self.give_up(least)
+            self.weigh(number)
+
+    def weigh(self, number: int) -> None:
+        """Rank a destination by the message that it can spare best."""
+        destination = self.waiting.get(number)
+        if destination is None or (least := self.least(destination)) is None:
+            self.spare.drop(number)
+            return
+        worth = least.value(self.now + self.drain_us(destination), self.settings.halves)
+        self.spare.set(number, (worth, -least.deadline, number), self.now)
+
+    def least(self, destination: Destination) -> Message | None:
+        """The held message that may earn least once the hold has drained; of equals the one with most time.
+
+        In each sort that is the last one that will be too late by then, else the oldest that loses worth.
+        """
+        drained, halves = self.now + self.drain_us(destination), self.settings.halves
+        spare = list[Message]()
+        for line in destination.hold.refusable():
+            late, losing = line.before(drained), line[0].aim_at < drained
+            spare.append(line[late - 1] if late else line[0] if losing else line[-1])
+        return min(spare, key=lambda m: (m.value(drained, halves), -m.deadline), default=None)
 
     def may_refuse(self, message: Message) -> bool:
         """A refusal promises that coming again is safe."""
@@ -787,13 +868,13 @@
         """The message has had its final answer."""
         if self.messages.pop(message.ref, None) is None:
             return
-        if message.dest in self.waiting and message in self.waiting[message.dest].hold:
+        self.ends.drop(message.ref)
+        if message.sort is not None:
             self.release(message)
         self.tidy_destination(message.dest)
         if message.key is not None:
-            line = self.keys[message.key]
-            line.waiting.remove(message)
-            self.tidy_key(message.key, line)
+            self.keys[message.key].waiting.remove(message)
+            self.line_up(message.key)
 
     def tidy_key(self, key: str, line: KeyLine) -> None:
         """Forget a key with nothing waiting, out or resting."""
@@ -807,16 +888,10 @@
 
     def arm(self) -> None:
         """Keep one timer armed for the next thing due."""
-        due = [self.watch_at, *(line.rest_until for line in self.keys.values())]
-        for message in self.messages.values():
-            due += [message.deadline, (message.ran_at or NEVER) + message.cls.key_ttl_us]
-        if full := len(self.calls) >= self.settings.slots:
-            due += [c.sent_at + int(c.endpoint.silence_us()) + 1 for c in self.calls]
-        for destination in () if full else self.waiting.values():
-            stands, routes = destination.stands_until, destination.endpoints.values()
-            due += [stands] if stands > self.now else map(self.gate_opens, routes)
-        due += [c.endpoint.silent_at() for c in self.calls if c.endpoint.out_since is None]
-        soonest = min((int(t) for t in due if t > self.now), default=NEVER)
+        full = len(self.calls) >= self.settings.slots
+        agendas = self.ends, self.silences, self.rests, self.lapses if full else self.opens
+        due = [self.watch_at, *(at for a in agendas if (at := a.next_at()) is not None)]
+        soonest = min((t for t in due if t > self.now), default=NEVER)
         if soonest < self.armed_for and soonest < NEVER:
             self.token += 1
             self.armed_for = soonest
