Keep trials of silent instances to an eighth of the slots while slots are scarce

Change: once three quarters of the slots are taken, trials get 0.12 of all slots; the next look is half a second away.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -15,7 +15,7 @@
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
 from rowanspindle.held import NEVER, Hold, KeyLine, Message, turns
-from rowanspindle.order import Agenda, Bucket, Ranking
+from rowanspindle.order import Agenda, Bucket, Meter, Ranking
 
 SECOND = 1_000_000  # microseconds
 
@@ -49,6 +49,8 @@
 TRIAL_LEAST_S = 0.5  # seconds between trials of an endpoint in an outage, at least
 TRIAL_MOST_S = 2.0  # and at most, or for each forwarder TRIAL_EACH_S: the return must be noticed
 TRIAL_EACH_S = 1.5  # seconds
+SCARCE = 0.75  # part of the slots from which trials, which may hang, get
+TRIAL_SHARE = 0.12  # this part of the slots at most
 TRIAL_ORDER = (Effect.UNSAFE, Effect.KEYED, Effect.SAFE)  # what a trial risks: last first
 RAMP_SAFETY = 0.75  # part of what a cold destination bears that is used: rough rates may be half too high
 
@@ -94,20 +96,6 @@
             self.cut_at = now
 
 
-class Meter:
-    """A rate measured from events, that forgets; the first guess counts like GUESS events."""
-
-    def __init__(self, now: int) -> None:
-        self.count, self.span, self.at = 0.0, 0.0, now
-
-    def rate(self, now: int, guess: float) -> float:
-        """Events a second, before any that come just now: read at its own events a rate is too high."""
-        gone = max(0, now - self.at) / SECOND
-        fade = math.exp(-gone / MEMORY_S)
-        self.count, self.span, self.at = self.count * fade, self.span * fade + gone, now
-        return (self.count + GUESS) / (self.span + GUESS / guess)
-
-
 class Call:
     """One call on the wire: one or more messages of one reply to one endpoint, with one fate."""
 
@@ -129,7 +117,7 @@
     """What shares one limit: a destination, or a single route where routes are apart."""
 
     def __init__(self, settings: Settings, told: float, own: float, now: int) -> None:
-        self.replicas, self.own = settings.replicas, Meter(now)
+        self.replicas, self.own = settings.replicas, Meter(now, MEMORY_S, GUESS)
         self.measured = told <= 0 or not settings.weights_told
         self.weight = max(own * self.replicas if self.measured else told, 0.1)
         most = max(2.0, settings.slots * SLOT_SHARE)
@@ -293,6 +281,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[Call, None] = {}
+        self.trials, self.trials_most = dict[Call, None](), max(1, int(settings.slots * TRIAL_SHARE))
         self.waiting: dict[int, Destination] = {}
         self.stirred: dict[int, None] = {}  # destinations where something happened since they were looked at,
         self.unweighed: dict[int, None] = {}  # and since it was weighed what they could spare
@@ -308,7 +297,7 @@
         self.unlisted: dict[str, Endpoint] = {}
         self.answered: dict[Endpoint, None] = {}
         self.zones: dict[str, float] = {}
-        self.own = Meter(NEVER)
+        self.own = Meter(NEVER, MEMORY_S, GUESS)
         self.trust_us: defaultdict[str, float] = defaultdict(lambda: float(settings.keepalive_us))
         self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
         self.token, self.armed_for = 0, NEVER
@@ -506,7 +495,8 @@
                 calls.remove(call)
             del self.calls[call]
             self.lapses.drop(call)
-            self.lapsed.pop(call, None)
+            for kept in (self.lapsed, self.trials):
+                kept.pop(call, None)
             if not (call.endpoint.listed or call.endpoint.calls):
                 self.leaving.set(call.endpoint, self.now)
             if event.result in (Result.OK, Result.ERROR, Result.FULL):  # the connection stays, idle
@@ -644,6 +634,8 @@
         if endpoint.out_since is not None:
             if len(gate.calls) >= gate.window.most:
                 return NEVER
+            if len(self.calls) > self.settings.slots * SCARCE and len(self.trials) >= self.trials_most:
+                return max(self.now + int(TRIAL_LEAST_S * SECOND), endpoint.trial_at)
         elif gate.window.full(gate.calls, now) or endpoint.window.full(endpoint.calls, now):
             lapse = (c.sent_at + int(c.endpoint.silence_us()) + 1 for c in gate.calls)
             return min((at for at in lapse if at > now), default=NEVER)
@@ -754,6 +746,8 @@
     def send(self, destination: Destination, first: Message, endpoint: Endpoint) -> None:
         """Start one call, with as many messages as travel together."""
         trial, gate, call = endpoint.out_since is not None, endpoint.gate, Call(endpoint, self.now)
+        if trial:
+            self.trials[call] = None
         if gate.pace is not None:
             gate.bucket.tokens -= 1
         if endpoint.ramp_from is not None:
@@ -829,8 +823,7 @@
 
     def weigh(self, number: int) -> None:
         """Rank a destination by the message that it can spare best."""
-        destination = self.waiting.get(number)
-        if destination is None or (least := self.least(destination)) is None:
+        if (destination := self.waiting.get(number)) is None or (least := self.least(destination)) is None:
             self.spare.drop(number)
             return
         worth = least.value(self.now + self.drain_us(destination), self.settings.halves)
--- a/rowanspindle/order.py
+++ b/rowanspindle/order.py
@@ -205,3 +205,18 @@
         self.tokens = min(most, self.tokens + rate * (now - self.filled_at) / 1_000_000)
         self.filled_at = now
         return now if self.tokens >= 1 else now + math.ceil((1 - self.tokens) / max(rate, 1e-6) * 1_000_000)
+
+
+class Meter:
+    """A rate measured from events, that forgets; the first guess counts like so many events."""
+
+    def __init__(self, now: int, memory_s: float, weight: float) -> None:
+        self.count, self.span, self.at = 0.0, 0.0, now
+        self._memory_s, self._weight = memory_s, weight
+
+    def rate(self, now: int, guess: float) -> float:
+        """Events a second, before any that come just now: read at its own events a rate is too high."""
+        gone = max(0, now - self.at) / 1_000_000
+        fade = math.exp(-gone / self._memory_s)
+        self.count, self.span, self.at = self.count * fade, self.span * fade + gone, now
+        return (self.count + self._weight) / (self.span + self._weight / guess)
--- a/tests/test_order.py
+++ b/tests/test_order.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import gc
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -160,26 +162,18 @@
 
 def calls_of_a_round(held: int, dests: int, count_calls: Callable[[Callable[[], object]], int]) -> int:
     """Function calls of one arrival with so many held, the hold nearly full."""
-    forwarder = Forwarder(replace(BASE, slots=4, most_held=int(held / 0.92), tenants={}), 1)
-    caller = Caller(*[member(f"t{n}", dest=n) for n in range(dests)])
-    caller.forwarder, caller.timers = forwarder, {}
-    caller.step(*[])
-    from rowanspindle import Members, Scope
-
-    caller.step(Members(Scope.FULL, tuple(member(f"t{n}", dest=n) for n in range(dests))))
+    listed = [member(f"t{n}", dest=n) for n in range(dests)]
+    caller = Caller(*listed, slots=4, most_held=int(held / 0.92), tenants={})
     for n in range(held):
-        caller.next_ref += 1
         caller.now += 1000
-        caller.step(Accept(caller.next_ref, "safe", n % dests, 20 * SECOND))
+        caller.accept(dest=n % dests)
     caller.now += 1000
-    return count_calls(lambda: forwarder.decide(caller.now, [Accept(10**6, "safe", 3, 20 * SECOND)]))
+    event = Accept(10**6, "safe", 3, 20 * SECOND)
+    return count_calls(lambda: caller.forwarder.decide(caller.now, [event]))
 
 
 def test_a_round_costs_what_happened_in_it_and_not_what_is_held() -> None:
     """One message in with the hold nearly full cost 55 times as much at 5,000 held as at 50."""
-    import gc
-    import sys
-
     def count(act: Callable[[], object]) -> int:
         calls = 0
 
