Under a full core, run late rounds on whoever comes, tell ends at once, and shed in order

Need: with the core full a message owed got no end in its time (0 attempts made): the round that ends it waits behind all that is ready in the loop, and its notice needs more turns to connect and to be written.

Change: Exchange.knock runs a round that is 20 ms late on whoever uses the loop's time; Notices keeps a line open and writes what a round ends before the round is over. load/governor (no I/O) keeps a level from how late rounds and turns are, and what strangers cost (load/metered, step by step): it refuses new messages early, before they are read, and lets those who send bad input wait longer. Name table, waits, drains and kept ends cost what changes.

With knock, round_over or the listener's knock taken out, tests/test_load.py fails.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -58,7 +58,9 @@
 
     def __init__(self, config: Config) -> None:
         self.config = config
-        self.clock = LoopClock(lambda: self.exchange.pump())
+        self.clock = LoopClock(
+            lambda: self.exchange.pump(), lambda now, took: self.exchange.governor.ran(now, took)
+        )
         keep = {PLATFORM: PLATFORM_KEEP_US}
         self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us, keep_us_of=keep)
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
@@ -117,6 +119,7 @@
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
         exchange.listeners[PLATFORM] = notices.ended
+        exchange.round_over = notices.flush
         for message_id, end in self.journal.untold(PLATFORM):
             notices.tell(message_id, end)
         exchange.list_instances(Scope.FULL, platform.known)
--- a/rowanrack/console/server.py
+++ b/rowanrack/console/server.py
@@ -23,8 +23,8 @@
     """Shows the sender to whoever may open the socket's file; it takes no input."""
 
     def __init__(self, name: str, exchange: Exchange) -> None:
-        super().__init__(VIEWERS_MOST, exchange.after)
-        self.name, self.exchange = name, exchange
+        super().__init__(VIEWERS_MOST, exchange)
+        self.name = name
 
     async def listen_at(self, path: Path) -> None:
         """Open the socket, for the sender's own user only. What a killed sender left there is replaced."""
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -13,6 +13,7 @@
 from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
 from rowanrack.core.name_table import NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
+from rowanrack.load.governor import Governor
 from rowanspindle import (
     Accept,
     Action,
@@ -33,11 +34,13 @@
     Timer,
     Watch,
 )
+from rowanspindle.order import Agenda
 
 log = logging.getLogger(__name__)
 
 MAYBE_RAN = frozenset({Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED})
 GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
+OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
 class Clock(Protocol):
@@ -97,17 +100,34 @@
         self.counts = dict.fromkeys(Ending, 0)
         self.side: InstanceSide | None = None
         self.watch: Callable[[], None] = lambda: None
+        self.round_over: Callable[[], None] = lambda: None  # the ends of a round are known: tell them now
+        self.governor = Governor(clock.now_us())
         self.listeners: dict[str, Callable[[Message, End], None]] = {}
         self._refs: dict[int, Message] = {}
         self._next_ref = 0
         self._events: list[Event] = []
         self.frozen = False
-        self._waits: dict[str | int, int] = {}
+        self._pumping = False
+        self._due_us: int | None = None  # when the next round is due
+        self._waits: Agenda[str | int] = Agenda()
+        self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
 
     # The service clients' side.
 
+    def too_busy(self, message_id: str) -> Nack | None:
+        """Asked before a request is read any further: a refusal while the core is full.
+
+        What is owed or has ended under that id is answered as ever: a refusal would deny it.
+        """
+        self.knock()
+        if message_id and self.known(message_id) is not None:
+            return None
+        retry_us = self.governor.refuses()
+        return Nack(min(retry_us, self.settings.max_come_back_us)) if retry_us else None
+
     def submit(self, message: Message) -> Nack | None:
         """Take a message, or refuse it; once this returns None the sender owes its end."""
+        self.knock()
         if self.frozen or len(self.messages) >= self.settings.most_held:
             return Nack(self._retry_us())
         if not self.table.knows(message.dest, self.clock.now_us()):
@@ -150,25 +170,18 @@
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
         """News from a source of the name table."""
-        before = self.table.names()
-        self._put(self.table.update(scope, instances, source, self.clock.now_us()))
-        if scope is not Scope.FAILED:
-            for message in list(self.messages.values()):
-                for execution in list(message.out.values()):
-                    # A call still waiting for its connection must not go to what drains or is gone.
-                    if not execution.begun and not self.table.listed(execution.instance.name):
-                        self._drop(execution, Result.MOOT)
-            self._tidy(before)
-
-    def _tidy(self, before: set[str]) -> None:
-        """What is kept by an instance's name ends with it: another may come under its name or address."""
-        for name in before:
-            if not self.table.listed(name) and self.side is not None:
+        change = self.table.update(scope, instances, source, self.clock.now_us())
+        self._put(change.members)
+        for name in change.closed:
+            for execution in list(self._unbegun.get(name, ())):
+                # A call still waiting for its connection must not go to what drains or is gone.
+                self._drop(execution, Result.MOOT)
+            if self.side is not None:
                 self.side.close_idle(name)
-        for name in before - self.table.names():
-            self._waits.pop(name, None)
-        now = self.clock.now_us()
-        self._waits = {limit: until for limit, until in self._waits.items() if until > now}
+        # What is kept by an instance's name ends with it: another may come under its name or address.
+        for name in change.gone:
+            self._waits.drop(name)
+        self._waits.due(self.clock.now_us())  # those that are over go with it
 
     def begin(self, execution: Execution) -> bool:
         """Asked right before a call's first byte: whether it may still be sent. The store knows it first."""
@@ -177,7 +190,7 @@
             return False
         # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
         # that was decided on before and waited for its connection.
-        waiting = self._waits.get(self._limit(execution), 0) > self.clock.now_us()
+        waiting = (self._waits.get(self._limit(execution)) or 0) > self.clock.now_us()
         barred = waiting or not self._owed(message) or not self.table.listed(execution.instance.name)
         # Guards against a second effect after a restart: what the store does not know must not begin.
         if barred or not self.store.begin(message, execution.leg):
@@ -185,6 +198,7 @@
             return False
         message.unsettled.add(execution.leg)
         execution.begun = True
+        self._no_longer_unbegun(execution)
         return True
 
     def settle(
@@ -198,10 +212,11 @@
             execution.timer.cancel()
         message, now = execution.message, self.clock.now_us()
         message.out.pop(execution.leg, None)
+        self._no_longer_unbegun(execution)
         self._forget(message)
         if wait_us:
             limit = self._limit(execution)
-            self._waits[limit] = max(now + wait_us, self._waits.get(limit, 0))
+            self._waits.set(limit, max(now + wait_us, self._waits.get(limit) or 0))
         owed = self._owed(message)
         if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
             message.unsettled.discard(execution.leg)
@@ -216,6 +231,12 @@
         name = execution.instance.name
         self._put(Outcome(message.ref, execution.leg, name, result, latency, over, wait_us))
 
+    def _no_longer_unbegun(self, execution: Execution) -> None:
+        if (waiting := self._unbegun.get(execution.instance.name)) is not None:
+            waiting.pop(execution, None)
+            if not waiting:
+                del self._unbegun[execution.instance.name]
+
     def _limit(self, execution: Execution) -> str | int:
         """What a told wait holds for: the whole destination, or one route where routes are apart."""
         instance = execution.instance
@@ -228,9 +249,23 @@
         """A timer on the wheel, for the adapters too."""
         due = self.clock.now_us() + delay_us
         timer = self.wheel.at(due, action)
-        self.clock.wake_at(due + self.wheel.tick_us)
+        self._wake_at(due + self.wheel.tick_us)
         return timer
 
+    def _wake_at(self, due_us: int) -> None:
+        if self._due_us is None or due_us < self._due_us:
+            self._due_us = due_us
+            self.clock.wake_at(due_us)
+
+    def knock(self) -> None:
+        """Run a round that is overdue. Whoever uses the loop's time calls this, bad clients' servers too.
+
+        Guards what is owed against a full core: a round must not queue behind everything else that is ready,
+        and with it the ends of messages whose time is up.
+        """
+        if self._due_us is not None and self.clock.now_us() - self._due_us >= OVERDUE_US:
+            self.pump()
+
     def freeze(self) -> None:
         """Decide no more: what is out may still settle, and what is owed is left to the next process.
 
@@ -241,7 +276,18 @@
 
     def pump(self) -> None:
         """Fire what is due, let the module decide on all that happened, and do what it says."""
-        now = self.clock.now_us()
+        if self._pumping:
+            return  # what it starts may knock
+        self._pumping = True
+        try:
+            self._round(self.clock.now_us())
+        finally:
+            self._pumping = False
+
+    def _round(self, now: int) -> None:
+        if self._due_us is not None:
+            self.governor.ran(now, now - self._due_us)
+        self._due_us = None
         self.wheel.advance(now)
         batch, self._events = self._events, []
         if batch and not self.frozen:
@@ -257,15 +303,16 @@
                 except Exception:
                     # As above; the actions behind it are still done.
                     log.exception("%s failed", action)
+        self.round_over()
         due = self.wheel.next_at()
         if due is not None:
-            self.clock.wake_at(due)
+            self._wake_at(due)
 
     def _put(self, event: Event) -> None:
         """Queue an event for the next tick."""
         self._events.append(event)
         tick = self.wheel.tick_us
-        self.clock.wake_at((self.clock.now_us() // tick + 1) * tick)
+        self._wake_at((self.clock.now_us() // tick + 1) * tick)
 
     def _do(self, action: Action, now: int) -> None:
         match action:
@@ -302,6 +349,7 @@
             self._put(Outcome(action.ref, leg, action.target, Result.MOOT, 0, False))
             return
         execution = message.out[leg] = Execution(message, leg, instance, now, action.timeout_us)
+        self._unbegun.setdefault(instance.name, {})[execution] = None
         execution.timer = self.after(action.timeout_us, lambda: self._drop(execution, Result.TIMEOUT))
         self.side.start(execution)
 
--- a/rowanrack/core/name_table.py
+++ b/rowanrack/core/name_table.py
@@ -1,9 +1,9 @@
-"""The name table: which instances there are, as its sources list them."""
+"""The name table: the instances that there are, as its sources list them."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from rowanrack.core.messages import Instance
 from rowanspindle import Members, Scope, Status
@@ -11,44 +11,66 @@
 KEPT_US = 60_000_000  # a destination whose instances are gone is known so long: the next may be listed late
 
 
+@dataclass(frozen=True, slots=True)
+class Change:
+    """What news has changed: the same for the module, and the names that want no new calls, or are gone."""
+
+    members: Members
+    closed: tuple[str, ...] = ()  # draining or gone
+    gone: tuple[str, ...] = ()
+
+
 class NameTable:
-    """Instances by name. A whole list replaces only the entries of the source that it comes from."""
+    """Instances by name. A whole list replaces only the entries of the source that it comes from.
+
+    News costs what it holds, and a question one look-up, however many instances there are.
+    """
 
     def __init__(self) -> None:
         self._instances: dict[str, Instance] = {}
         self._sources: dict[str, set[str]] = {}
-        self._listed: dict[int, int] = {}  # destinations, each with when it was last seen to have an instance
+        self._counts: dict[int, int] = {}  # instances of each destination that has any
+        self._emptied: dict[int, int] = {}  # when a destination lost its last one; the earliest comes first
 
     def update(
         self, scope: Scope, instances: Iterable[Instance], source: str = "", now_us: int = 0
-    ) -> Members:
-        """Take news in, and return what it changes, for the module."""
-        self._see(now_us)
+    ) -> Change:
+        """Take news in, and return what it changes."""
         news, named = list(instances), self._sources.setdefault(source, set())
         if scope is Scope.FULL:
-            gone = named - {i.name for i in news}
-            news += [replace(i, status=Status.REMOVED) for n in sorted(gone) if (i := self.get(n))]
+            missing = named - {i.name for i in news}
+            news += [replace(i, status=Status.REMOVED) for n in sorted(missing) if (i := self.get(n))]
             scope = Scope.DELTA
+        gone: list[str] = []
         for instance in news:
+            if (old := self._instances.get(instance.name)) is not None:
+                self._count(old.dest, -1, now_us)
             if instance.status is Status.REMOVED:
                 self._instances.pop(instance.name, None)
                 named.discard(instance.name)
+                gone.append(instance.name)
             else:
                 self._instances[instance.name] = instance
                 named.add(instance.name)
-        self._see(now_us)
-        return Members(scope, tuple(i.member() for i in news))
+                self._count(instance.dest, 1, now_us)
+        closed = tuple(i.name for i in news if i.status is not Status.LISTED)
+        return Change(Members(scope, tuple(i.member() for i in news)), closed, tuple(gone))
+
+    def _count(self, dest: int, more: int, now_us: int) -> None:
+        self._emptied.pop(dest, None)
+        self._counts[dest] = self._counts.get(dest, 0) + more
+        if self._counts[dest] == 0:
+            del self._counts[dest]
+            self._emptied[dest] = now_us
+            while self._emptied and now_us - (oldest := next(iter(self._emptied.items())))[1] > KEPT_US:
+                del self._emptied[oldest[0]]
 
     def knows(self, dest: int, now_us: int) -> bool:
         """Whether a destination has an instance, or had one a short while ago."""
-        self._see(now_us)
-        return dest in self._listed
-
-    def _see(self, now_us: int) -> None:
-        for instance in self._instances.values():
-            self._listed[instance.dest] = now_us
-        for dest in [d for d, at in self._listed.items() if now_us - at > KEPT_US]:
-            del self._listed[dest]
+        if dest in self._counts:
+            return True
+        emptied_at = self._emptied.get(dest)
+        return emptied_at is not None and now_us - emptied_at <= KEPT_US
 
     def get(self, name: str) -> Instance | None:
         """An instance, if it is there."""
--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -36,8 +36,8 @@
     too_slow = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
     def __init__(self, exchange: Exchange, mapping: RequestMap, body_limit: int, most: int) -> None:
-        super().__init__(most, exchange.after)
-        self.exchange, self.mapping, self.limit = exchange, mapping, body_limit
+        super().__init__(most, exchange)
+        self.mapping, self.limit = mapping, body_limit
         self._waiting: dict[str, list[asyncio.Future[End]]] = {}
 
     def ended(self, message: Message, end: End) -> None:
@@ -72,6 +72,10 @@
             if request.method != "POST":
                 raise OtlpError(405, "the method is POST")
             kind = media_type(request.headers.get("content-type", ""))
+            # Before the body is read: that costs the most. An id given or made of the body is the same when
+            # it comes again, so that a refusal denies nothing.
+            if (full := self.exchange.too_busy("")) is not None:
+                return retry_later(full.retry_us, kind)
             message = self._read(signal, kind, request)
         except OtlpError as bad:
             return refusal(bad.status, str(bad), kind)
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -50,8 +50,7 @@
     too_slow = error("ERR Protocol error: the command does not come whole in time")
 
     def __init__(self, exchange: Exchange, most: int) -> None:
-        super().__init__(most, exchange.after)
-        self.exchange = exchange
+        super().__init__(most, exchange)
 
     async def talk(self, stream: Stream) -> None:
         """Answer one command after the other; what is no command ends the connection."""
@@ -90,6 +89,8 @@
             return simple("PONG")
         if name != b"SUBMIT":
             raise RespError(f"ERR unknown command {words[0][:32].decode('ascii', 'replace')!r}")
+        if len(words) == 5 and (full := self.exchange.too_busy(words[2].decode("latin-1"))) is not None:
+            return error(f"BUSY {full.retry_us // 1000}")
         message = read_submit(words, self.exchange.settings, self.exchange.clock.unix_us())
         if self.exchange.known(message.id) is not None:
             return simple("OK")  # handed in twice under one id: it is taken already, and has one end
--- /dev/null
+++ b/rowanrack/load/governor.py
@@ -0,0 +1,110 @@
+"""The governor: from how late the sender runs to what it sheds. It does no I/O and reads no clock."""
+
+from __future__ import annotations
+
+import logging
+from enum import IntEnum
+
+log = logging.getLogger(__name__)
+
+SPAN_US = 500_000  # over which lateness and spending are looked at together
+TIGHT_LATE_US = 50_000  # a round or a turn of the loop so late, in most of a span: strangers cost less
+HARD_LATE_US = 200_000  # so late: an answer to a new message would come when its client has given up
+EASY = 0.5  # part of these limits below which a level ends
+EASY_SPANS = 4  # spans in a row that must be easy before it does
+STRANGERS_SHARE = (0.1, 0.1, 0.05)  # of the time that passes, by level: for clients without a good request
+PENALTY_US = 250_000  # by which the answer to bad input is late
+PENALTY_MOST_US = 1_200_000  # and at most: it is owed within 3 s of connecting, and may have come late itself
+PENALTY_RISE = 1.6  # factor a span while strangers use more than their share
+PENALTIES = 32  # connections kept waiting so at once
+PENALTIES_MOST = 0.5  # part of all connections that may be kept waiting so
+REFUSE_RETRY_US = 1_000_000  # after which a client that is refused early may come again
+SHARPEST = 0.95  # quantile of a span that stands for it: a single late turn is no state
+
+
+class Level(IntEnum):
+    """How full the core is, and what is shed."""
+
+    CALM = 0  # nothing
+    TIGHT = 1  # time spent on bad and silent clients
+    HARD = 2  # new messages too
+
+
+class Governor:
+    """Keeps the level, from spans of what it is told. All times are whole microseconds on one clock."""
+
+    def __init__(self, now_us: int = 0) -> None:
+        self.level = Level.CALM
+        self.penalty_us = PENALTY_US
+        self.late_us = 0  # how late the last whole span ran
+        self.share = 0.0  # of it that strangers used
+        self._began_us = now_us
+        self._lates: list[int] = []
+        self._spent_us = 0.0
+        self._easy = 0
+        self._level_since = now_us
+        self.refused = 0  # messages refused early since the level was last calm
+
+    def ran(self, now_us: int, late_us: int) -> None:
+        """A round ran, or a turn of the loop ended, later than it was due by so much."""
+        self._lates.append(max(0, late_us))
+        if now_us - self._began_us >= SPAN_US:
+            self._end_span(now_us)
+
+    def spent(self, us: float) -> None:
+        """So much time went to a client that has not made a good request; less than 0 once it has."""
+        self._spent_us += us
+
+    def refuses(self) -> int:
+        """For how long a new message's client should stay away; 0 when it may be taken."""
+        if self.level < Level.HARD:
+            return 0
+        self.refused += 1
+        return REFUSE_RETRY_US
+
+    def _end_span(self, now_us: int) -> None:
+        lates, passed = sorted(self._lates), now_us - self._began_us
+        # A span that lasted far beyond its end had nobody to end it: it was late itself.
+        late = max(lates[int((len(lates) - 1) * SHARPEST)], passed - 3 * SPAN_US)
+        self.late_us, self.share = late, max(0.0, self._spent_us) / passed
+        self._began_us, self._lates, self._spent_us = now_us, [], 0.0
+        wanted = Level.HARD if late >= HARD_LATE_US else Level.TIGHT if late >= TIGHT_LATE_US else Level.CALM
+        eased = Level.HARD if late >= HARD_LATE_US * EASY else (
+            Level.TIGHT if late >= TIGHT_LATE_US * EASY else Level.CALM)
+        if wanted > self.level:
+            self._move(wanted, now_us)
+        elif eased < self.level:
+            self._easy += 1
+            if self._easy >= EASY_SPANS:
+                self._move(Level(self.level - 1), now_us)
+        else:
+            self._easy = 0
+        self._set_penalty()
+
+    def penalties(self, connections: int) -> int:
+        """How many of so many connections may be kept waiting at once: the more, the longer they wait."""
+        most = max(PENALTIES, int(connections * PENALTIES_MOST))
+        grown = (self.penalty_us - PENALTY_US) / (PENALTY_MOST_US - PENALTY_US)
+        return PENALTIES + int((most - PENALTIES) * min(1.0, 4 * grown))
+
+    def _set_penalty(self) -> None:
+        """Strangers that come back at once pay with waiting: their cost follows from how often they may."""
+        allowed = STRANGERS_SHARE[self.level]
+        if self.share > allowed:
+            self.penalty_us = min(PENALTY_MOST_US, int(self.penalty_us * PENALTY_RISE))
+        elif self.share < allowed * EASY:
+            self.penalty_us = max(PENALTY_US, int(self.penalty_us / PENALTY_RISE))
+
+    def _move(self, level: Level, now_us: int) -> None:
+        """One line when the core becomes too full, and one when it is not any more."""
+        if self.level is Level.CALM:
+            log.warning(
+                "the core is full: rounds are %d ms late, strangers use %d%% of the time",
+                self.late_us // 1000, round(self.share * 100))
+            self._level_since = now_us
+        elif level is Level.CALM:
+            log.warning(
+                "the core has room again after %.1f s, %d messages were refused early",
+                (now_us - self._level_since) / 1e6, self.refused)
+            self.refused = 0
+        self.level, self._easy = level, 0
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -139,8 +139,19 @@
 
     async def call(self, call: Call) -> Reply:
         """Make one call. Nothing here ever sends it a second time."""
+        try:
+            await self.stream.send(self._wire(call))
+        except OSError as error:
+            raise CallNotSentError(str(error)) from None
+        return await self.reply()
+
+    def call_now(self, call: Call) -> None:
+        """Write a call at once, whose answer is then waited for by `reply`."""
+        self.stream.send_now(self._wire(call))
+
+    def _wire(self, call: Call) -> bytes:
         head = [("Host", self._host), *call.headers, ("Content-Length", str(len(call.body)))]
-        data = b"".join(
+        return b"".join(
             self._h11.send(event) or b""
             for event in (
                 h11.Request(method=call.method, target=call.target, headers=head),
@@ -148,13 +159,9 @@
                 h11.EndOfMessage(),
             )
         )
-        try:
-            await self.stream.send(data)
-        except OSError as error:
-            raise CallNotSentError(str(error)) from None
-        return await self._reply()
 
-    async def _reply(self) -> Reply:
+    async def reply(self) -> Reply:
+        """The answer to the call that was written. Raises CallBrokenError."""
         try:
             head = await self._head()
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -17,9 +17,12 @@
 from enum import Enum
 from typing import Any
 
+from rowanrack.core.exchange import Exchange
+from rowanrack.load.governor import Level
+from rowanrack.load.metered import Metered
 from rowanrack.net.rare_log import RareLog
 from rowanrack.net.stream import Stream, stream_protocol
-from rowanrack.net.timing import After, pause, time_limit
+from rowanrack.net.timing import pause, time_limit
 
 log = logging.getLogger(__name__)
 
@@ -31,8 +34,7 @@
 KEPT_US = 250_000  # and one between requests after so long, the one that is unused longest first
 CROWDED = 0.4  # part of all connections from which idle ones are closed ahead of need
 FULL_US = 20_000  # between looks for room
-PENALTY_US = 250_000  # by which the answer to bad input is late
-PENALTIES_MOST = 32  # connections that are kept waiting so at once
+CONNECTION_US = 60.0  # that the loop itself uses for a connection, from its transport to its end: measured
 LINGER_US = 1_000_000  # for which a connection stays after its last answer, for the client to close it
 LINGER_BYTES = 1 << 20  # read and dropped meanwhile
 
@@ -52,8 +54,9 @@
     too_slow = b""  # what a client hears whose request does not come whole in time
     owed_us, spared_us = OWED_US, SPARED_US
 
-    def __init__(self, most: int, after: After) -> None:
-        self.most, self.after = most, after
+    def __init__(self, most: int, exchange: Exchange) -> None:
+        self.most, self.after, self.exchange = most, exchange.after, exchange
+        self.governor = exchange.governor
         self.streams: dict[Stream, tuple[State, int]] = {}  # each with the time; the latest change comes last
         self.draining = False
         self.port = 0
@@ -62,13 +65,18 @@
         self._rare = RareLog(log)
         self._bad = RareLog(log)
         self._penalties = 0
+        self._strangers: dict[Stream, float] = {}  # without a good request: microseconds used by each so far
+        self._accepting_us = 0.0  # used for connections since the last one was taken
 
     @abstractmethod
     async def talk(self, stream: Stream) -> None:
         """Serve one connection, and `mark` what it is at; return to close it."""
 
     def mark(self, stream: Stream, state: State) -> None:
-        """A connection is at something else."""
+        """A connection is at something else. An answer to a good request makes it no stranger any more."""
+        self.exchange.knock()
+        if state is State.IDLE and (used := self._strangers.pop(stream, None)) is not None:
+            self.governor.spent(-used)
         if stream not in self.streams or self.streams[stream][0] is not state:
             self.streams.pop(stream, None)
             self.streams[stream] = state, self._now()
@@ -118,11 +126,12 @@
         our sending ends, and what still comes is read and dropped, for a while.
         """
         self._bad.warning("a client's input is refused: %s", why)
+        self._strangers.setdefault(stream, 0.0)
         self.mark(stream, State.BUSY)
-        if self._penalties < PENALTIES_MOST:
+        if self._penalties < self.governor.penalties(self.most):
             self._penalties += 1
             try:
-                await pause(self.after, PENALTY_US)
+                await pause(self.after, self.governor.penalty_us)
             finally:
                 self._penalties -= 1
         await stream.send(last)
@@ -130,7 +139,7 @@
         stream.end_sending()
         with suppress(TimeoutError):
             async with time_limit(self.after, LINGER_US):
-                left = LINGER_BYTES
+                left = LINGER_BYTES if self.governor.level is Level.CALM else 0  # reading costs, too
                 while left > 0 and (gone := await stream.skip()):
                     left -= gone
                 if left <= 0:  # let it wait for us, rather than read at its pace
@@ -139,6 +148,9 @@
     # Room, and time.
 
     async def _accepting(self, opened: socket.socket) -> None:
+        await Metered(self._accept_for_ever(opened), self._charge_accepting)
+
+    async def _accept_for_ever(self, opened: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
             try:
@@ -147,6 +159,7 @@
                     what = ", ".join(f"{count} {state}" for state, count in sorted(at.items()))
                     self._rare.warning("%d clients are connected (%s), others wait", self.most, what)
                     await pause(self.after, FULL_US)
+                self.exchange.knock()
                 accepted, _ = await loop.sock_accept(opened)
                 try:
                     await loop.connect_accepted_socket(lambda: stream_protocol(self._accept), accepted)
@@ -192,20 +205,32 @@
                     stream.close_at_once()
 
     def _accept(self, stream: Stream) -> None:
+        self.governor.spent(CONNECTION_US)
+        self._strangers[stream], self._accepting_us = self._accepting_us + CONNECTION_US, 0.0
         self.mark(stream, State.OWING)
         self._start(self._serve(stream))
 
     async def _serve(self, stream: Stream) -> None:
         try:
-            await self.talk(stream)
+            await Metered(self.talk(stream), lambda us: self._charge(stream, us))
         except (OSError, TimeoutError) as gone:
             log.debug("a client went away: %s", gone)
         except Exception:
             log.exception("a client's connection failed")
         finally:
             self.streams.pop(stream, None)
+            self._strangers.pop(stream, None)
             stream.close_soon()
 
+    def _charge_accepting(self, us: float) -> None:
+        self._accepting_us += us
+        self.governor.spent(us)
+
+    def _charge(self, stream: Stream, us: float) -> None:
+        if (used := self._strangers.get(stream)) is not None:
+            self._strangers[stream] = used + us
+            self.governor.spent(us)
+
     def _start(self, serving: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         # A task of our own: asyncio reports the cancelling of its own ones as errors.
         task = asyncio.create_task(serving)
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -107,6 +107,13 @@
         if self.closing:
             raise ConnectionResetError("closed while writing")
 
+    def send_now(self, data: bytes) -> None:
+        """Write between two sends without waiting: the kernel gets it in this very call, if it has room.
+
+        Guards what must go out in time against a loop that comes to everything late.
+        """
+        self._writer.write(data)
+
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, as far as is known."""
--- a/rowanrack/net/timing.py
+++ b/rowanrack/net/timing.py
@@ -21,8 +21,11 @@
 class LoopClock:
     """The clock of the running event loop, and its wake-up call for the core."""
 
-    def __init__(self, wake: Callable[[], None]) -> None:
-        self._loop, self._wake = asyncio.get_running_loop(), wake
+    def __init__(
+        self, wake: Callable[[], None], turned: Callable[[int, int], None] = lambda now_us, took_us: None
+    ) -> None:
+        self._loop, self._wake, self._turned = asyncio.get_running_loop(), wake, turned
+        self._turning = False
         self._handle: asyncio.TimerHandle | None = None
         self._stopped = False
 
@@ -53,8 +56,17 @@
 
     def _fire(self) -> None:
         self._handle = None
+        if not self._turning:
+            self._turning = True
+            self._loop.call_soon(self._turn_over, self.now_us())
         self._wake()
 
+    def _turn_over(self, began_us: int) -> None:
+        """What stood ready beside the wake-up has run: that is how long anything new waits for its turn."""
+        self._turning = False
+        now = self.now_us()
+        self._turned(now, now - began_us)
+
 
 @asynccontextmanager
 async def time_limit(after: After, limit_us: int) -> AsyncIterator[None]:
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -25,6 +25,7 @@
 ROOM_EACH = 512  # bytes kept free for each owed message: its executions and its end
 MARGIN = 8 * BLOCK
 TIDY_EACH = 256  # ends between two looks for those that need not be kept any more
+TIDY_US = 1_000_000  # ends whose time is over within one such span are looked at together
 COMPACT_LEAST = 64 * 1024  # bytes of dead records before a compaction is worth its while
 
 TAKEN, BEGUN, NEVER_RAN, ENDED, TOLD = b"T", b"B", b"N", b"E", b"K"
@@ -122,6 +123,8 @@
     live: int = 0  # bytes that a compaction would write for owed messages
     fd: int = -1
     _ended: int = 0
+    _sizes: dict[str, int] = field(default_factory=dict)  # bytes of each owed message's record
+    _spans: dict[int, list[str]] = field(default_factory=dict)  # ids by the span in which their end lapses
 
     @property
     def path(self) -> Path:
@@ -172,6 +175,7 @@
             return False
         self.owed[message.id] = message
         self.ends.pop(message.id, None)
+        self._sizes[message.id] = len(record)
         self.live += len(record)
         return True
 
@@ -189,8 +193,9 @@
         keep_us = self.keep_us_of.get(message.front, self.keep_us)
         keep, again = max(message.deadline_us, now) + keep_us, now + end.retry_us
         if self.owed.pop(message.id, None) is not None:
-            self.live -= len(frame(taken_record(message)))
+            self.live -= self._sizes.pop(message.id)
         ended = self.ends[message.id] = Ended(end, message.front, keep, again)
+        self._lapse_at(message.id, ended)
         self._ended += 1
         if self._ended % TIDY_EACH == 0:
             self._tidy()
@@ -200,6 +205,7 @@
         """Record that the platform has confirmed a notice."""
         if (ended := self.ends.get(message_id)) is not None and not ended.told:
             ended.told = True
+            self._lapse_at(message_id, ended)
             self._append(frame(step_record(TOLD, message_id, 0)))
 
     def ended(self, message_id: str) -> End | None:
@@ -210,10 +216,22 @@
         lapsed = ended.end.ending is Ending.REFUSED and now >= ended.again_us
         return None if lapsed else ended.end
 
+    def _lapse_at(self, message_id: str, ended: Ended) -> None:
+        """An end is kept until its time; one whose notice is not confirmed longer, for a restart."""
+        lapses = ended.keep_until_us + ended.untold * self.keep_us
+        self._spans.setdefault(lapses // TIDY_US, []).append(message_id)
+
     def _tidy(self) -> None:
-        """Forget ends whose time is over; one whose notice is not confirmed is kept longer, for a restart."""
+        """Forget ends whose time is over; only those are looked at."""
         now = self.unix_us()
-        self.ends = {i: e for i, e in self.ends.items() if now < e.keep_until_us + e.untold * self.keep_us}
+        for span in sorted(s for s in self._spans if (s + 1) * TIDY_US <= now):
+            for message_id in self._spans.pop(span):
+                if (ended := self.ends.get(message_id)) is None:
+                    continue  # handed in anew under its old id
+                if now >= ended.keep_until_us + ended.untold * self.keep_us:
+                    del self.ends[message_id]
+                else:
+                    self._lapse_at(message_id, ended)
 
     # Room and compaction.
 
@@ -301,8 +319,12 @@
             except (ValueError, KeyError, struct.error) as error:
                 raise JournalError(f"journal: unreadable record before offset {offset}: {error}") from None
             end = offset
+        self._spans.clear()
+        for message_id, ended in self.ends.items():
+            self._lapse_at(message_id, ended)
         self._tidy()
-        self.live = sum(len(frame(taken_record(m))) for m in self.owed.values())
+        self._sizes = {i: len(frame(taken_record(m))) for i, m in self.owed.items()}
+        self.live = sum(self._sizes.values())
         return end
 
     def _read(self, payload: bytes) -> None:
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -11,6 +11,7 @@
 import pytest
 
 from rowanrack.core.messages import Ending
+from rowanrack.load import governor
 from rowanrack.net import listener as net_listener
 from rowanrack.net.http import Reply
 from rowanrack.net.listener import State
@@ -270,12 +271,12 @@
 @on_loop
 async def test_bad_input_is_answered_late_but_only_so_often(tmp_path: Path) -> None:
     async with Rig(tmp_path) as rig:
-        rig.sender.fronts[0][0]._penalties = net_listener.PENALTIES_MOST
+        rig.sender.fronts[0][0]._penalties = governor.PENALTIES
         loop = asyncio.get_running_loop()
         for held_up in (False, True):
             began = loop.time()
             assert (await (await rig.client()).command("NO")).startswith(b"-ERR unknown command")
-            assert (loop.time() - began >= net_listener.PENALTY_US / 1e6) is held_up
+            assert (loop.time() - began >= governor.PENALTY_US / 1e6) is held_up
             rig.sender.fronts[0][0]._penalties = 0
 
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -58,7 +58,7 @@
         client, exchange = await rig.client(), rig.sender.exchange
         for n in range(100):
             exchange.list_instances(Scope.FULL, [instance(f"n{n}", rig.servers[0].port)])
-            exchange._waits[f"n{n}"] = 1 << 60
+            exchange._waits.set(f"n{n}", 1 << 60)
             await client.submit(f"m{n}")
             await rig.ended(f"m{n}")
         exchange.list_instances(Scope.FULL, ())
--- /dev/null
+++ b/tests/test_load.py
@@ -0,0 +1,247 @@
+"""A core that is full: rules hold in late rounds, and what is shed goes in the right order."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+
+import pytest
+
+from rowanrack.core.messages import End, Ending, Message
+from rowanrack.load import governor as load
+from rowanrack.load.governor import Governor, Level
+from rowanrack.load.metered import Metered
+from rowanrack.net.timing import LoopClock
+from tests.rig import Rig, on_loop, silent
+from tests.test_core import SECOND, Desk
+from tests.test_otlp import logs
+
+MS = 1000
+
+
+def spans(governor: Governor, count: int, late_us: int, strangers: float = 0.0) -> None:
+    """So many spans in which every round is so late, and strangers use that share of the time."""
+    for _ in range(count):
+        for _ in range(10):
+            governor.spent(strangers * load.SPAN_US / 10)
+            governor._test_now += load.SPAN_US // 10  # type: ignore[attr-defined]
+            governor.ran(governor._test_now, late_us)  # type: ignore[attr-defined]
+
+
+@pytest.fixture
+def governor() -> Governor:
+    made = Governor(0)
+    made._test_now = 0  # type: ignore[attr-defined]
+    return made
+
+
+@pytest.mark.parametrize(
+    ("late_us", "level", "refuses"),
+    [
+        (0, Level.CALM, False),
+        (load.TIGHT_LATE_US - MS, Level.CALM, False),
+        (load.TIGHT_LATE_US, Level.TIGHT, False),
+        (load.HARD_LATE_US - MS, Level.TIGHT, False),
+        (load.HARD_LATE_US, Level.HARD, True),
+    ],
+)
+def test_what_is_shed_follows_from_how_late_rounds_run(
+    governor: Governor, late_us: int, level: Level, refuses: bool
+) -> None:
+    spans(governor, 1, late_us)
+    assert governor.level is level and bool(governor.refuses()) is refuses
+
+
+def test_one_late_turn_in_a_span_is_no_state(governor: Governor) -> None:
+    for n in range(60):
+        governor.ran(n * 10 * MS, 400 * MS if n == 30 else 0)
+    assert governor.level is Level.CALM
+
+
+def test_a_span_in_which_nothing_ran_was_late_itself(governor: Governor) -> None:
+    governor.ran(5 * SECOND, 0)
+    assert governor.level is Level.HARD
+
+
+def test_a_level_ends_step_by_step_after_easy_spans(governor: Governor) -> None:
+    spans(governor, 2, load.HARD_LATE_US)
+    levels = list[Level]()
+    for easy in (load.EASY_SPANS - 1, None, load.EASY_SPANS - 1, 1, load.EASY_SPANS):
+        if easy is None:
+            spans(governor, 1, int(load.HARD_LATE_US * 0.7))  # not late, nor easy: the count begins anew
+        else:
+            spans(governor, easy, 0)
+        levels.append(governor.level)
+    assert levels == [Level.HARD, Level.HARD, Level.HARD, Level.TIGHT, Level.CALM]
+
+
+def test_on_call_reads_one_line_at_the_begin_and_one_at_the_end(
+    governor: Governor, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    spans(governor, 3, load.TIGHT_LATE_US, 0.3)
+    spans(governor, 3, load.HARD_LATE_US)
+    assert governor.refuses() and governor.refuses()
+    spans(governor, 3 * load.EASY_SPANS, 0)
+    texts = [record.getMessage() for record in caplog.records]
+    assert len(texts) == 2
+    assert texts[0] == "the core is full: rounds are 50 ms late, strangers use 30% of the time"
+    assert "has room again" in texts[1] and "2 messages were refused early" in texts[1]
+
+
+def test_strangers_wait_longer_while_they_use_more_than_their_share(governor: Governor) -> None:
+    spans(governor, 3, 0, strangers=0.08)
+    assert (governor.penalty_us, governor.penalties(200)) == (load.PENALTY_US, load.PENALTIES)
+    spans(governor, 30, load.HARD_LATE_US, strangers=0.08)  # too much when the core is full
+    assert (governor.penalty_us, governor.penalties(200)) == (load.PENALTY_MOST_US, 100)
+    spans(governor, 30, load.HARD_LATE_US, strangers=0.02)
+    assert (governor.penalty_us, governor.penalties(200)) == (load.PENALTY_US, load.PENALTIES)
+    assert governor.penalties(16) == load.PENALTIES
+
+
+def test_time_of_one_that_makes_a_good_request_is_given_back(governor: Governor) -> None:
+    governor.spent(400 * MS)
+    governor.spent(-400 * MS)
+    spans(governor, 1, load.TIGHT_LATE_US)
+    assert governor.share == 0.0
+
+
+@on_loop
+async def test_the_steps_of_a_coroutine_are_metered_and_nothing_else() -> None:
+    told = list[float]()
+
+    async def inner(fails: bool) -> None:
+        await asyncio.sleep(0.02)
+        if fails:
+            raise OSError("gone")
+
+    await Metered(inner(False), told.append)
+    assert len(told) == 2 and sum(told) < 15_000  # the wait is not among it
+    with pytest.raises(OSError, match="gone"):
+        await Metered(inner(True), told.append)
+    cancelled = list[bool]()
+
+    async def cleans_up() -> None:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            await asyncio.sleep(0)
+            cancelled.append(True)
+            raise
+
+    async def outer() -> None:
+        await Metered(cleans_up(), told.append)
+
+    task = asyncio.create_task(outer())
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait({task})
+    assert task.cancelled() and cancelled == [True]
+
+
+@pytest.mark.parametrize("entry", ["knock", "submit", "too_busy"])
+def test_a_message_has_its_end_though_every_round_is_late(tmp_path: Path, entry: str) -> None:
+    """A core that was full came to its rounds late, and a message owed got no end in its time."""
+    desk, told = Desk(tmp_path), dict[str, int]()
+    desk.exchange.listeners["platform"] = lambda m, end: told.update({m.id: desk.now - m.deadline_us})
+    desk.submit("order")  # out, with no answer
+    for n in range(6):
+        message = Message(f"m{n}", "album-update", "a", 7, desk.now + (n + 1) * SECOND, b"x", "platform")
+        assert desk.exchange.submit(message) is None
+    for n in range(800):  # the loop never comes to the rounds; somebody else always wants something
+        desk.now += 10 * MS
+        match entry:
+            case "knock":
+                desk.exchange.knock()
+            case "too_busy":
+                desk.exchange.too_busy("another")
+            case _:
+                desk.exchange.submit(Message(f"n{n}", "album-update", "a", 99, desk.now, b"x", "platform"))
+    assert set(told) == {"order", *(f"m{n}" for n in range(6))}
+    assert max(told.values()) <= 150 * MS  # it may be 300 ms late
+
+
+def test_what_a_round_ends_is_told_in_the_round(tmp_path: Path) -> None:
+    desk, told = Desk(tmp_path), list[str]()
+    desk.exchange.listeners["platform"] = lambda m, end: told.append(m.id)
+    desk.exchange.round_over = lambda: told.append("over")
+    desk.submit("order")
+    told.clear()
+    desk.now += 4 * SECOND
+    desk.exchange.pump()
+    assert told == ["order", "over"]
+
+
+@on_loop
+async def test_a_notice_comes_in_time_though_every_round_is_late(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The loop never wakes the core; bad clients do, whoever they are."""
+    async with Rig(tmp_path, silent) as rig:
+        loop, client = asyncio.get_running_loop(), await rig.client()
+        assert await client.submit("m1", "print-order", d=500) == b"+OK\r\n"
+        await rig.servers[0].asked(1)
+        due = loop.time() + 0.5
+        monkeypatch.setattr(LoopClock, "wake_at", lambda *_: None)
+        rig.sender.clock.stop()
+
+        async def bad() -> None:
+            while True:
+                (await rig.client()).stream.send_now(b"*1\r\n$2\r\n")
+                await asyncio.sleep(0.01)
+
+        noise = asyncio.create_task(bad())
+        notice = await rig.platform.notice("m1")
+        noise.cancel()
+        assert notice["outcome"] == "given_up" and loop.time() < due + 0.3
+
+
+@on_loop
+async def test_a_notice_is_in_the_kernel_when_the_round_is_over(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig:
+        notices = rig.sender.notices
+        assert notices is not None
+        while not notices._lines[0].idle:
+            await asyncio.sleep(0)
+        notices.ended(Message("m1", "c", "t", 7, 0, b"", "platform"), End(Ending.FAILED))
+        notices.flush()
+        line = notices._lines[0]
+        assert "m1" in line.batch and line.caller is not None
+        assert line.caller.stream._writer.transport.get_write_buffer_size() == 0
+        await rig.platform.notice("m1")
+        while notices.pending:
+            await asyncio.sleep(0)
+        assert not line.batch  # confirmed
+
+
+@on_loop
+async def test_a_full_core_refuses_new_messages_before_their_cost_and_denies_none(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig:
+        client = await rig.client()
+        assert await client.submit("m1") == b"+OK\r\n"
+        rig.sender.exchange.governor.level = Level.HARD
+        assert await client.submit("m2") == b"-BUSY 1000\r\n"
+        assert await client.submit("m1") == b"+OK\r\n"  # it is owed
+        assert list(rig.sender.journal.owed) == ["m1"]
+        refused = await rig.export(b"no protobuf at all")
+        assert (refused.status, refused.headers["retry-after"]) == (503, "1")
+        rig.sender.exchange.governor.level = Level.CALM
+        assert await client.submit("m2") == b"+OK\r\n"
+        assert (await rig.export(logs(dest="99"))).status == 503
+
+
+@on_loop
+async def test_strangers_are_charged_until_their_first_good_request(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig:
+        front, spent = rig.sender.fronts[0][0], list[float]()
+        front.governor.spent = spent.append  # type: ignore[assignment, method-assign]
+        client = await rig.client()
+        assert await client.command("PING") == b"+PONG\r\n"
+        (stream,) = front.streams
+        assert stream not in front._strangers and min(spent) < 0
+        counted = len(spent)
+        assert await client.command("PING") == b"+PONG\r\n"
+        assert len(spent) == counted
+        assert (await client.command("NO")).startswith(b"-ERR")
+        assert stream in front._strangers
