--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import logging
 import os
 import sys
@@ -19,7 +20,42 @@
 LOG_FORMAT = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
 
 
-@click.group()
+# Groups that live with their package, and are imported only when they are asked for: a sender needs none.
+GROUPS = {
+    "model": ("rowanrack.model.cli", "model", "Try the senders on a model of the fleet, in virtual time.")
+}
+
+
+class Lazy(click.Group):
+    """Commands of this file, and the groups above."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Their names."""
+        return sorted({*super().list_commands(ctx), *GROUPS})
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """The command of a name. Ends with one line where a group's libraries are missing."""
+        if cmd_name not in GROUPS:
+            return super().get_command(ctx, cmd_name)
+        module, attribute, _ = GROUPS[cmd_name]
+        try:
+            found: click.Command = getattr(importlib.import_module(module), attribute)
+        except ModuleNotFoundError as error:
+            if error.name is None or error.name.startswith("rowan"):
+                raise
+            text = f"{cmd_name} needs {error.name}: pip install -r requirements-tools.txt"
+            raise SystemExit(f"rowanrack: {text}") from None
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """The help, for which no group is imported."""
+        rows = [(name, command.get_short_help_str(90)) for name, command in self.commands.items()]
+        rows += [(name, text) for name, (_, _, text) in GROUPS.items()]
+        with formatter.section("Commands"):
+            formatter.write_dl(sorted(rows))
+
+
+@click.group(cls=Lazy)
 def main() -> None:
     """rowanrack delivers messages to partners' instances."""
 
--- /dev/null
+++ b/rowanrack/model/calls.py
@@ -0,0 +1,162 @@
+"""A sender's side towards places, the exchange's `InstanceSide`: connections, one call at a time on each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from rowanrack.core.messages import Execution
+from rowanrack.model.history import Entry
+from rowanrack.model.partner import Answer, Place, State, Visit
+from rowanspindle import Result
+
+if TYPE_CHECKING:
+    from rowanrack.model.sender import Sender
+
+IDLE_PART = 0.6  # of the keep-alive after which our side closes an idle connection, as the real pool does
+RESULTS = {200: Result.OK, 429: Result.FULL, 503: Result.FULL, 500: Result.ERROR, 0: Result.RESET}
+
+
+class Line:
+    """A connection to a place."""
+
+    def __init__(self, place: Place) -> None:
+        self.place, self.open = place, True
+        place.connections += 1
+
+    def close(self) -> None:
+        """It is gone, on both sides."""
+        if self.open:
+            self.open = False
+            self.place.connections -= 1
+
+
+class Calls:
+    """Connections and calls of one sender. Counts what the operators pay for."""
+
+    def __init__(self, sender: Sender) -> None:
+        self.sender, self.engine, self.network = sender, sender.engine, sender.network
+        self.idle: dict[str, list[Line]] = {}
+        self.out: dict[Execution, tuple[Line | None, Visit | None]] = {}
+        self.handshakes = self.crossings = 0
+
+    # What the exchange asks for.
+
+    def start(self, execution: Execution) -> None:
+        """Make the call, on an idle connection or a new one."""
+        place = self.sender.places[execution.instance.name]
+        waiting = self.idle.get(place.name, [])
+        while waiting:
+            line = waiting.pop()
+            if line.open and place.state is not State.DOWN:
+                self._send(execution, line)
+                return
+            line.close()
+        self.out[execution] = None, None
+        there = self._one_way(place)
+        self.engine.after(there, lambda: self._knock(execution, place))
+
+    def abandon(self, execution: Execution) -> None:
+        """Close the call's connection, which its place sees a little later."""
+        line, visit = self.out.pop(execution, (None, None))
+        if line is not None:
+            line.close()
+        if visit is not None:
+            place, seen = self.sender.places[execution.instance.name], visit
+            self.engine.after(self._one_way(place), lambda: self._gone(seen))
+
+    def close_idle(self, name: str) -> None:
+        """Close the idle connections to a place."""
+        for line in self.idle.pop(name, []):
+            line.close()
+
+    def close(self) -> None:
+        """The process is gone, and all its connections with it."""
+        for name in list(self.idle):
+            self.close_idle(name)
+        for execution in list(self.out):
+            self.abandon(execution)
+
+    # One call.
+
+    def _one_way(self, place: Place) -> int:
+        return self.network.one_way(self.sender.zone, place.zone)
+
+    def _knock(self, execution: Execution, place: Place) -> None:
+        """A new connection reaches its place."""
+        if execution not in self.out:
+            return
+        if place.state is State.SILENT:
+            wait = self.sender.settings.connect_timeout_us
+            self.engine.after(wait, lambda: self._failed(execution))
+            return
+        back = self._one_way(place)
+        if place.state is State.DOWN or not place.room():
+            place.saw.add(self.sender.number)
+            self.engine.after(back, lambda: self._failed(execution))
+            return
+        line = Line(place)
+        self.handshakes += 1
+        self.out[execution] = line, None
+        self.engine.after(back + place.partner.figures.handshake_us, lambda: self._send(execution, line))
+
+    def _failed(self, execution: Execution) -> None:
+        if self.out.pop(execution, None) is not None:
+            self.sender.exchange.settle(execution, Result.CONNECT_FAILED)
+
+    def _send(self, execution: Execution, line: Line) -> None:
+        place, sender = line.place, self.sender
+        if execution.settled:
+            self._keep(line)
+            return
+        self.out[execution] = line, None
+        if not sender.exchange.begin(execution):
+            self.out.pop(execution, None)
+            self._keep(line)
+            return
+        message = execution.message
+        sender.history.add(
+            Entry(
+                self.engine.now, "begin", sender.number, message.id, execution.leg, place.name, message.dest
+            )
+        )
+        self.crossings += place.zone != sender.zone
+        life = sender.life
+
+        def answer(answered: Answer) -> None:
+            def arrive() -> None:
+                if life is sender.life:
+                    self._answered(execution, answered)
+
+            self.engine.after(self._one_way(place), arrive)
+
+        visit = Visit(sender.number, message.id, execution.leg, answer)
+        self.out[execution] = line, visit
+        self.engine.after(self._one_way(place), lambda: None if visit.gone else place.visit(visit))
+
+    def _answered(self, execution: Execution, answer: Answer) -> None:
+        line, _ = self.out.pop(execution, (None, None))
+        if line is None:
+            return  # given up before
+        if answer.status == 0:
+            line.close()
+        else:
+            self._keep(line)
+        self.sender.exchange.settle(execution, RESULTS[answer.status], answer.wait_us)
+
+    def _gone(self, visit: Visit) -> None:
+        visit.gone = True
+
+    def _keep(self, line: Line) -> None:
+        name = line.place.name
+        if not line.open or not self.sender.exchange.table.listed(name):
+            line.close()
+            return
+        waiting = self.idle.setdefault(name, [])
+        waiting.append(line)
+
+        def expire() -> None:
+            if line in waiting:
+                waiting.remove(line)
+                line.close()
+
+        self.engine.after(self.sender.settings.keepalive_us * IDLE_PART, expire)
