Read the operator's file into typed records, and refuse what it does not know

Need: `slotz = 16` and `tri_limit = 6` passed `rowanrack check` in silence, which then reported 200 slots, and `most_held = "many"` gave "'<' not supported between instances of 'str' and 'int'".

Change: rowanrack/site_file.py holds the file as msgspec records; a mistake is one line with the file, the line, the key, what was expected and what stands there. The platform's JSON is read as before and stays open to keys that we do not use. msgspec is imported only where an operator's file is read.

--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import importlib
+import json
 import logging
 import os
 import sys
 import time
+from collections.abc import Iterator
+from enum import Enum
 from pathlib import Path
+from typing import Any
 
 import click
 
@@ -100,9 +105,19 @@
 
 @main.command()
 @CONFIG
-def check(path: Path | None) -> None:
+@click.option("--all", "everything", is_flag=True, help="Print the whole configuration in effect.")
+@click.option("--json", "as_json", is_flag=True, help="The same as one JSON document.")
+def check(path: Path | None, everything: bool, as_json: bool) -> None:
     """Read the configuration, and say what a sender would start with."""
     config = load_config(path)
+    if everything or as_json:
+        rows = list(in_effect(config))
+        if as_json:
+            click.echo(json.dumps({k: {"value": value, "default": usual} for k, value, usual in rows}))
+            return
+        for key, value, usual in rows:
+            click.echo(f"{key} = {value!r}{'  (default)' if usual else ''}")
+        return
     click.echo(f"{config.name}: configuration is in order")
     click.echo(f"classes: {', '.join(config.settings.classes)}; {config.settings.slots} slots")
     for name, front in (("platform", config.platform), ("otlp", config.otlp)):
@@ -110,6 +125,34 @@
             click.echo(f"{name}: listens on {front.listen[0]}:{front.listen[1]}")
 
 
+def in_effect(config: Config) -> Iterator[tuple[str, Any, bool]]:
+    """Every value that a sender would start with: its key, and whether it is the one without any setting."""
+    for field in dataclasses.fields(config.settings):
+        value = getattr(config.settings, field.name)
+        usual = field.default is not dataclasses.MISSING and value == field.default
+        yield f"settings.{field.name}", plain(value), usual
+    for name in ("name", "tick_us", "state", "disk_bytes", "sockets", "console"):
+        value = getattr(config, name)
+        yield name, str(value) if isinstance(value, Path) else value, value is None
+    for name in ("platform", "otlp", "consul"):
+        yield name, plain(getattr(config, name)), getattr(config, name) is None
+    for instance in config.instances:
+        yield f"instance.{instance.name}", plain(instance), False
+
+
+def plain(value: Any) -> Any:
+    """A record as plain values."""
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {f.name: plain(getattr(value, f.name)) for f in dataclasses.fields(value)}
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    if isinstance(value, dict):
+        return {str(key): plain(item) for key, item in value.items()}
+    return value
+
+
 @main.command()
 @click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
 def journal(folder: Path) -> None:
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from rowanrack.core.messages import Instance
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
@@ -16,6 +16,9 @@
 from rowanspindle import Settings, Status
 from rowanspindle.wire import WireError, parse_settings
 
+if TYPE_CHECKING:
+    from rowanrack.site_file import InstanceTable, SiteFile
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text is one clear line."""
@@ -143,79 +146,66 @@
         raise ConfigError(f"{env['ROUTER_CONFIG']}: bad or missing {error}") from None
 
 
-BODY_LIMIT = 256 * 1024  # bytes of an export request, unless the file says otherwise
-BODY_MOST = 900 * 1024  # what a record of the journal holds
-VALUES = ("class", "tenant", "destination", "id", "left_ms")
-TOP = frozenset(
-    {"name", "state", "disk_mb", "sockets", "settings", "platform", "otlp", "consul", "console", "instance"}
-)
-
-
 def operator_config(path: Path) -> Config:
     """The configuration of a sender at a small site, from its operator's TOML file."""
-    doc = load(path, tomllib.loads, "TOML")
+    from rowanrack.site_file import SiteFileError, read  # msgspec: only where it is used
+
     try:
-        only(doc, TOP, "the file")
-        state = Path(doc["state"])
+        site: SiteFile = read(path)
+        state = Path(site.state)
         if not state.is_dir():
             raise ValueError(f"state: {state} is not a folder")
-        settings = parse_settings(json.dumps(doc["settings"]))
-        if "platform" in doc:
+        # The records have been checked; the settings are read by the one reader that the platform's have too.
+        settings = parse_settings(json.dumps(tomllib.loads(path.read_text(encoding="utf-8"))["settings"]))
+        if site.platform is not None:
             settings = replace(settings, on_request=True)  # its discovery tells only those who ask
         return Config(
-            name=str(doc.get("name", "rowanrack")),
+            name=site.name,
             settings=settings,
-            tick_us=int(doc["settings"].get("resolution_us", 5000)),
+            tick_us=site.settings.resolution_us,
             seed=secrets.randbits(63),
             state=state,
-            disk_bytes=int(float(doc.get("disk_mb", 16)) * 1_000_000),
-            sockets=int(doc.get("sockets", 1024)),
-            platform=_platform(doc["platform"]) if "platform" in doc else None,
-            otlp=_otlp(doc["otlp"]) if "otlp" in doc else None,
-            consul=_consul(doc["consul"]) if "consul" in doc else None,
-            console=Path(doc["console"]["socket"]) if "console" in doc else None,
-            instances=tuple(map(_instance, doc.get("instance", []))),
+            disk_bytes=int(site.disk_mb * 1_000_000),
+            sockets=site.sockets,
+            platform=_platform(site),
+            otlp=_otlp(site),
+            consul=_consul(site),
+            console=Path(site.console.socket) if site.console is not None else None,
+            instances=tuple(map(_instance, site.instance)),
         )
-    except KeyError as error:
-        raise ConfigError(f"{path}: {error.args[0]} is missing") from None
-    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+    except SiteFileError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    except (TypeError, ValueError, OverflowError) as error:
         raise ConfigError(f"{path}: {error}") from None
 
 
-def only(doc: dict[str, Any], known: frozenset[str], where: str) -> None:
-    """Guards against a misspelt key, which would be passed over without a word."""
-    if unknown := set(doc) - known:
-        raise ValueError(f"{where}: unknown key {min(unknown)}")
-
-
-def _platform(doc: dict[str, Any]) -> PlatformConfig:
-    only(doc, frozenset({"listen", "discovery"}), "platform")
-    return PlatformConfig(parse_address(doc["listen"]), parse_address(doc["discovery"]), 0, ())
+def _platform(site: SiteFile) -> PlatformConfig | None:
+    if site.platform is None:
+        return None
+    listen, discovery = site.platform.listen, site.platform.discovery
+    return PlatformConfig(parse_address(listen), parse_address(discovery), 0, ())
 
 
-def _otlp(doc: dict[str, Any]) -> OtlpConfig:
-    only(doc, frozenset({"listen", "body_limit", "map", "destinations"}), "otlp")
-    limit = int(doc.get("body_limit", BODY_LIMIT))
-    if not 0 < limit <= BODY_MOST:
-        raise ValueError(f"body_limit: must lie in 1 to {BODY_MOST}")
-    given = doc["map"]
-    only(given, frozenset(VALUES), "map")
-    cls, tenant, destination, message_id, left_ms = (Source(**given.get(name, {})) for name in VALUES)
-    destinations = {str(name): int(number) for name, number in doc.get("destinations", {}).items()}
-    mapping = RequestMap(cls, tenant, destination, message_id, left_ms, destinations)
-    return OtlpConfig(parse_address(doc["listen"]), limit, mapping)
+def _otlp(site: SiteFile) -> OtlpConfig | None:
+    if (otlp := site.otlp) is None:
+        return None
+    given = otlp.map
+    sources = (given.cls, given.tenant, given.destination, given.id, given.left_ms)
+    cls, tenant, dest, message_id, left_ms = (Source(s.header, s.attribute, s.default) for s in sources)
+    mapping = RequestMap(cls, tenant, dest, message_id, left_ms, otlp.destinations)
+    return OtlpConfig(parse_address(otlp.listen), otlp.body_limit, mapping)
 
 
-def _consul(doc: dict[str, Any]) -> ConsulConfig:
-    only(doc, frozenset({"address", "services", "tag"}), "consul")
-    services, tag = tuple(map(str, doc.get("services", []))), str(doc.get("tag", ""))
-    if bool(services) == bool(tag):
+def _consul(site: SiteFile) -> ConsulConfig | None:
+    if (consul := site.consul) is None:
+        return None
+    if bool(consul.services) == bool(consul.tag):
         raise ValueError("consul: name either services or a tag")
-    return ConsulConfig(parse_address(doc["address"]), services, tag)
+    return ConsulConfig(parse_address(consul.address), tuple(consul.services), consul.tag)
 
 
-def _instance(doc: dict[str, Any]) -> Instance:
-    only(doc, frozenset({"name", "address", "zone", "kind", "dest", "rate"}), "instance")
-    host, port = parse_address(doc["address"])
-    zone, kind, rate = str(doc.get("zone", "")), str(doc["kind"]), float(doc["rate"])
-    return Instance(str(doc["name"]), host, port, zone, kind, int(doc["dest"]), Status.LISTED, rate)
+def _instance(given: InstanceTable) -> Instance:
+    host, port = parse_address(given.address)
+    return Instance(given.name, host, port, given.zone, given.kind, given.dest, Status.LISTED, given.rate)
--- /dev/null
+++ b/rowanrack/site_file.py
@@ -0,0 +1,233 @@
+"""The operator's TOML file as typed records: what may stand in it, and a plain line for what may not.
+
+Only senders at small sites read such a file, so only they import this module and msgspec.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+Whole = Annotated[int, Meta(ge=0)]
+Count = Annotated[int, Meta(ge=1)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Above = Annotated[float, Meta(gt=0)]
+
+
+class Part(Struct, forbid_unknown_fields=True, kw_only=True):
+    """A table: a key that is not known is a mistake."""
+
+
+class Grade(Part):
+    """A class of messages; times in microseconds."""
+
+    name: str
+    slo_us: Count
+    deadline_us: Count
+    worth: Above
+    effect: Literal["retryable", "dedup", "fragile"]
+    late_worth: Share = 0.0
+    group: Literal["all", "zone"] = "all"
+    key_ttl_us: Whole = 0
+    one_at_a_time: bool = False
+    stream: bool = False
+
+
+class Extra(Part):
+    """Characteristics of the service."""
+
+    slots: Count | None = None
+    batch_by_kind: list[Count] = []
+    kind_apart: list[bool] = []
+    fades: Literal["line", "halves"] = "line"
+
+
+class Limits(Part):
+    """What the site permits."""
+
+    most_held: Count
+    try_limit: Count | None = None
+    cancel: bool | None = None
+    second_copies: bool | None = None
+    max_retry_after_us: Whole | None = None
+    keepalive_us: Count | None = None
+    connect_timeout_us: Count | None = None
+    streams_per_conn: Count | None = None
+
+
+class Rules(Part):
+    """Figures of the rules."""
+
+    ask_within_us: Count | None = None
+    answer_slack_us: Whole | None = None
+    drain_grace_us: Whole | None = None
+    cold_share: Share | None = None
+    ramp_time_us: Count | None = None
+    fall_us: Count | None = None
+    overload_factor: Above | None = None
+    key_rest_us: Whole | None = None
+
+
+class Tenant(Part):
+    """A member, and the rate up to which its messages count in full."""
+
+    name: str
+    quota_per_s: Above
+    fraction: Share | None = None
+
+
+class SettingsTable(Part):
+    """The module's settings, under the platform's names."""
+
+    grades: Annotated[list[Grade], Meta(min_length=1)]
+    limits: Limits
+    kinds: list[str] = []
+    extra: Extra = msgspec.field(default_factory=Extra)
+    rules: Rules = msgspec.field(default_factory=Rules)
+    tenants: list[Tenant] = []
+    replicas_of_me: Count | None = None
+    over_share_worth: Share | None = None
+    weight_kind: Literal["silent", "nominal", "rough"] = "nominal"
+    membership_mode: Literal["pushed", "on_request"] = "pushed"
+    resolution_us: Count = 5000
+
+
+class PlatformTable(Part):
+    """Where the platform's front meets clients and discovery."""
+
+    listen: str
+    discovery: str
+
+
+class SourceTable(Part):
+    """Where one value of an OTLP request comes from."""
+
+    header: str = ""
+    attribute: str = ""
+    default: str = ""
+
+
+class MapTable(Part):
+    """Where each value comes from."""
+
+    cls: SourceTable = msgspec.field(default_factory=SourceTable, name="class")
+    tenant: SourceTable = msgspec.field(default_factory=SourceTable)
+    destination: SourceTable = msgspec.field(default_factory=SourceTable)
+    id: SourceTable = msgspec.field(default_factory=SourceTable)
+    left_ms: SourceTable = msgspec.field(default_factory=SourceTable)
+
+
+class OtlpTable(Part):
+    """The OTLP front."""
+
+    listen: str
+    map: MapTable
+    body_limit: Annotated[int, Meta(ge=1, le=900 * 1024)] = 256 * 1024
+    destinations: dict[str, Whole] = {}
+
+
+class ConsulTable(Part):
+    """Consul's agent, and the services or the tag."""
+
+    address: str
+    services: list[str] = []
+    tag: str = ""
+
+
+class ConsoleTable(Part):
+    """The console's socket."""
+
+    socket: str
+
+
+class InstanceTable(Part):
+    """An instance of a destination."""
+
+    name: str
+    address: str
+    kind: str
+    dest: Whole
+    rate: Annotated[float, Meta(ge=0)]
+    zone: str = ""
+
+
+class SiteFile(Part):
+    """The whole file."""
+
+    state: str
+    settings: SettingsTable
+    name: str = "rowanrack"
+    disk_mb: Above = 16.0
+    sockets: Count = 1024
+    platform: PlatformTable | None = None
+    otlp: OtlpTable | None = None
+    consul: ConsulTable | None = None
+    console: ConsoleTable | None = None
+    instance: list[InstanceTable] = []
+
+
+class SiteFileError(ValueError):
+    """The file cannot be used; the text names line, key, what was expected and what stood there."""
+
+
+WRONG = re.compile(r"^(?P<what>.*?)(?: - at `\$(?P<path>.*?)`)?$")
+STEP = re.compile(r"\.?([A-Za-z0-9_-]+)|\[(\d+|\.\.\.)\]")
+HEADER = re.compile(r"^\s*\[(\[?)\s*([^\]]+?)\s*\]\]?")
+
+
+def read(path: Path) -> SiteFile:
+    """The file's records. Raises SiteFileError, and OSError where it cannot be read."""
+    text = path.read_text(encoding="utf-8")
+    try:
+        doc = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise SiteFileError(f"no TOML: {error}") from None
+    try:
+        return msgspec.convert(doc, SiteFile)
+    except msgspec.ValidationError as error:
+        raise SiteFileError(explain(str(error), doc, text)) from None
+
+
+def explain(said: str, doc: dict[str, Any], text: str) -> str:
+    """msgspec's words as an operator's: the line, the key, what was expected and what stands there."""
+    found = WRONG.match(said)
+    assert found is not None
+    what, steps = found["what"], [a or b for a, b in STEP.findall(found["path"] or "")]
+    if named := re.search(r"unknown field `(.+?)`", what):
+        steps.append(named[1])
+        what = "unknown key"
+    elif named := re.search(r"missing required field `(.+?)`", what):
+        return f"{'.'.join([*steps, named[1]])} is missing"
+    else:
+        what = what[:1].lower() + what[1:].replace("`", "").replace(", got ", ", not ")
+        value: Any = doc
+        for step in steps:
+            value = value[int(step)] if isinstance(value, list) and step.isdigit() else value.get(step)
+        if not isinstance(value, dict | list):
+            what += f" ({value!r})"
+    line = line_of(text, steps)
+    return f"{f'line {line}: ' if line else ''}{'.'.join(steps)}: {what}"
+
+
+def line_of(text: str, steps: list[str]) -> int | None:
+    """The line on which a key stands, as far as tables and arrays of tables tell; None if it is not found."""
+    wanted, key = steps[:-1], steps[-1] if steps else ""
+    here: list[str] = []
+    counts: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), 1):
+        if head := HEADER.match(line):
+            name = head[2].strip()
+            here = [part.strip().strip('"') for part in name.split(".")]
+            if head[1]:
+                counts[name] = counts.get(name, -1) + 1
+                here.append(str(counts[name]))
+            if here == steps:
+                return number
+        elif here == wanted and re.match(rf"\s*\"?{re.escape(key)}\"?\s*=", line):
+            return number
+    return None
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -277,6 +277,18 @@
     assert (config.seed, config.disk_bytes, config.tick_us) == (0x8C1F, 2_000_000, 5000)
 
 
+SITE = """[[settings.grades]]
+name='order'
+slo_us=1
+deadline_us=2
+worth=1.0
+late_worth=0.5
+effect='fragile'
+[settings.limits]
+most_held=20
+"""
+
+
 def test_the_operators_example_is_in_order() -> None:
     path = Path(__file__).parent.parent / "deploy" / "operator.example.toml"
     config = operator_config(path)
@@ -288,9 +300,16 @@
     [
         ("", "state"),
         ("x=", "TOML"),
-        ("sokets=9", "sokets"),
-        ("state='/nowhere'", "folder"),
-        ("state='.'", "settings"),
+        ("sokets=9", "line 1: sokets: unknown key"),
+        (f"state='/nowhere'\n{SITE}", "folder"),
+        ("state='.'", "settings is missing"),
+        (f"state='.'\n{SITE}[settings.extra]\nslotz=16", "line 12: settings.extra.slotz: unknown key"),
+        (f"state='.'\n{SITE}tri_limit=6", "line 11: settings.limits.tri_limit: unknown key"),
+        (f"state='.'\n{SITE}".replace("20", "'many'"), "line 10: settings.limits.most_held: expected int"),
+        (f"state='.'\n{SITE}".replace("'fragile'", "'odd'"), "line 8: settings.grades.0.effect: invalid"),
+        (f"state='.'\n{SITE}[[instance]]\nname='a'", "instance.0.address is missing"),
+        (f"state='.'\ndisk_mb=0\n{SITE}", "line 2: disk_mb: expected float > 0"),
+        (f"state='.'\n{SITE}[consul]\naddress='a:1'", "name either services or a tag"),
     ],
 )
 def test_a_bad_operators_file_ends_the_program_with_one_line(tmp_path: Path, text: str, word: str) -> None:
@@ -299,3 +318,13 @@
     command = [sys.executable, "-m", "rowanrack", "serve", "--config", str(path)]
     ran = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
     assert ran.returncode != 0 and ran.stderr.count("\n") == 1 and word in ran.stderr
+
+
+def test_check_prints_what_is_in_effect_and_what_stands_as_usual(tmp_path: Path) -> None:
+    path = tmp_path / "o.toml"
+    path.write_text(f"state='.'\n{SITE}")
+    command = [sys.executable, "-m", "rowanrack", "check", "--config", str(path), "--json"]
+    shown = json.loads(subprocess.run(command, capture_output=True, timeout=60, check=True).stdout)
+    assert shown["settings.most_held"] == {"value": 20, "default": False}
+    assert shown["settings.replicas"] == {"value": 1, "default": True}
+    assert shown["settings.classes"]["value"]["order"]["effect"] == "unsafe"
