--- a/rowanrack/model/engine.py
+++ b/rowanrack/model/engine.py
@@ -7,6 +7,8 @@
 from heapq import heappop, heappush
 from random import Random
 
+from rowanrack.core.wheel import WheelTimer
+
 SECOND = 1_000_000  # microseconds
 
 
@@ -14,35 +16,22 @@
     """A run has made more steps than its bound: something goes round for ever."""
 
 
-class Timer:
-    """Something that will happen, unless it is cancelled."""
-
-    __slots__ = ("action",)
-
-    def __init__(self, action: Callable[[], None]) -> None:
-        self.action: Callable[[], None] | None = action
-
-    def cancel(self) -> None:
-        """It will not happen."""
-        self.action = None
-
-
 class Engine:
     """The clock of one run. Ties go by the order in which things were asked for."""
 
     def __init__(self, most_steps: int) -> None:
         self.now, self.steps, self.most_steps = 0, 0, most_steps
-        self._heap: list[tuple[int, int, Timer]] = []
+        self._heap: list[tuple[int, int, WheelTimer]] = []
         self._turn = 0
 
-    def at(self, due_us: int, action: Callable[[], None]) -> Timer:
+    def at(self, due_us: int, action: Callable[[], None]) -> WheelTimer:
         """Do this at that time, or now if it has passed."""
-        timer = Timer(action)
+        timer = WheelTimer(action)
         self._turn += 1
         heappush(self._heap, (max(due_us, self.now), self._turn, timer))
         return timer
 
-    def after(self, delay_us: float, action: Callable[[], None]) -> Timer:
+    def after(self, delay_us: float, action: Callable[[], None]) -> WheelTimer:
         """Do this after so long."""
         return self.at(self.now + int(delay_us), action)
 
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -4,9 +4,10 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import End, Ending, Execution, Message, Nack
+from rowanrack.core.wheel import WheelTimer
 from rowanrack.model.calls import Calls
 from rowanrack.model.discovery import Discovery
-from rowanrack.model.engine import Engine, Timer, chance
+from rowanrack.model.engine import Engine, chance
 from rowanrack.model.history import Entry, History
 from rowanrack.model.network import Network
 from rowanrack.model.partner import Place
@@ -67,7 +68,7 @@
         self.discovery, self.shelf, self.life = discovery, Shelf(), object()
         self.handshakes = self.crossings = self.lives = 0
         self.alive = False
-        self._wake: Timer | None = None
+        self._wake: WheelTimer | None = None
         self._wake_at = 0
         self.start()
 
