Bound the loop's turns: what is owed first, and strangers kept to their share

Cause: asyncio serves everything that is ready in one turn and let one new connection in per turn. On a quarter of a core with 200 to 400 clients that made turns of hundreds of milliseconds and kept some clients out for six seconds; notices came up to 0.5 s late as each line waited for turns to see its 204. Silent and leaving clients' cost was counted and not bounded, and refusing all or none of the new messages swung.

Change: net/turns.py is the loop's selector: our own connections first, then 16 clients and 16 strangers a turn, those that have waited longest first; the wait goes to the governor. Up to 16 connections are taken a turn, one that has left already is dropped at once. `python -m benchmarks full` follows every message that was taken to its end by the stand-ins' books.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,4 +1,4 @@
-"""The benchmarks' command line: `python -m benchmarks rounds|loopback [--json FILE] [--plot FILE]`."""
+"""The benchmarks' command line: `python -m benchmarks rounds|loopback|full [--json FILE] [--plot FILE]`."""
 
 from __future__ import annotations
 
@@ -65,6 +65,20 @@
     Console(stderr=quiet, width=max(console.width, 10 * len(columns))).print(table)
 
 
+def run_plans(plans: list[Plan]) -> Rows:
+    """Measure one after the other."""
+    rows: Rows = []
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task("loopback", total=len(plans))
+        for plan in plans:
+            try:
+                rows.append(measure(plan))
+            except (RuntimeError, OSError, ValueError) as error:
+                raise SystemExit(f"benchmarks: {plan.label}: {error}") from None
+            progress.advance(task)
+    return rows
+
+
 @main.command()
 @TREES
 @JSON
@@ -125,15 +139,7 @@
             most = Plan(tree, name, seconds=seconds, warm_s=warm)
             beside = replace(most, rate=rate / most.clients, neighbours=neighbours, answer_ms=20.0)
             plans += [most, *(replace(beside, bad=count) for count in map(int, bad.split(",")))]
-    rows: Rows = []
-    with Progress(console=Console(stderr=True), transient=True) as progress:
-        task = progress.add_task("loopback", total=len(plans))
-        for plan in plans:
-            try:
-                rows.append(measure(plan))
-            except (RuntimeError, OSError, ValueError) as error:
-                raise SystemExit(f"benchmarks: {plan.label}: {error}") from None
-            progress.advance(task)
+    rows = run_plans(plans)
     columns = {"tree": "label", "rate": "rate", "bad": "bad", "neighbours": "neighbours"}
     columns |= {"taken/s": "taken_per_s", "delivered/s": "delivered_per_s", "refused/s": "refused_per_s"}
     columns |= {"CPU ms/message": "cpu_ms_per_message", "CPU": "cpu_share", "answer p50 ms": "answer_p50_ms"}
@@ -144,5 +150,65 @@
     finish(rows, where, plot, draw_loopback)
 
 
+@main.command()
+@TREES
+@JSON
+@PLOT
+@click.option("--seconds", default=6.0, show_default=True, help="Measured in each case.")
+@click.option("--warm", default=2.0, show_default=True, help="Seconds of warm-up before.")
+@click.option("--neighbours", default=3, show_default=True, help="Busy processes on the sender's core.")
+@click.option("--rates", default="300,1200,2400,4800", show_default=True, help="Messages a second, offered.")
+@click.option("--kinds", default="bad,silent,leaving,drip", show_default=True, help="Of 200 bad clients.")
+@click.option("--clients", default=400, show_default=True, help="Usual clients, by whom these are handed in.")
+@click.option(
+    "--strangers", default=200, show_default=True, help="Bad clients of a kind, beside the first rate."
+)
+def full(
+    against: Path | None,
+    where: Path | None,
+    plot: Path | None,
+    seconds: float,
+    warm: float,
+    neighbours: int,
+    rates: str,
+    kinds: str,
+    clients: int,
+    strangers: int,
+) -> None:
+    """A core that is really full: what is shed, and whether everything that is owed has its end in time."""
+    plans = []
+    for name, tree in trees(against).items():
+        base = Plan(
+            tree,
+            name,
+            clients=clients,
+            neighbours=neighbours,
+            seconds=seconds,
+            warm_s=warm,
+            answer_ms=20.0,
+            deadline_ms=3_000,
+            settle=True,
+        )
+        offered = [float(r) / clients for r in rates.split(",")]
+        plans += [replace(base, rate=rate, kind="none") for rate in offered]
+        plans += [
+            replace(base, rate=offered[0], kind=kind, bad=strangers) for kind in kinds.split(",") if kind
+        ]
+    rows = run_plans(plans)
+    for row in rows:
+        row["offered_per_s"] = row["rate"] * row["clients"]
+    columns = {"tree": "label", "offered/s": "offered_per_s", "strangers": "kind", "taken/s": "taken_per_s"}
+    columns |= {"refused/s": "refused_per_s", "early": "refused_early", "CPU": "cpu_share"}
+    columns |= {"p50 ms": "answer_p50_ms", "p99 ms": "answer_p99_ms", "over 400 ms/s": "late_answers_per_s"}
+    columns |= {"owed": "owed", "lost": "lost", "late": "late_ends", "latest ms": "latest_end_ms"}
+    show(rows, {**columns, "notices": "noticed", "parted/s": "bad_parted_per_s"}, str(where) == "-")
+    for row in rows:
+        for line in row["governor"]:
+            click.echo(f"{row['label']}, {row['offered_per_s']:.0f}/s, {row['kind']}: {line}", err=True)
+    from benchmarks.plots import draw_full
+
+    finish(rows, where, plot, draw_full)
+
+
 if __name__ == "__main__":
     main(prog_name="python -m benchmarks")
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from operator import itemgetter
 from pathlib import Path
 from typing import Any
 
@@ -61,3 +62,40 @@
     right.set_title("On part of a core, at a rate")
     right.legend(fontsize=8)
     figure.savefig(path)
+
+
+def draw_full(rows: Rows, path: Path) -> None:
+    """What became of what was offered to a full core, and the time to the answer beside strangers."""
+    figure, (left, right) = plt.subplots(1, 2, figsize=(10, 4.2), layout="constrained")
+    labels = list(dict.fromkeys(r["label"] for r in rows))
+    for name in labels:
+        mine = sorted((r for r in rows if r["label"] == name and r["kind"] == "none"), key=itemgetter("rate"))
+        offered = [r["offered_per_s"] for r in mine]
+        useful = [r["taken_per_s"] for r in mine]
+        late = [r["late_answers_per_s"] for r in mine]
+        left.plot(offered, useful, marker="o", color=COLOURS[name], label=f"{NAMES[name]}: taken")
+        left.plot(
+            offered, late, "--", marker="x", color=COLOURS[name], label=f"{NAMES[name]}: answered too late"
+        )
+    left.set(xlabel="messages offered a second", ylabel="a second", title="Offered to a part of a core")
+    left.grid(alpha=0.3)
+    left.legend(fontsize=8)
+    kinds = list(dict.fromkeys(r["kind"] for r in rows if r["kind"] != "none"))
+    for place, name in enumerate(labels):
+        for at, kind in enumerate(kinds):
+            for r in (r for r in rows if r["label"] == name and r["kind"] == kind):
+                x = at + (place - (len(labels) - 1) / 2) * 0.35
+                bar = right.bar(
+                    x, r["answer_p99_ms"], width=0.3, color=COLOURS[name], label=None if at else NAMES[name]
+                )
+                right.plot([x - 0.15, x + 0.15], [r["answer_p50_ms"]] * 2, color="black")
+                right.bar_label(bar, fmt="%.0f", fontsize=8)
+    right.axhline(400, color="grey", linewidth=0.8)
+    right.set_xticks(range(len(kinds)), [f"{kind}" for kind in kinds])
+    right.set(
+        yscale="log",
+        ylabel="ms to the answer: p99 (bar), median (line)",
+        title="Usual clients, by strangers beside",
+    )
+    right.legend(fontsize=8)
+    figure.savefig(path)
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -20,6 +20,7 @@
 from rowanrack import __version__
 from rowanrack.app import serve as serve_config
 from rowanrack.config import Config, ConfigError, operator_config, platform_config
+from rowanrack.net.turns import FairLoop
 from rowanrack.store.journal import Journal, JournalError
 
 LOG_FORMAT = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
@@ -98,7 +99,8 @@
     """Run a sender until SIGTERM."""
     logging.basicConfig(level=logging.INFO, format=LOG_FORMAT, datefmt="%H:%M:%S", stream=sys.stderr)
     try:
-        asyncio.run(serve_config(lambda: read_config(path)))
+        with asyncio.Runner(loop_factory=FairLoop) as runner:
+            runner.run(serve_config(lambda: read_config(path)))
     except (ConfigError, JournalError) as error:
         raise SystemExit(f"rowanrack: {error}") from None
 
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -12,7 +12,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from contextlib import suppress
 from enum import Enum
 from typing import Any
@@ -23,6 +23,7 @@
 from rowanrack.net.rare_log import RareLog
 from rowanrack.net.stream import Stream, stream_protocol
 from rowanrack.net.timing import pause, time_limit
+from rowanrack.net.turns import Rank, Turns, turns_of
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
 SPARED_US = 200_000  # a connection that owes a request so long may have to make room for another
 KEPT_US = 250_000  # and one between requests after so long, the one that is unused longest first
 CROWDED = 0.4  # part of all connections from which idle ones are closed ahead of need
+AT_ONCE = 16  # connections that are taken in one turn of the loop
 FULL_US = 20_000  # between looks for room
 CONNECTION_US = 60.0  # that the loop itself uses for a connection, from its transport to its end: measured
 LINGER_US = 1_000_000  # for which a connection stays after its last answer, for the client to close it
@@ -48,6 +50,22 @@
     LEAVING = "leaving"  # its last answer is written
 
 
+def has_left(accepted: socket.socket) -> bool:
+    """Whether a client has gone again without a word; its socket is then closed.
+
+    Guards the loop against clients that connect and leave: a transport and a task cost ten times this.
+    """
+    try:
+        left = not accepted.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        left = False  # it is there, and has said nothing yet
+    except OSError:
+        left = True
+    if left:
+        accepted.close()
+    return left
+
+
 class Listener(ABC):
     """Serves each connection until it ends; a failure ends only its own connection."""
 
@@ -65,6 +83,7 @@
         self._rare = RareLog(log)
         self._bad = RareLog(log)
         self._penalties = 0
+        self._turns: Turns | None = None
         self._strangers: dict[Stream, float] = {}  # without a good request: microseconds used by each so far
         self._accepting_us = 0.0  # used for connections since the last one was taken
 
@@ -77,6 +96,7 @@
         self.exchange.knock()
         if state is State.IDLE and (used := self._strangers.pop(stream, None)) is not None:
             self.governor.spent(-used)
+            self._rank(stream, Rank.CLIENT)
         if stream not in self.streams or self.streams[stream][0] is not state:
             self.streams.pop(stream, None)
             self.streams[stream] = state, self._now()
@@ -97,6 +117,9 @@
     def serve_on(self, opened: socket.socket) -> None:
         """Serve on a socket that is bound."""
         opened.listen(BACKLOG)
+        self._turns = turns_of(asyncio.get_running_loop())
+        if self._turns is not None:
+            self._turns.keeper = self.governor
         opened.setblocking(False)
         accepting = self._start(self._accepting(opened))
         # Not before: until its cancelling has run, the loop still watches the socket's number.
@@ -127,6 +150,7 @@
         """
         self._bad.warning("a client's input is refused: %s", why)
         self._strangers.setdefault(stream, 0.0)
+        self._rank(stream, Rank.STRANGER)
         self.mark(stream, State.BUSY)
         if self._penalties < self.governor.penalties(self.most):
             self._penalties += 1
@@ -160,17 +184,45 @@
                     self._rare.warning("%d clients are connected (%s), others wait", self.most, what)
                     await pause(self.after, FULL_US)
                 self.exchange.knock()
-                accepted, _ = await loop.sock_accept(opened)
-                try:
-                    await loop.connect_accepted_socket(lambda: stream_protocol(self._accept), accepted)
-                except BaseException:
-                    accepted.close()
-                    raise
+                if wait_us := self.governor.pace_us(self._now()):
+                    await pause(self.after, wait_us)
+                first, _ = await loop.sock_accept(opened)
+                # Guards new clients of a full core, whose turns are long, against one connection a turn.
+                taken = [
+                    accepted for accepted in (first, *self._others_at_once(opened)) if not has_left(accepted)
+                ]
+                await asyncio.gather(*(self._connect(accepted) for accepted in taken))
             except OSError as error:
                 # Guards the port against a client that is gone again, and against a lack of descriptors.
                 self._rare.warning("a connection was not accepted: %s", error.strerror or error)
                 await pause(self.after, FULL_US)
 
+    def _others_at_once(self, opened: socket.socket) -> Iterator[socket.socket]:
+        """More connections that stand ready, while there is room and strangers keep to their share."""
+        for count in range(1, AT_ONCE):
+            if len(self.streams) + count >= self.most or self.governor.pace_us(self._now()):
+                return
+            try:
+                accepted, _ = opened.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            accepted.setblocking(False)
+            yield accepted
+
+    async def _connect(self, accepted: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            await Metered(self._made(loop, accepted), self._charge_accepting)
+        except OSError as error:
+            self._rare.warning("a connection was not accepted: %s", error.strerror or error)
+
+    async def _made(self, loop: asyncio.AbstractEventLoop, accepted: socket.socket) -> None:
+        try:
+            await loop.connect_accepted_socket(lambda: stream_protocol(self._accept), accepted)
+        except BaseException:
+            accepted.close()
+            raise
+
     def _make_room(self) -> bool:
         """Part with a connection that nobody misses: silent ones must not keep the usual clients out."""
         now = self._now()
@@ -206,6 +258,7 @@
 
     def _accept(self, stream: Stream) -> None:
         self.governor.spent(CONNECTION_US)
+        self._rank(stream, Rank.STRANGER)
         self._strangers[stream], self._accepting_us = self._accepting_us + CONNECTION_US, 0.0
         self.mark(stream, State.OWING)
         self._start(self._serve(stream))
@@ -230,6 +283,17 @@
         if (used := self._strangers.get(stream)) is not None:
             self._strangers[stream] = used + us
             self.governor.spent(us)
+            self._rank(stream, Rank.STRANGER, used + us)
+            state = self.streams.get(stream, (State.LEAVING, 0))[0]
+            if state is State.OWING and not stream.closing and self.governor.used_up(used + us):
+                # Guards a full core against requests that come in by single bytes.
+                self._bad.warning("a client's input is refused: its request takes too much time to read")
+                stream.send_last(self.too_slow)
+                stream.close_at_once()
+
+    def _rank(self, stream: Stream, rank: Rank, used_us: float = 0.0) -> None:
+        if self._turns is not None and (descriptor := stream.descriptor) >= 0:
+            self._turns.rank(descriptor, rank, used_us)
 
     def _start(self, serving: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         # A task of our own: asyncio reports the cancelling of its own ones as errors.
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -38,9 +38,7 @@
 class Stream:
     """One connection. Reads fill the inward ring; writes pass the outward ring and reach the kernel."""
 
-    def __init__(
-        self, reader: CountingReader, writer: asyncio.StreamWriter, limit: int = RING_LIMIT
-    ) -> None:
+    def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter, limit: int = RING_LIMIT) -> None:
         self._reader, self._writer = reader, writer
         self._read = 0
         self.inward, self.outward = RingBuffer(limit), RingBuffer(limit)
@@ -114,6 +112,12 @@
         """
         self._writer.write(data)
 
+    @property
+    def descriptor(self) -> int:
+        """The number of its socket, or -1 once that is closed."""
+        sock = self._writer.get_extra_info("socket")
+        return -1 if sock is None or self.closing else int(sock.fileno())
+
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, as far as is known."""
--- /dev/null
+++ b/rowanrack/net/turns.py
@@ -0,0 +1,116 @@
+"""The loop's turns: which of the connections that stand ready are served in each, and in which order.
+
+asyncio serves everything that is ready in one turn, so that with hundreds of clients at once a turn takes
+hundreds of milliseconds, and partners' answers, confirmations and timers wait for all of it. Here a turn
+takes all of our own connections first, then a bounded number of clients' ones, those that have waited longest
+first. Clients without a good request yet come by what they have used so far, so that new ones pass those that
+send a request by single bytes, and get less than the others once they use more than their share of a full
+core.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import time
+from enum import IntEnum
+from typing import Any, Protocol
+
+CLIENTS = 16  # connections of usual clients, and as many new ones, that are served in a turn
+FEW = 4  # new ones while strangers use more than their share
+
+STEP_US = 500  # of time used, by which new ones are told apart
+
+Ready = list[tuple[selectors.SelectorKey, int]]
+
+
+class Rank(IntEnum):
+    """Whose connection it is."""
+
+    OURS = 0  # to instances, discovery and the platform; listening ports; the console
+    CLIENT = 1
+    STRANGER = 2  # a client without a good request so far
+
+
+class Keeper(Protocol):
+    """What `rowanrack.load.governor.Governor` knows of time."""
+
+    def ran(self, now_us: int, late_us: int) -> None:
+        """Something ran so late."""
+
+    def pace_us(self, now_us: int) -> int:
+        """More than 0 while strangers use more than their share."""
+
+
+class Turns(selectors.EpollSelector):
+    """A selector that knows the rank of each connection; one without a rank is ours."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.keeper: Keeper | None = None
+        self._ranks: dict[int, Rank] = {}
+        self._used: dict[int, int] = {}  # by strangers, in steps
+        self._since: dict[
+            int, float
+        ] = {}  # ready connections that were left for a later turn, and since when
+
+    def rank(self, descriptor: int, rank: Rank, used_us: float = 0.0) -> None:
+        """Set the rank of a connection and what it has used, until it is not watched any more."""
+        self._ranks[descriptor] = rank
+        self._used[descriptor] = int(used_us) // STEP_US
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        """Guards a descriptor that comes again for something else against the old one's rank."""
+        key = super().unregister(fileobj)
+        self._ranks.pop(key.fd, None)
+        self._used.pop(key.fd, None)
+        self._since.pop(key.fd, None)
+        return key
+
+    def select(self, timeout: float | None = None) -> Ready:
+        """Those to be served in this turn."""
+        ready = super().select(timeout)
+        if len(ready) <= FEW and not self._since:
+            return ready
+        return self._turn(ready, time.monotonic())
+
+    def _turn(self, ready: Ready, now: float) -> Ready:
+        ours: Ready = []
+        clients: Ready = []
+        strangers: Ready = []
+        queues = (ours, clients, strangers)
+        for item in ready:
+            queues[self._ranks.get(item[0].fd, Rank.OURS)].append(item)
+        since, self._since = self._since, {}
+        oldest = self._cut(clients, CLIENTS, since, now)
+        pressing = (
+            len(strangers) > FEW and self.keeper is not None and self.keeper.pace_us(int(now * 1e6)) > 0
+        )
+        waited = self._cut(strangers, FEW if pressing else CLIENTS, since, now)
+        if not pressing:  # else the wait is theirs alone
+            oldest = max(oldest, waited)
+        if oldest and self.keeper is not None:
+            self.keeper.ran(int(now * 1e6), int(oldest * 1e6))
+        return ours + clients + strangers
+
+    def _cut(self, queue: Ready, most: int, since: dict[int, float], now: float) -> float:
+        """Leave in a queue those that are served now; returns for how long one of them has waited, in s."""
+        if len(queue) > most:
+            queue.sort(key=lambda item: (self._used.get(item[0].fd, 0), since.get(item[0].fd, now)))
+            for key, _ in queue[most:]:
+                self._since[key.fd] = since.get(key.fd, now)
+            del queue[most:]
+        return max((now - since.get(key.fd, now) for key, _ in queue), default=0.0)
+
+
+class FairLoop(asyncio.SelectorEventLoop):
+    """asyncio's loop with such turns."""
+
+    def __init__(self) -> None:
+        self.turns = Turns()
+        super().__init__(self.turns)
+
+
+def turns_of(loop: asyncio.AbstractEventLoop) -> Turns | None:
+    """The turns of a loop; None for one that takes all as it comes."""
+    return loop.turns if isinstance(loop, FairLoop) else None
