Record what a sender does, fit the model to it, and judge how far the model is off

Change: the exchange tells an observer; `[record]` in the operator's file writes blocks of records through a thread, bounded on disk, checked by blake3, with neither bodies nor ids; a full disk ends it with one line. `rowanrack model calibrate` fits limits by replaying calls, service times, outages and slow spans, writes a scenario with the recorded arrivals, and judges it per class; `compare` says NOT REPRODUCED first where that was not shown.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,9 +1,11 @@
-"""The benchmarks' command line: `python -m benchmarks rounds|loopback|full [--json FILE] [--plot FILE]`."""
+"""The benchmarks' command line: `python -m benchmarks COMMAND [--json FILE] [--plot FILE]`."""
 
 from __future__ import annotations
 
 import json
+import math
 import os
+import random
 import subprocess
 import sys
 from collections.abc import Callable
@@ -16,6 +18,7 @@
 from rich.progress import Progress
 from rich.table import Table
 
+from benchmarks.growth import measure as measure_growth
 from benchmarks.loopback import HERE, Plan, measure
 
 Rows = list[dict[str, Any]]
@@ -210,5 +213,77 @@
     finish(rows, where, plot, draw_full)
 
 
+@main.command()
+@JSON
+@PLOT
+@click.option("--dests", default="10,50,200,1000,5000", show_default=True, help="Destinations, by 3 senders.")
+@click.option("--senders", default="1,3,10,30,100", show_default=True, help="Senders, with 200 destinations.")
+def growth(where: Path | None, plot: Path | None, dests: str, senders: str) -> None:
+    """How the model's cost grows with destinations and with senders."""
+    cases = [("dests", int(d), 3) for d in dests.split(",")]
+    cases += [("senders", 200, int(s)) for s in senders.split(",")]
+    rows: Rows = []
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task("growth", total=len(cases))
+        for over, many, by in cases:
+            try:
+                rows.append({"over": over, **measure_growth(many, by)})
+            except RuntimeError as error:
+                raise SystemExit(f"benchmarks: {many} destinations, {by} senders: {error}") from None
+            progress.advance(task)
+    columns = {"destinations": "dests", "senders": "senders", "messages": "items", "CPU s": "cpu_s"}
+    columns |= {"messages/s of CPU": "per_s", "us a step": "us_per_step", "MB": "memory_mb", "rules": "rules"}
+    show(rows, columns, str(where) == "-")
+    from benchmarks.plots import draw_growth
+
+    finish(rows, where, plot, draw_growth)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--seconds", default=30.0, show_default=True)
+@click.option("--rate", default=60.0, show_default=True, help="Messages a second, offered by 100 clients.")
+@click.option("--dests", default=20, show_default=True, help="Destinations.")
+@click.option("--seed", default=1, show_default=True, help="Of the partners' figures.")
+def recorded(folder: Path, seconds: float, rate: float, dests: int, seed: int) -> None:
+    """Let a sender record a run among partners with limits and a silence; then `model calibrate FOLDER`.
+
+    The partners' true figures go to FOLDER/true.json, which nothing reads.
+    """
+    rng = random.Random(seed)
+    even = rate / dests
+    figures = tuple(
+        {
+            "seed": rng.random(),
+            "rate": even * rng.choice((0.7, 1.1, 1.6, 3.0)),
+            "told": rng.choice((0.0, 0.5, 1.0)),
+            "wait_s": (0.3, 0.7),
+            "mu": math.log(rng.uniform(0.03, 0.2)),
+            "sigma": rng.uniform(0.2, 0.5),
+            "silent_s": (seconds * 0.4, seconds * 0.6) if n in (2, 3) else (),
+        }
+        for n in range(dests)
+    )
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "true.json").write_text(json.dumps(figures, indent=1) + "\n")
+    plan = Plan(
+        HERE,
+        "this",
+        clients=100,
+        rate=rate / 100,
+        seconds=seconds,
+        warm_s=0.0,
+        dests=dests,
+        figures=figures,
+        deadline_ms=6_000,
+        settle=True,
+        slots=30,
+        record=folder,
+    )
+    (row,) = run_plans([plan])
+    columns = {"taken/s": "taken_per_s", "delivered/s": "delivered_per_s", "refused/s": "refused_per_s"}
+    show([row], {**columns, "owed": "owed", "lost": "lost", "late": "late_ends", "notices": "noticed"}, False)
+
+
 if __name__ == "__main__":
     main(prog_name="python -m benchmarks")
--- a/benchmarks/loopback.py
+++ b/benchmarks/loopback.py
@@ -77,6 +77,9 @@
     answer_ms: float = 0.0
     kind: str = "bad"  # of the bad clients: see `peers.bad_client`
     deadline_ms: int = 15_000
+    slots: int = 200
+    figures: tuple[dict[str, Any], ...] = ()  # of each destination's partner, told to nobody else
+    record: Path | None = None  # a folder for the sender's recording
     settle: bool = False  # wait for the end of every message that was taken, and judge it
 
 
@@ -202,17 +205,28 @@
         port, discovery, *ports = free_ports(2 + plan.dests)
         hosts = [
             {"host": f"p{n}", "dial": f"127.0.0.1:{p}", "site": "a", "class": "print-lab", "block": n,
-             "health": "SERVING", "share": 500.0, "born_ms": 0}
+             "health": "SERVING", "share": plan.figures[n]["rate"] if plan.figures else 500.0, "born_ms": 0}
             for n, p in enumerate(ports)
         ]  # fmt: skip
         notices = stack.enter_context(peer("discovery", {"port": discovery, "hosts": hosts}, others))
         partners = stack.enter_context(
-            peer("partners", {"ports": ports, "answer_ms": plan.answer_ms}, others)
+            peer(
+                "partners",
+                {
+                    "ports": ports,
+                    "answer_ms": plan.answer_ms,
+                    "figures": dict(zip(ports, plan.figures, strict=False)),
+                },
+                others,
+            )
         )
         state = Path(folder) / "state"
         state.mkdir()
         config = Path(folder) / "site.toml"
-        config.write_text(SETTINGS.format(state=str(state), port=port, discovery=discovery, slots=200))
+        text = SETTINGS.format(state=str(state), port=port, discovery=discovery, slots=plan.slots)
+        if plan.record is not None:
+            text += f'[record]\nfolder = "{plan.record}"\n'
+        config.write_text(text)
         log = stack.enter_context((Path(folder) / "log").open("w+"))
         sender = Child(
             [sys.executable, "-m", "rowanrack", "serve", "--config", str(config)], {mine}, plan.tree, log
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -12,7 +12,7 @@
 import signal
 import sys
 import time
-from typing import Any
+from typing import Any, ClassVar
 
 from hdrh.histogram import HdrHistogram
 
@@ -56,11 +56,37 @@
         }
 
 
+class Partner:
+    """A destination's true figures: a rate with its burst, told waits, answers' times, a silence."""
+
+    def __init__(self, figures: dict[str, Any]) -> None:
+        self.figures, self.random = figures, random.Random(figures["seed"])
+        self.tokens = self.most = max(2.0, figures["rate"])
+        self.filled = self.began = time.monotonic()
+
+    def answer(self) -> tuple[float, bytes] | None:
+        """After how long, and what; None for no answer at all."""
+        now, f = time.monotonic(), self.figures
+        if f["silent_s"] and f["silent_s"][0] <= now - self.began < f["silent_s"][1]:
+            return None
+        self.tokens = min(self.most, self.tokens + f["rate"] * (now - self.filled))
+        self.filled = now
+        if self.tokens < 1:
+            if self.random.random() < f["told"]:
+                wait = max((1 - self.tokens) / f["rate"], self.random.uniform(*f["wait_s"]))
+                head = b"HTTP/1.1 429 Too Many\r\nX-Retry-In-Ms: %d\r\n" % (wait * 1000 + 1)
+                return 0.002, head + b"Content-Length: 0\r\n\r\n"
+            return 0.002, b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        self.tokens -= 1
+        return self.random.lognormvariate(f["mu"], f["sigma"]), OK
+
+
 class HttpPeer(asyncio.Protocol):
     """Reads requests by their lengths and answers each, after a while if that is asked for."""
 
     book: Book
     delay_s = 0.0
+    partners: ClassVar[dict[int, Partner]] = {}  # by port
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
@@ -84,7 +110,11 @@
         self.book.count("calls")
         if (at := head.find(b"x-txn:")) >= 0:
             self.book.note(head[at + 6 :].split(b"\r\n", 1)[0].strip().decode())
-        if self.delay_s:
+        port = self.transport.get_extra_info("sockname")[1]
+        if (partner := self.partners.get(port)) is not None:
+            if (said := partner.answer()) is not None:
+                asyncio.get_running_loop().call_later(said[0], self.write, said[1])
+        elif self.delay_s:
             asyncio.get_running_loop().call_later(self.delay_s, self.write, OK)
         else:
             self.write(OK)
@@ -239,6 +269,7 @@
     match role:
         case "partners":
             HttpPeer.delay_s = options["answer_ms"] / 1000
+            HttpPeer.partners = {int(p): Partner(f) for p, f in options.get("figures", {}).items()}
             for port in options["ports"]:
                 await loop.create_server(HttpPeer, "127.0.0.1", port)
         case "discovery":
--- a/benchmarks/plots.py
+++ b/benchmarks/plots.py
@@ -99,3 +99,16 @@
     )
     right.legend(fontsize=8)
     figure.savefig(path)
+
+
+def draw_growth(rows: Rows, path: Path) -> None:
+    """Simulated messages a second of CPU over the fleet's size."""
+    figure, panels = plt.subplots(1, 2, figsize=(9, 4), layout="constrained", sharey=True)
+    titles = {"dests": "destinations, by 3 senders", "senders": "senders, for 200 destinations"}
+    for axes, over in zip(panels, titles, strict=True):
+        mine = sorted((r for r in rows if r["over"] == over), key=itemgetter(over))
+        axes.plot([r[over] for r in mine], [r["per_s"] for r in mine], marker="o", color=COLOURS["this"])
+        axes.set(xscale="log", yscale="log", xlabel=titles[over])
+        axes.grid(alpha=0.3)
+    panels[0].set_ylabel("simulated messages a second of CPU")
+    figure.savefig(path)
--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig, needs_restart
+from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig, RecordConfig, needs_restart
 from rowanrack.console.server import ConsoleServer
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
+    from rowanrack.record.recorder import Recorder
 
 log = logging.getLogger(__name__)
 
@@ -74,10 +75,13 @@
         self.console: ConsoleServer | None = None
         self.notices: Notices | None = None
         self.otlp: OtlpServiceClients | None = None
+        self.recorder: Recorder | None = None
 
     async def start(self) -> None:
         """Replay the journal, own what is owed, and open the ports."""
         self.journal.open()
+        if self.config.record is not None:
+            self._start_recorder(self.config.record)
         owed = list(self.journal.owed.values())
         if self.config.platform is not None:
             self._start_platform(self.config.platform)
@@ -124,6 +128,12 @@
             notices.tell(message_id, end)
         exchange.list_instances(Scope.FULL, platform.known)
 
+    def _start_recorder(self, record: RecordConfig) -> None:
+        from rowanrack.record.recorder import recorder  # msgspec, blake3: only where they are used
+
+        self.recorder = recorder(self.config.name, self.exchange, record.folder, record.most_bytes)
+        self.recorder.start()
+
     def _start_otlp(self, otlp: OtlpConfig) -> None:
         # Imported only where it is set up: protobuf's classes take memory that the platform counts.
         from rowanrack.fronts.otlp.calls import OtlpForm
@@ -189,6 +199,8 @@
         for source in (self.watch, self.consul, self.notices):
             if source is not None:
                 source.close()
+        if self.recorder is not None:
+            self.recorder.close()
         self.journal.close()
 
 
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -6,9 +6,7 @@
 import dataclasses
 import importlib
 import json
-import logging
 import os
-import sys
 import time
 from collections.abc import Iterator
 from enum import Enum
@@ -17,18 +15,16 @@
 
 import click
 
-from rowanrack import __version__
+from rowanrack import __version__, logs
 from rowanrack.app import serve as serve_config
 from rowanrack.config import Config, ConfigError, operator_config, platform_config
 from rowanrack.net.turns import FairLoop
 from rowanrack.store.journal import Journal, JournalError
 
-LOG_FORMAT = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
-
-
 # Groups that live with their package, and are imported only when they are asked for: a sender needs none.
 GROUPS = {
-    "model": ("rowanrack.model.cli", "model", "Try the senders on a model of the fleet, in virtual time.")
+    "model": ("rowanrack.model.cli", "model", "Try the senders on a model of the fleet, in virtual time."),
+    "record": ("rowanrack.record.cli", "record", "Look at recordings of what a sender was asked and did."),
 }
 
 
@@ -95,9 +91,11 @@
 
 @main.command()
 @CONFIG
-def serve(path: Path | None) -> None:
+@click.option("--log", "form", type=click.Choice(logs.FORMS), default="plain", show_default=True,
+              help="The form of the log on standard error.")
+def serve(path: Path | None, form: str) -> None:
     """Run a sender until SIGTERM."""
-    logging.basicConfig(level=logging.INFO, format=LOG_FORMAT, datefmt="%H:%M:%S", stream=sys.stderr)
+    logs.set_up(form)
     try:
         with asyncio.Runner(loop_factory=FairLoop) as runner:
             runner.run(serve_config(lambda: read_config(path)))
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -52,6 +52,14 @@
     tag: str
 
 
+@dataclass(frozen=True, slots=True)
+class RecordConfig:
+    """Where a recording goes, and the room on disk that it may take."""
+
+    folder: Path
+    most_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a sender needs to know at its start."""
@@ -67,6 +75,7 @@
     otlp: OtlpConfig | None = None
     consul: ConsulConfig | None = None
     console: Path | None = None
+    record: RecordConfig | None = None
     instances: tuple[Instance, ...] = ()
 
     def __post_init__(self) -> None:
@@ -84,11 +93,8 @@
 
     A reload takes over: the platform's `discovery`, the file's instances, and OTLP's map and destinations.
     """
-    changed = [
-        key
-        for key in ("name", "settings", "tick_us", "state", "disk_bytes", "sockets", "consul", "console")
-        if getattr(old, key) != getattr(new, key)
-    ]
+    fixed = ("name", "settings", "tick_us", "state", "disk_bytes", "sockets", "consul", "console", "record")
+    changed = [key for key in fixed if getattr(old, key) != getattr(new, key)]
     for front in ("platform", "otlp"):
         was, wanted = getattr(old, front), getattr(new, front)
         if (was and was.listen) != (wanted and wanted.listen):
@@ -171,6 +177,7 @@
             otlp=_otlp(site),
             consul=_consul(site),
             console=Path(site.console.socket) if site.console is not None else None,
+            record=_record(site),
             instances=tuple(map(_instance, site.instance)),
         )
     except OSError as error:
@@ -206,6 +213,12 @@
     return ConsulConfig(parse_address(consul.address), tuple(consul.services), consul.tag)
 
 
+def _record(site: SiteFile) -> RecordConfig | None:
+    if site.record is None:
+        return None
+    return RecordConfig(Path(site.record.folder), int(site.record.most_mb * 1_000_000))
+
+
 def _instance(given: InstanceTable) -> Instance:
     host, port = parse_address(given.address)
     return Instance(given.name, host, port, given.zone, given.kind, given.dest, Status.LISTED, given.rate)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -88,6 +88,28 @@
         """Close the idle connections to an instance."""
 
 
+class Observer(Protocol):
+    """Who is told of everything that happens, and changes nothing."""
+
+    def taken(self, message: Message, left_us: int) -> None:
+        """A message is owned, just taken or found at the start."""
+
+    def turned_away(self, message: Message | None, nack: Nack) -> None:
+        """A message is not taken; without it when it was not read that far."""
+
+    def listed(self, news: list[Instance], gone: list[str]) -> None:
+        """News of instances, and the names of those that a whole list no longer holds."""
+
+    def began(self, execution: Execution) -> None:
+        """A call's first byte is about to go out."""
+
+    def settled(self, execution: Execution, result: Result, wait_us: int) -> None:
+        """A call has ended; its message may have ended with it, but is told of later."""
+
+    def ended(self, message: Message, end: End) -> None:
+        """A message has ended."""
+
+
 class Exchange:
     """Taken messages, their deadlines and their executions."""
 
@@ -99,6 +121,7 @@
         self.messages: dict[str, Message] = {}
         self.counts = dict.fromkeys(Ending, 0)
         self.side: InstanceSide | None = None
+        self.observer: Observer | None = None
         self.watch: Callable[[], None] = lambda: None
         self.round_over: Callable[[], None] = lambda: None  # the ends of a round are known: tell them now
         self.governor = Governor(clock.now_us())
@@ -122,21 +145,22 @@
         self.knock()
         if message_id and self.known(message_id) is not None:
             return None
-        retry_us = self.governor.refuses()
-        return Nack(min(retry_us, self.settings.max_come_back_us)) if retry_us else None
+        if not (retry_us := self.governor.refuses()):
+            return None
+        return self._turned_away(None, Nack(min(retry_us, self.settings.max_come_back_us)))
 
     def submit(self, message: Message) -> Nack | None:
         """Take a message, or refuse it; once this returns None the sender owes its end."""
         self.knock()
         if self.frozen or len(self.messages) >= self.settings.most_held:
-            return Nack(self._retry_us())
+            return self._turned_away(message, Nack(self._retry_us()))
         if not self.table.knows(message.dest, self.clock.now_us()):
             # Guards the hold against destinations that do not exist. A real one that is not listed yet can be
             # told from them by nobody, so its client is asked to come again.
-            return Nack(self._retry_us())
+            return self._turned_away(message, Nack(self._retry_us()))
         if not self.store.take(message):
             log.warning("no room in the journal, message %s is turned away", message.id)
-            return Nack(self._retry_us())
+            return self._turned_away(message, Nack(self._retry_us()))
         self.adopt(message)
         return None
 
@@ -146,6 +170,8 @@
         message.ref = self._next_ref
         left_us = max(0, message.deadline_us - self.clock.unix_us())
         self.messages[message.id] = self._refs[message.ref] = message
+        if self.observer is not None:
+            self.observer.taken(message, left_us)
         message.guard = self.after(left_us + GUARD_US, lambda: self._overdue(message))
         self._put(
             Accept(
@@ -163,6 +189,11 @@
         """A message that was handed in before: itself while it is owed, then its end while that is kept."""
         return self.messages.get(message_id) or self.store.ended(message_id)
 
+    def _turned_away(self, message: Message | None, nack: Nack) -> Nack:
+        if self.observer is not None:
+            self.observer.turned_away(message, nack)
+        return nack
+
     def _retry_us(self) -> int:
         return min(1_000_000, self.settings.max_come_back_us)
 
@@ -170,7 +201,11 @@
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
         """News from a source of the name table."""
-        change = self.table.update(scope, instances, source, self.clock.now_us())
+        news = list(instances)
+        change = self.table.update(scope, news, source, self.clock.now_us())
+        if self.observer is not None:
+            gone = [n for n in change.gone if n not in {i.name for i in news}]
+            self.observer.listed(news, gone)
         self._put(change.members)
         for name in change.closed:
             for execution in list(self._unbegun.get(name, ())):
@@ -199,6 +234,8 @@
         message.unsettled.add(execution.leg)
         execution.begun = True
         self._no_longer_unbegun(execution)
+        if self.observer is not None:
+            self.observer.began(execution)
         return True
 
     def settle(
@@ -211,6 +248,8 @@
         if execution.timer is not None:
             execution.timer.cancel()
         message, now = execution.message, self.clock.now_us()
+        if self.observer is not None:
+            self.observer.settled(execution, result, wait_us)
         message.out.pop(execution.leg, None)
         self._no_longer_unbegun(execution)
         self._forget(message)
@@ -388,5 +427,7 @@
             message.guard.cancel()
         self.counts[end.ending] += 1
         self.store.end(message, end)
+        if self.observer is not None:
+            self.observer.ended(message, end)
         if (listener := self.listeners.get(message.front)) is not None:
             listener(message, end)
--- a/rowanrack/core/name_table.py
+++ b/rowanrack/core/name_table.py
@@ -81,6 +81,10 @@
         instance = self.get(name)
         return instance is not None and instance.status is Status.LISTED
 
+    def instances(self) -> list[Instance]:
+        """All that are there, as they are listed."""
+        return list(self._instances.values())
+
     def names(self) -> set[str]:
         """All that are there."""
         return set(self._instances)
--- /dev/null
+++ b/rowanrack/logs.py
@@ -0,0 +1,37 @@
+"""The program's log: the lines that on-call knows, or the same as JSON."""
+
+from __future__ import annotations
+
+import logging
+import sys
+
+PLAIN = "%(asctime)s.%(msecs)03d %(levelname)s %(name)s: %(message)s"
+FORMS = ("plain", "json")
+
+
+def set_up(form: str = "plain") -> None:
+    """Write the log to standard error in one of the forms.
+
+    JSON lines have `timestamp` (UTC), `level`, `logger`, `event` and, with a failure, `exception`.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    if form == "json":
+        import structlog  # only where it is asked for: a sender may have 32 MB
+
+        handler.setFormatter(
+            structlog.stdlib.ProcessorFormatter(
+                foreign_pre_chain=[
+                    structlog.stdlib.add_log_level,
+                    structlog.stdlib.add_logger_name,
+                    structlog.processors.TimeStamper(fmt="iso", utc=True),
+                ],
+                processors=[
+                    structlog.stdlib.ProcessorFormatter.remove_processors_meta,
+                    structlog.processors.format_exc_info,
+                    structlog.processors.JSONRenderer(sort_keys=True),
+                ],
+            )
+        )
+    else:
+        handler.setFormatter(logging.Formatter(PLAIN, "%H:%M:%S"))
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
--- a/rowanrack/model/cli.py
+++ b/rowanrack/model/cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from pathlib import Path
@@ -160,6 +161,7 @@
             result = compare_variants(
                 text, source, one, other, pool, runs, seed, within, limit, max(1, at_once // 2), total, step
             )
+        result["remark"] = unproved(scenario, text) if load(scenario).recorded else ""
         if out is not None:
             reports.compare_report(result, out)
     write(result, where)
@@ -168,6 +170,87 @@
             click.echo(line)
 
 
+@model.command()
+@click.argument("recordings", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", default=Path("fitted.scenario"), show_default=True, type=click.Path(path_type=Path),
+              help="The scenario that is written, with NAME.calibration.json beside it.")
+@click.option("--runs", default=8, show_default=True, type=click.IntRange(1), help="Seeds it is judged by.")
+@SEED
+@JOBS
+@JSON
+def calibrate(
+    recordings: tuple[Path, ...], out: Path, runs: int, seed: int, jobs: int | None, where: Path | None
+) -> None:  # fmt: skip
+    """Fit the fleet to recordings (files or folders), and say how far the model is from them.
+
+    Exit status 4 if the recording is not reproduced within the margins.
+    """
+    from rowanrack.model import calibrate as fitting
+    from rowanrack.model.recorded import finished, read_all, timeline
+    from rowanrack.record.format import RecordingError
+
+    with plainly():
+        try:
+            found = timeline(read_all(list(recordings)))
+        except RecordingError as error:
+            raise SystemExit(f"rowanrack: {error}") from None
+        if not finished(found):
+            raise SystemExit(f"rowanrack: {recordings[0]}: no message comes to its end in it")
+        with progress("fitting") as (total, step):
+            total(len({a.dest for a in found.arrivals}))
+            fitted = fitting.fit(found, lambda done: step())
+        files = [os.path.relpath(str(p), str(out.parent)) for p in recordings]
+        text = fitting.scenario_text(found, fitted, files)
+        out.write_text(text, encoding="utf-8")
+        name = str(out) if "/" in str(out) or out.suffix else f"./{out}"
+        with opened("this") as senders:
+            results = played(name, senders, range(seed, seed + runs), jobs, detail=True)
+        table = fitting.compared(fitting.recorded_figures(found, load(name)), results)
+    reproduced = all(row["within"] for row in table)
+    document = {
+        "scenario": out.name, "digest": digest_of(text), "reproduced": reproduced,
+        "seeds": [seed, seed + runs - 1], "figures": table, "remarks": found.remarks,
+        "arrivals": len(found.arrivals),
+        "unfinished": len(found.arrivals) - len(finished(found)), "fleet": [one._asdict() for one in fitted],
+    }  # fmt: skip
+    beside(out).write_text(json.dumps(document, indent=1, sort_keys=True) + "\n", encoding="utf-8")
+    write(document, where)
+    if where is None or str(where) != "-":
+        for remark in found.remarks:
+            click.echo(f"remark: {remark}")
+        for line in reports.calibration_lines(document):
+            click.echo(line)
+    if not reproduced:
+        raise SystemExit(4)
+
+
+def digest_of(text: str) -> str:
+    """Of a scenario as it was judged: one that is changed is another."""
+    from blake3 import blake3
+
+    return blake3(text.encode()).hexdigest()
+
+
+def beside(path: Path) -> Path:
+    """Where a scenario's calibration stands."""
+    return path.with_suffix(".calibration.json")
+
+
+def unproved(name: str, text: str) -> str:
+    """Why a scenario with recorded traffic is not known to reproduce its recording; empty if it is."""
+    begin = "NOT REPRODUCED: "
+    try:
+        document = json.loads(beside(Path(name)).read_text(encoding="utf-8"))
+        if document["digest"] != digest_of(text):
+            return f"{begin}the scenario was changed since `model calibrate` judged it"
+        if document["reproduced"]:
+            return ""
+        far = [row["figure"] for row in document["figures"] if not row["within"]]
+        return f"{begin}the model is beyond its margin in {', '.join(far)}"
+    except (OSError, ValueError, KeyError, TypeError):
+        return f"{begin}`model calibrate` has not judged this scenario against its recording"
+
+
 @model.command()
 @SCENARIO
 @click.option("--set", "name", required=True, help="What is swept: logic.CUT or settings.slots, say.")
--- a/rowanrack/model/clients.py
+++ b/rowanrack/model/clients.py
@@ -29,6 +29,8 @@
     dest: int
     pick: float  # which sender, as a share
     within: bool = True  # its member's quota
+    left_us: int = 0  # until its time is up; 0: as its class says
+    sender: int = -1  # that it is handed to; -1: any
     tries: int = 0
     delivered_us: int | None = None
     endings: list[str] = field(default_factory=list)
@@ -155,15 +157,20 @@
         self._next += 1
         self._schedule()
         cls = self.scenario.classes[item.cls]
-        due = item.at_us + cls.deadline_us
+        due = self._due(item)
         self.history.add(
             Entry(item.at_us, "hand-in", message=str(item.number), dest=item.dest,
                   note=f"{cls.name} {item.member}", value=due)
         )  # fmt: skip
         self._try(item)
 
+    def _due(self, item: Item) -> int:
+        return item.at_us + (item.left_us or self.scenario.classes[item.cls].deadline_us)
+
     def _sender(self, item: Item) -> Sender | None:
         """The front layer spreads evenly over the senders that it takes for alive."""
+        if item.sender >= 0:
+            return self.senders[item.sender] if self.senders[item.sender].alive else None
         hot = self.hot(self.engine.now)
         if hot is not None and item.tries <= 1:
             number, share = hot
@@ -174,8 +181,7 @@
 
     def _try(self, item: Item) -> None:
         """Hand an item in, unless its time is up."""
-        cls = self.scenario.classes[item.cls]
-        left = item.at_us + cls.deadline_us - self.engine.now
+        left = self._due(item) - self.engine.now
         if left <= 0 or item.delivered_us is not None:
             return
         item.tries += 1
@@ -193,7 +199,7 @@
             self.engine.after(AGAIN_US, lambda: self._try(item))
             return
         cls = self.scenario.classes[item.cls]
-        due = UNIX_US + item.at_us + cls.deadline_us
+        due = UNIX_US + self._due(item)
         nack = sender.submit(Message(message_id, cls.name, item.member, item.dest, due, b"", FRONT))
         if nack is not None:
             item.endings.append("nack")
--- a/rowanrack/model/report.py
+++ b/rowanrack/model/report.py
@@ -11,6 +11,7 @@
     from matplotlib.figure import Figure
 
 BLUE, RUST, GREY = "#1f5fb0", "#b0561f", "#888888"
+EVENTS_MARKED = 12  # in a plot, with words
 Doc = dict[str, Any]
 
 
@@ -32,7 +33,8 @@
 
 def compare_lines(result: Doc) -> list[str]:
     """A comparison for people: the verdict first."""
-    lines = [
+    lines = [result["remark"]] if result.get("remark") else []
+    lines += [
         f"{result['verdict']}: {result['b']} against {result['a']} on {result['scenario']}",
         f"worth {result['worth_a']:.4f} -> {result['worth_b']:.4f}, difference {result['difference']:+.4f} "
         f"(99%: {result['low']:+.4f} to {result['high']:+.4f}) in {result['runs']} pairs; "
@@ -49,6 +51,23 @@
     return lines
 
 
+def calibration_lines(document: Doc) -> list[str]:
+    """A calibration for people: the verdict first, then a line for each figure."""
+    far = sum(not row["within"] for row in document["figures"])
+    verdict = "reproduced" if document["reproduced"] else f"not reproduced: {far} figures beyond their margin"
+    lines = [
+        f"{verdict}: {document['scenario']}, {document['arrivals']} arrivals, {document['unfinished']} "
+        f"without an end in the recording, {len(document['fleet'])} destinations",
+        f"  {'':28} {'recorded':>10} {'model':>10} {'least':>10} {'most':>10} {'margin':>9} {'rank':>6}",
+    ]
+    for row in document["figures"]:
+        cells = " ".join(f"{row[name]:10.3f}" for name in ("recorded", "model", "least", "most"))
+        rank = f"{row['rank']:6.3f}" if row["rank"] is not None else " " * 6
+        mark = "" if row["within"] else "  beyond"
+        lines.append(f"  {row['figure']:28} {cells} {row['margin']:9.3f} {rank}{mark}")
+    return lines
+
+
 def sweep_point(value: str, results: list[Doc]) -> Doc:
     """One value's figures."""
     worths = [r["worth"] for r in results]
@@ -107,13 +126,7 @@
     axes.plot(first["seconds"], color=BLUE)
     axes.set(xlabel="handed in at, s", ylabel="worth delivered / asked for", ylim=(-0.02, 1.05))
     axes.set_title(f"{first['scenario']}, seed {first['seed']}: worth {first['worth']:.3f}")
-    for at, note in first["events"]:
-        begins = note.startswith("begins")
-        axes.axvline(
-            at / 1e6, color=RUST if begins else GREY, linewidth=0.8, linestyle="-" if begins else ":"
-        )
-        axes.annotate(note.partition(": ")[2] if begins else "", (at / 1e6, 0.02), rotation=90, fontsize=7,
-                      color=RUST, ha="right", va="bottom")  # fmt: skip
+    mark_events(axes, first["events"])
     axes.grid(alpha=0.3)
     save(drawn, folder, "worth")
     draw_times(detail["times_us"], folder)
@@ -127,6 +140,27 @@
     page(folder, f"{first['scenario']}: {len(results)} runs", slim, list(map(run_line, results)), plots)
 
 
+def mark_events(axes: Any, events: list[Any]) -> None:
+    """A numbered line where something begins, a dotted one where it ends; the numbers are told underneath."""
+    told: dict[float, list[str]] = {}
+    for at, note in events:
+        if note.startswith("begins"):
+            told.setdefault(at / 1e6, []).append(note.partition(": ")[2])
+        else:
+            axes.axvline(at / 1e6, color=GREY, linewidth=0.8, linestyle=":")
+    rows = []
+    for number, (at, notes) in enumerate(told.items(), 1):
+        axes.axvline(at, color=RUST, linewidth=0.8)
+        if number <= EVENTS_MARKED:
+            axes.annotate(f" {number}", (at, 0.0), fontsize=8, color=RUST, va="bottom")
+            more = f" and {len(notes) - 3} more" if len(notes) > 3 else ""
+            rows.append(f"{number}: {at:g} s, {', '.join(notes[:3])}{more}")
+    if len(told) > EVENTS_MARKED:
+        rows.append(f"and {len(told) - EVENTS_MARKED} later")
+    if rows:
+        axes.set_xlabel(axes.get_xlabel() + "\n" + "\n".join(rows), fontsize=8)
+
+
 def draw_times(times_us: list[int], folder: Path) -> None:
     """The distribution of times to the end, its tail spread out."""
     from hdrh.histogram import HdrHistogram
--- a/rowanrack/model/scenario.py
+++ b/rowanrack/model/scenario.py
@@ -17,8 +17,10 @@
 
 GRAMMAR = r"""
 start: statement*
-?statement: day | tick | zones | senders | discovery | class_ | member | kind | traffic | client | event
+?statement: recorded | day | tick | zones | senders | discovery | class_ | member | kind | traffic | client
+          | event
 
+recorded: "recorded" STRING+
 day: "day" duration
 tick: "tick" duration
 zones: "zones" NAME+ "apart" duration "jitter" percent
@@ -44,6 +46,7 @@
         | "falls" "at" NUMBER "within" duration -> falls
         | "runs-on" percent -> runs_on
         | "weight" NUMBER -> weight
+        | "listed" rate -> listed
 traffic: "traffic" rate flow*
 ?flow: "load" percent -> load | "zipf" NUMBER -> zipf | "clumps" percent "of" span -> clumps
 client: "clients" "again" INT "after" span ("heed" percent)?
@@ -57,7 +60,8 @@
      | "discovery" "down" -> discovery_down
      | "place" INT "of" "partner" INT "drains" -> drains
      | "place" INT "of" "partner" INT "leaves" -> leaves
-who: "partner" INT -> partner | "partners" "of" NAME -> partners_of | "all" -> everyone | "zone" NAME -> zone
+who: "place" INT "of" "partner" INT -> place
+   | "partner" INT -> partner | "partners" "of" NAME -> partners_of | "all" -> everyone | "zone" NAME -> zone
 !state: "silent" | "down" | "failing" | "shut"
 span: duration "to" duration
 duration: NUMBER unit
@@ -65,6 +69,7 @@
 rate: NUMBER "/s"
 percent: NUMBER "%"
 
+STRING: /"[^"\n]*"/
 NAME: /[a-z][a-z0-9-]*/
 INT: /[0-9]+/
 NUMBER: /[0-9]+(\.[0-9]+)?/
@@ -126,6 +131,7 @@
     fall_us: int = 1_500_000
     runs_on: float = 1.0
     weight: float = 1.0
+    listed: float = 0.0  # calls a second that the list tells; 0: the limit, or the capacity without one
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -134,7 +140,7 @@
     at_us: int
     for_us: int | None
     what: str
-    partners: str = ""  # "partner N", "kind NAME", "zone NAME" or "all"
+    partners: str = ""  # "partner N", "place N of M", "kind NAME", "zone NAME" or "all"
     number: int = 0
     other: int = 0
     size: float = 0.0
@@ -142,9 +148,26 @@
 
     def text(self) -> str:
         """For people."""
-        size = f" {self.size:g}" if self.size else ""
-        number = f" {self.number}" if self.number and not self.partners else ""
-        return " ".join(f"{self.partners} {self.what}{number} {self.state}{size}".split())
+        who = {"kind": "partners of"}.get(self.partners.partition(" ")[0], "")
+        who = f"{who} {self.partners.partition(' ')[2]}" if who else self.partners
+        who = "all partners" if who == "all" else who
+        match self.what:
+            case "strikes":
+                return f"{who} {'fails all calls' if self.state == 'failing' else self.state}"
+            case "slows":
+                return f"{who} {self.size:g} times as slow"
+            case "draws":
+                return f"{self.size:.0%} of the traffic for {who}"
+            case "burst":
+                return f"{self.size:g} times the traffic"
+            case "hot sender":
+                return f"{self.size:.0%} of the traffic to sender {self.number}"
+            case "sender dies":
+                return f"sender {self.number} dies"
+            case "drains" | "leaves":
+                return f"place {self.other} of partner {self.number} {self.what}"
+            case _:
+                return self.what
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -173,6 +196,7 @@
     again_us: tuple[int, int] = (300_000, 2_000_000)
     heed: float = 1.0
     events: tuple[Event, ...] = ()
+    recorded: tuple[str, ...] = ()  # files whose arrivals take the place of traffic that is drawn
 
 
 def number(token: Any) -> float:
@@ -308,6 +332,14 @@
         """Fields."""
         return {"runs_on": parts[0]}
 
+    def listed(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields."""
+        return {"listed": parts[0]}
+
+    def recorded(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields."""
+        return {"recorded": tuple(str(p)[1:-1] for p in parts)}
+
     def weight(self, parts: list[Any]) -> dict[str, Any]:
         """Fields."""
         return {"weight": number(parts[0])}
@@ -350,6 +382,10 @@
         """Which partners."""
         return f"partner {int(parts[0])}"
 
+    def place(self, parts: list[Any]) -> str:
+        """Which one."""
+        return f"place {int(parts[0])} of {int(parts[1])}"
+
     def partners_of(self, parts: list[Any]) -> str:
         """Which partners."""
         return f"kind {parts[0]}"
@@ -437,6 +473,8 @@
     try:
         fields = Reader().transform(tree)
         fields = {k: tuple(v) if isinstance(v, list) else v for k, v in fields.items()}
+        if "recorded" in fields:
+            fields["recorded"] = tuple(str(Path(source).parent / name) for name in fields["recorded"])
         scenario = Scenario(name=Path(source).stem, **fields)
     except VisitError as error:
         raise ScenarioError(f"{source}: {error.orig_exc}") from None
@@ -458,7 +496,13 @@
     return len(lines), len(lines[-1]) + 1
 
 
-NAMES = {"INT": "a whole number", "NUMBER": "a number with its unit", "NAME": "a name", "$END": "the end"}
+NAMES = {
+    "STRING": "a file's name in quotes",
+    "INT": "a whole number",
+    "NUMBER": "a number with its unit",
+    "NAME": "a name",
+    "$END": "the end",
+}
 
 
 def plain(terminal: str) -> str:
@@ -502,6 +546,8 @@
     for event in scenario.events:
         where = f"at {event.at_us / 1e6:g} s"
         kind_of, _, name = event.partners.partition(" ")
+        if kind_of == "place" and not 1 <= int(name.split()[2]) <= partners:
+            raise wrong(f"{where}: there is no partner {name.split()[2]}, only 1 to {partners}")
         if kind_of == "partner" and not 1 <= int(name) <= partners:
             raise wrong(f"{where}: there is no partner {name}, only 1 to {partners}")
         if kind_of == "kind" and name not in {k.name for k in scenario.kinds}:
--- a/rowanrack/model/worker.py
+++ b/rowanrack/model/worker.py
@@ -29,14 +29,14 @@
     """Import the senders from one place and the model from another."""
     sys.path.insert(0, str(tree))
     importlib.import_module("rowanrack")
-    init = model / "__init__.py"
-    spec = importlib.util.spec_from_file_location(
-        "rowanrack.model", init, submodule_search_locations=[str(model)]
-    )
-    assert spec is not None and spec.loader is not None
-    module = importlib.util.module_from_spec(spec)
-    sys.modules["rowanrack.model"] = module
-    spec.loader.exec_module(module)
+    for name, folder in (("rowanrack.record", model.parent / "record"), ("rowanrack.model", model)):
+        spec = importlib.util.spec_from_file_location(
+            name, folder / "__init__.py", submodule_search_locations=[str(folder)]
+        )
+        assert spec is not None and spec.loader is not None
+        module = importlib.util.module_from_spec(spec)
+        sys.modules[name] = module
+        spec.loader.exec_module(module)
 
 
 def override(name: str, value: Any) -> None:
--- a/rowanrack/model/world.py
+++ b/rowanrack/model/world.py
@@ -44,9 +44,11 @@
         rng = chance(seed, "fleet")
         members = [m.name for m in scenario.members] or [""]
         shares = [m.share for m in scenario.members] or [1.0]
+        self.listed: dict[int, float] = {}  # calls a second, where the list tells something of its own
         for kind in scenario.kinds:
             for _ in range(kind.partners):
                 dest = len(self.partners) + 1
+                self.listed[dest] = kind.listed
                 member = rng.choices(members, shares)[0]
                 self._partner(dest, kind, member)
         settings = changed(self._settings(), changes or {})
@@ -58,7 +60,12 @@
         ]  # fmt: skip
         rates = {dest: self.told_rate(partner) for dest, partner in self.partners.items()}
         owners = {dest: partner.member for dest, partner in self.partners.items()}
-        items = arrivals(self._resolved(), seed, rates, owners, self.shares)
+        if scenario.recorded:
+            from rowanrack.model.recorded import recorded_items  # its format needs what other runs do not
+
+            items = recorded_items(scenario)
+        else:
+            items = arrivals(self._resolved(), seed, rates, owners, self.shares)
         self.clients = Clients(
             scenario, items, self.senders, self.engine, self.history, chance(seed, "clients")
         )
@@ -68,7 +75,8 @@
 
     def told_rate(self, partner: Partner) -> float:
         """What the list tells of a partner: its limit, or its capacity where there is none."""
-        return partner.figures.rate if partner.figures.limit != "none" else partner.capacity()
+        told = self.listed.get(partner.dest, 0.0)
+        return told or (partner.figures.rate if partner.figures.limit != "none" else partner.capacity())
 
     def _partner(self, dest: int, kind: KindOf, member: str) -> None:
         rng = chance(self.seed, "partner", dest)
@@ -141,6 +149,8 @@
         match word:
             case "partner":
                 return [int(name)]
+            case "place":
+                return [int(name.split()[2])]
             case "kind":
                 return [d for d, p in self.partners.items() if p.kind == name]
             case "zone":
@@ -180,6 +190,9 @@
         )
         if event.partners.startswith("zone "):
             places = [p for p in places if p.zone == event.partners[5:]]
+        if event.partners.startswith("place "):
+            number, _, dest = event.partners.split()[1:]
+            places = [p for p in places if p.name == f"p{dest}-{number}"]
         undo = self._do(event, places, ends)
         if ends is not None and undo is not None:
 
@@ -276,7 +289,13 @@
                 rates[entry.dest][entry.at // SECOND] += entry.what == "begin"
                 refused[entry.dest][entry.at // SECOND] += entry.what == "settle" and entry.note == "full"
         limits = {d: [self.told_rate(self.partners[d]), self.partners[d].capacity()] for d in busiest}
-        return {"times_us": times, "calls": rates, "refused": refused, "limits": limits}
+        by_class = {
+            cls.name: [i.delivered_us - i.at_us for i in self.clients.items
+                       if i.cls == n and i.delivered_us is not None]
+            for n, cls in enumerate(self.scenario.classes)
+        }  # fmt: skip
+        found = {"times_us": times, "class_times_us": by_class}
+        return {**found, "calls": rates, "refused": refused, "limits": limits}
 
 
 def changed(settings: Settings, changes: dict[str, Any]) -> Settings:
--- a/rowanrack/model/worth.py
+++ b/rowanrack/model/worth.py
@@ -91,15 +91,38 @@
         "refused": sum(e in ("refused", "nack") for e in ended) / tries,
         "failed": sum(e not in ("refused", "nack") for e in ended) / tries,
         "attempts": begun / tries,
-        "times_ms": {
-            f"p{q}": times[int((delivered - 1) * q / 100)] / 1000 if times else 0.0 for q in (50, 90, 99)
-        },
+        "times_ms": times_ms(times),
         "classes": {name: ratio(group) for name, group in sorted(classes.items())},
+        "by_class": {
+            cls.name: of_class([i for i in items if i.cls == n], scenario)
+            for n, cls in enumerate(scenario.classes)
+        },
         "members": {name: ratio(group) for name, group in sorted(members.items())},
         "seconds": by_second(items, worths, scenario),
     }
 
 
+def of_class(items: list[Item], scenario: Scenario) -> dict[str, Any]:
+    """Worth, shares and times to the end of the items of one class."""
+    times = sorted(i.delivered_us - i.at_us for i in items if i.delivered_us is not None)
+    in_time = sum(t <= scenario.classes[items[0].cls].aim_us for t in times)
+    ended = [i.endings[-1] if i.endings else "none" for i in items if i.delivered_us is None]
+    refused, count = sum(e in ("refused", "nack") for e in ended), max(1, len(items))
+    return {
+        "worth": ratio([item_worth(i, scenario) for i in items]),
+        "in_time": in_time / count,
+        "late": (len(times) - in_time) / count,
+        "refused": refused / count,
+        "failed": (len(ended) - refused) / count,
+        "times_ms": times_ms(times),
+    }
+
+
+def times_ms(times: list[int]) -> dict[str, float]:
+    """Quantiles of sorted times."""
+    return {f"p{q}": times[int((len(times) - 1) * q / 100)] / 1000 if times else 0.0 for q in (50, 90, 99)}
+
+
 def by_second(items: list[Item], worths: list[tuple[float, float]], scenario: Scenario) -> list[float]:
     """The ratio for the items handed in within each second, for plots."""
     seconds: list[list[tuple[float, float]]] = [[] for _ in range(scenario.day_us // SECOND + 1)]
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -145,6 +145,13 @@
     socket: str
 
 
+class RecordTable(Part):
+    """A recording of what happens, without bodies and ids."""
+
+    folder: str
+    most_mb: Annotated[float, Meta(ge=1)] = 64.0
+
+
 class InstanceTable(Part):
     """An instance of a destination."""
 
@@ -168,6 +175,7 @@
     otlp: OtlpTable | None = None
     consul: ConsulTable | None = None
     console: ConsoleTable | None = None
+    record: RecordTable | None = None
     instance: list[InstanceTable] = []
 
 
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from benchmarks.loopback import judge
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -40,6 +42,34 @@
     assert beside["delivered_per_s"] > 20 and beside["bad_parted_per_s"] > 0 and not beside["tracebacks"]
 
 
+def test_the_models_growth_is_measured() -> None:
+    ran = run("-m", "benchmarks", "growth", "--dests", "5", "--senders", "2", "--json", "-")
+    assert ran.returncode == 0, ran.stderr
+    rows = json.loads(ran.stdout)
+    assert [(r["over"], r["dests"], r["senders"]) for r in rows] == [("dests", 5, 3), ("senders", 200, 2)]
+    assert all(r["items"] > 100 and r["cpu_s"] > 0 and r["rules"] == "kept" for r in rows)
+
+
+@pytest.mark.parametrize(
+    ("taken", "calls", "notices", "expected"),
+    [
+        ({"a": [10.0]}, {"a": [9.0]}, {}, {"lost": 0, "late_ends": 0, "twice": 0}),
+        ({"a": [10.0]}, {}, {}, {"lost": 1, "late_ends": 0, "twice": 0}),
+        ({"a": [10.0]}, {}, {"a": [10.2]}, {"lost": 0, "late_ends": 0, "twice": 0}),
+        ({"a": [10.0]}, {}, {"a": [10.4]}, {"lost": 0, "late_ends": 1, "twice": 0}),
+        ({"a": [10.0]}, {"a": [1.0, 2.0]}, {}, {"lost": 0, "late_ends": 0, "twice": 1}),
+    ],
+)
+def test_the_books_are_judged(
+    taken: dict[str, list[float]],
+    calls: dict[str, list[float]],
+    notices: dict[str, list[float]],
+    expected: dict[str, int],
+) -> None:
+    found = judge(taken, calls, notices)
+    assert {name: found[name] for name in expected} == expected
+
+
 @pytest.mark.parametrize("words", [("--against", "tests"), ("--against", "/nowhere")])
 def test_a_wrong_checkout_is_one_plain_error(words: tuple[str, ...]) -> None:
     ran = run("-m", "benchmarks", "rounds", *words)
@@ -48,7 +78,8 @@
 
 def test_serving_imports_no_tool() -> None:
     """A sender may have 32 MB in all."""
-    tools = ("numpy", "matplotlib", "hdrh", "lark", "msgspec", "hypothesis", "benchmarks", "rowanrack.model")
+    tools = ("numpy", "matplotlib", "hdrh", "lark", "msgspec", "hypothesis", "blake3", "structlog")
+    parts = ("benchmarks", "rowanrack.model", "rowanrack.record")
     code = "import sys, rowanrack.cli, rowanrack.app; print([m for m in sys.argv[1:] if m in sys.modules])"
-    ran = run("-c", code, *tools)
+    ran = run("-c", code, *tools, *parts)
     assert ran.stdout.strip() == "[]", ran.stderr
