Keep leaving, silent and byte-by-byte clients from a full core's usual ones

Change: accepting gives the loop its turn; only those gone without a good request or an answer to a bad one leave a debt; strangers' waits count only while all of them are new; on a full core a request in small pieces is read every 200 ms, and still ended within 3 s.

--- a/rowanrack/load/governor.py
+++ b/rowanrack/load/governor.py
@@ -15,6 +15,7 @@
 STRANGERS_SHARE = (0.1, 0.1, 0.05)  # of the time that passes, by level: for clients without a good request
 DEBT_US = 20_000  # that strangers may be ahead of their share before the next connection waits
 PACE_MOST_US = 250_000  # for which it waits at most
+PIECES_US = 2_000  # after which what one sends in pieces is read only now and then, in a full core
 STRANGER_MOST_US = 20_000  # of the loop's time for one that has not made a whole request, in a full core
 PENALTY_US = 250_000  # by which the answer to bad input is late
 PENALTY_MOST_US = 1_200_000  # and at most: it is owed within 3 s of connecting, and may have come late itself
@@ -65,13 +66,19 @@
     def spent(self, us: float) -> None:
         """So much time went to a client that has not made a good request; less than 0 once it has."""
         self._spent_us += us
-        self._debt_us = max(0.0, self._debt_us + us)
+
+    def wasted(self, us: float) -> None:
+        """So much went to a client that is gone without a good request, and without an answer to a bad one.
+
+        Only then: who has just come may be a usual client, and who sent bad input has paid with waiting.
+        """
+        self._debt_us += us
 
     def pace_us(self, now_us: int) -> int:
         """For how long the next connection should wait, so that strangers keep to their share; 0 for not.
 
         Guards a full core against clients that connect and say nothing, or leave at once: no answer to them
-        can be made late. A usual client's first good answer gives back what its connection used.
+        can be made late.
         """
         allowed = STRANGERS_SHARE[self.level]
         self._debt_us = max(0.0, self._debt_us - allowed * max(0, now_us - self._settled_us))
@@ -81,6 +88,10 @@
         self._paced = True
         return min(PACE_MOST_US, int((self._debt_us - DEBT_US) / allowed) + 1)
 
+    def in_pieces(self, us: float) -> bool:
+        """Whether one client's request has cost a full core so much that it comes in small pieces."""
+        return self.level is not Level.CALM and us > PIECES_US
+
     def used_up(self, us: float) -> bool:
         """Whether one client has used more of a full core, without a whole request, than any usual one."""
         return self.level is not Level.CALM and us > STRANGER_MOST_US
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -35,6 +35,7 @@
 KEPT_US = 250_000  # and one between requests after so long, the one that is unused longest first
 CROWDED = 0.4  # part of all connections from which idle ones are closed ahead of need
 AT_ONCE = 16  # connections that are taken in one turn of the loop
+PIECES_US = 200_000  # for which a request that comes in small pieces is left to the kernel
 FULL_US = 20_000  # between looks for room
 CONNECTION_US = 60.0  # that the loop itself uses for a connection, from its transport to its end: measured
 LINGER_US = 1_000_000  # for which a connection stays after its last answer, for the client to close it
@@ -85,6 +86,8 @@
         self._penalties = 0
         self._turns: Turns | None = None
         self._strangers: dict[Stream, float] = {}  # without a good request: microseconds used by each so far
+        self._later: set[Stream] = set()  # those that are not read for a while
+        self._told_off: set[Stream] = set()  # those whose input was bad
         self._accepting_us = 0.0  # used for connections since the last one was taken
 
     @abstractmethod
@@ -150,6 +153,7 @@
         """
         self._bad.warning("a client's input is refused: %s", why)
         self._strangers.setdefault(stream, 0.0)
+        self._told_off.add(stream)
         self._rank(stream, Rank.STRANGER)
         self.mark(stream, State.BUSY)
         if self._penalties < self.governor.penalties(self.most):
@@ -188,10 +192,16 @@
                     await pause(self.after, wait_us)
                 first, _ = await loop.sock_accept(opened)
                 # Guards new clients of a full core, whose turns are long, against one connection a turn.
-                taken = [
-                    accepted for accepted in (first, *self._others_at_once(opened)) if not has_left(accepted)
-                ]
+                batch = (first, *self._others_at_once(opened))
+                taken = [accepted for accepted in batch if not has_left(accepted)]
+                if len(taken) < len(batch):
+                    wasted = self._accepting_us * (1 - len(taken) / len(batch))
+                    self._accepting_us -= wasted
+                    self.governor.wasted(wasted)
                 await asyncio.gather(*(self._connect(accepted) for accepted in taken))
+                # Guards the loop against clients that leave as fast as they come: neither accepting nor
+                # gathering waits then.
+                await asyncio.sleep(0)
             except OSError as error:
                 # Guards the port against a client that is gone again, and against a lack of descriptors.
                 self._rare.warning("a connection was not accepted: %s", error.strerror or error)
@@ -246,7 +256,9 @@
             # Guards clients that may hold only so many connections, and get new ones as we close idle ones.
             crowded = len(self.streams) > self.most * CROWDED
             for stream, (state, since) in list(self.streams.items()):
-                if stream.closing or now - since < min(self.owed_us, KEPT_US) or stream.unread_outside:
+                if stream.closing or now - since < min(self.owed_us, KEPT_US):
+                    continue
+                if stream.unread_outside and stream not in self._later:
                     continue
                 if state is State.OWING and now - since >= self.owed_us:
                     if stream.came:
@@ -272,7 +284,10 @@
             log.exception("a client's connection failed")
         finally:
             self.streams.pop(stream, None)
-            self._strangers.pop(stream, None)
+            used = self._strangers.pop(stream, None)
+            if used is not None and stream not in self._told_off:
+                self.governor.wasted(used)
+            self._told_off.discard(stream)
             stream.close_soon()
 
     def _charge_accepting(self, us: float) -> None:
@@ -290,6 +305,23 @@
                 self._bad.warning("a client's input is refused: its request takes too much time to read")
                 stream.send_last(self.too_slow)
                 stream.close_at_once()
+            elif state is State.OWING and self.governor.in_pieces(used + us):
+                self._read_later(stream)
+
+    def _read_later(self, stream: Stream) -> None:
+        """Guards a full core against single bytes: what the kernel's events for them cost is not metered."""
+        if stream in self._later or stream.closing:
+            return
+        self._later.add(stream)
+        stream.pause()
+
+        def read_again() -> None:
+            self._later.discard(stream)
+            stream.resume()
+            if stream in self._strangers:  # whose rank went with the watch on it
+                self._rank(stream, Rank.STRANGER, self._strangers[stream])
+
+        self.after(PIECES_US, read_again)
 
     def _rank(self, stream: Stream, rank: Rank, used_us: float = 0.0) -> None:
         if self._turns is not None and (descriptor := stream.descriptor) >= 0:
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -118,6 +118,16 @@
         sock = self._writer.get_extra_info("socket")
         return -1 if sock is None or self.closing else int(sock.fileno())
 
+    def pause(self) -> None:
+        """Leave what comes in to the kernel for now: many small pieces become one."""
+        if not self.closing:
+            self._writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def resume(self) -> None:
+        """Read again."""
+        if not self.closing:
+            self._writer.transport.resume_reading()  # type: ignore[attr-defined]
+
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, as far as is known."""
--- a/rowanrack/net/turns.py
+++ b/rowanrack/net/turns.py
@@ -86,8 +86,10 @@
         pressing = (
             len(strangers) > FEW and self.keeper is not None and self.keeper.pace_us(int(now * 1e6)) > 0
         )
+        # While some have had turns and want more, it is strangers who are in each other's way.
+        theirs = pressing or any(self._used.get(key.fd) for key, _ in strangers)
         waited = self._cut(strangers, FEW if pressing else CLIENTS, since, now)
-        if not pressing:  # else the wait is theirs alone
+        if not theirs:
             oldest = max(oldest, waited)
         if oldest and self.keeper is not None:
             self.keeper.ran(int(now * 1e6), int(oldest * 1e6))
