Test a second process on loopback that serves beside the first and takes over

The test starts a real sender, then a second one on the same configuration and state folder, SIGTERMs the first and pings the shared port.

--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -5,6 +5,9 @@
 import asyncio
 import contextlib
 import json
+import os
+import signal
+import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -17,7 +20,7 @@
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope, Status
-from tests.rig import Rig, answers, on_loop
+from tests.rig import Process, Rig, answers, on_loop
 from tests.test_platform import OK
 
 
@@ -198,3 +201,26 @@
     assert again.slot == "messages" and list(again.owed) == []
     assert again.absorb() is not None and list(again.owed) == ["a"]
     assert replace(again.owed["a"], guard=None).id == "a"
+
+
+@on_loop
+async def test_a_second_process_serves_beside_the_first_and_takes_over(tmp_path: Path) -> None:
+    """Before SO_REUSEPORT and the journal's slots the second start ended at once: the port was in use."""
+    async with Rig(tmp_path, answers(OK)) as rig, Process(rig, tmp_path) as old:
+        env = os.environ | {"ROUTER_CONFIG": str(old.config), "ROUTER_STATE": str(old.folder)}
+        env["ROUTER_DISCOVERY"] = f"127.0.0.1:{old.platform.port}"
+        command = (sys.executable, "-m", "rowanrack", "serve")
+        new = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
+        try:
+            assert new.stderr is not None
+            while line := await new.stderr.readline():
+                if b"serving" in line:
+                    break
+            assert new.returncode is None
+            old.child.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(old.child.wait(), 5) == 0
+            assert await (await old.client()).command("PING") == b"+PONG\r\n"
+            assert (old.folder / "messages.b.log").exists() or (old.folder / "messages.log").exists()
+        finally:
+            new.kill()
+            await new.wait()
