--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -281,7 +281,15 @@
             if gone >= BEGIN_US:
                 self.exchange.freeze()
             await pause(self.exchange.after, LOOK_US)
-        log.info("stopped: %d messages stay owed", len(self.exchange.messages))
+        told = self.notices is None or not self.notices.pending
+        clients = sum(len(front.streams) for front, _ in self.fronts)
+        log.info(
+            "stopped: %d messages stay owed; %d calls out, %d client connections, notices %s",
+            len(self.exchange.messages),
+            len(self.pool.tasks),
+            clients,
+            "told" if told else "pending",
+        )
 
     def _unsettled(self) -> bool:
         told = self.notices is None or not self.notices.pending
