Test that a message the first process still owes is taken over by the second

Need: the two-process loopback test showed serving beside and a clean SIGTERM, not that taken work survives.

Measured: passes in about 4 s; with the takeover task left out of the start it fails (the line never comes).

--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -20,7 +20,7 @@
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope, Status
-from tests.rig import Process, Rig, answers, on_loop
+from tests.rig import Process, Rig, answers, on_loop, silent
 from tests.test_platform import OK
 
 
@@ -224,3 +224,28 @@
         finally:
             new.kill()
             await new.wait()
+
+
+@on_loop
+async def test_what_the_first_process_still_owes_is_taken_over_by_the_second(tmp_path: Path) -> None:
+    async with Rig(tmp_path, silent) as rig, Process(rig, tmp_path) as old:
+        client = await old.client()
+        assert await client.submit("m1", d=5000) == b"+OK\r\n"
+        env = os.environ | {"ROUTER_CONFIG": str(old.config), "ROUTER_STATE": str(old.folder)}
+        env["ROUTER_DISCOVERY"] = f"127.0.0.1:{old.platform.port}"
+        command = (sys.executable, "-m", "rowanrack", "serve")
+        new = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
+        try:
+            assert new.stderr is not None
+            lines: list[str] = []
+            while line := (await new.stderr.readline()).decode():
+                lines.append(line)
+                if "serving" in line:
+                    old.child.send_signal(signal.SIGTERM)
+                if "taken over" in line:
+                    break
+            assert any("journal: 1 messages taken over" in line for line in lines), lines
+            assert await asyncio.wait_for(old.child.wait(), 5) == 0
+        finally:
+            new.kill()
+            await new.wait()
