Change a ban in one place for detach and attach

detach and attach in the sender repeated the same six lines: read the bans as they stand, change, write the file, log. Measured: the management tests pass as before.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -101,20 +101,19 @@
 
     def detach(self, name: str) -> bool:
         """Send nothing new to an endpoint, also after a restart; False if nobody knows it."""
-        self._take_bans()
-        if not self.exchange.detach(name):
-            return False
-        self.bans.write(self.exchange.bans)
-        log.info("mgmt: %s is detached", name)
-        return True
+        return self._changed_ban(name, self.exchange.detach, "detached")
 
     def attach(self, name: str) -> bool:
         """Use an endpoint again, as a cold one; False if it was not detached."""
+        return self._changed_ban(name, self.exchange.attach, "attached again")
+
+    def _changed_ban(self, name: str, change: Callable[[str], bool], done: str) -> bool:
+        """Change a ban on the bans as they stand, and write them for a restart and the other process."""
         self._take_bans()
-        if not self.exchange.attach(name):
+        if not change(name):
             return False
         self.bans.write(self.exchange.bans)
-        log.info("mgmt: %s is attached again", name)
+        log.info("mgmt: %s is %s", name, done)
         return True
 
     def lameduck(self, on: bool) -> None:
