Start a hot restart's second process from the rig, share the 408 reply, and assert more

Two tests of the hot restart each wrote again the environment and command that the rig's Process already built for its own start; Process.another() now starts one more process on the same configuration and folder, and start() uses it. The management front copied the OTLP front's 408 reply byte for byte; both now use one constant in net/http.

The tests now also show what they only implied: the caller that held a half-sent call hears 408 and the sender answers the next call; in lame duck a kept idle connection is closed at once. Measured: test_mgmt and test_otlp pass.

--- a/rowanrack/fronts/mgmt/server.py
+++ b/rowanrack/fronts/mgmt/server.py
@@ -4,7 +4,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.fronts.mgmt.calls import Operations, answer, plain
-from rowanrack.net.http import HttpError, HttpServed
+from rowanrack.net.http import TOO_SLOW, HttpError, HttpServed
 from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
 
@@ -16,7 +16,7 @@
 class ManagementServer(Listener):
     """Answers operators' calls; bad or late input ends only its own connection, with a 4xx."""
 
-    too_slow = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    too_slow = TOO_SLOW
     owed_us = OWED_US
     spared_us = 100_000
 
--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -21,7 +21,7 @@
     write_message,
     write_status,
 )
-from rowanrack.net.http import HttpError, HttpServed, Reply, Request
+from rowanrack.net.http import TOO_SLOW, HttpError, HttpServed, Reply, Request
 from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
 
@@ -34,7 +34,7 @@
 
     owed_us, spared_us = OWED_US, SPARED_US
     shared = True
-    too_slow = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+    too_slow = TOO_SLOW
 
     def __init__(self, exchange: Exchange, mapping: RequestMap, body_limit: int, most: int) -> None:
         super().__init__(most, exchange)
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -24,6 +24,9 @@
 CONNECT_US = 1_000_000  # for opening a line: a machine that is cut off says nothing
 
 
+TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"  # a late request
+
+
 class HttpError(Exception):
     """A peer broke HTTP; `status` is what a server answers to it."""
 
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -361,11 +361,15 @@
 
     async def start(self) -> None:
         """Start it, at first or again. The environment names the first platform, whatever the file says."""
+        self.child = await self.another()
+        await self.logged("serving")
+
+    async def another(self) -> asyncio.subprocess.Process:
+        """One more process on the same configuration and folder, as at a hot restart; the caller ends it."""
         env = os.environ | {"ROUTER_CONFIG": str(self.config), "ROUTER_STATE": str(self.folder)}
         env["ROUTER_DISCOVERY"] = f"127.0.0.1:{self.platform.port}"
         command = (sys.executable, "-m", "rowanrack", "serve")
-        self.child = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
-        await self.logged("serving")
+        return await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
 
     async def _end(self) -> None:
         if self.child.returncode is None:
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -5,9 +5,7 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
-import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -146,7 +144,7 @@
     async with Rig(tmp_path, answers(OK)) as rig:
         assert rig.sender.mgmt is not None
         port = rig.sender.mgmt.port
-        _, holder = await asyncio.open_connection("127.0.0.1", port)
+        held, holder = await asyncio.open_connection("127.0.0.1", port)
         holder.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n")  # and never the rest
         ready = await call(port, b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
         assert ready.startswith(b"HTTP/1.1 200")
@@ -157,6 +155,9 @@
         assert (await call(port, head.encode() + body)).startswith(b"HTTP/1.1 200")
         assert not rig.sender.exchange.table.listed("i0")
         assert (await call(port, b"NOT HTTP AT ALL\r\n\r\n")).startswith(b"HTTP/1.1 400")
+        # The caller that never finished its call hears 408, and the sender still answers others.
+        assert (await asyncio.wait_for(held.read(), 3)).startswith(b"HTTP/1.1 408")
+        assert (await call(port, b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")).startswith(b"HTTP/1.1 200")
         holder.close()
 
 
@@ -167,6 +168,8 @@
         assert await kept.command("PING") == b"+PONG\r\n"
         rig.sender.lameduck(True)
         assert not rig.sender.ready()
+        with contextlib.suppress(ConnectionError):  # the kept connection, idle, is closed at once
+            assert not await kept.stream.fill()
         client = await rig.client()
         assert (await client.command("PING")).startswith(b"-")
         with contextlib.suppress(ConnectionError):  # closed after its answer
@@ -207,10 +210,7 @@
 async def test_a_second_process_serves_beside_the_first_and_takes_over(tmp_path: Path) -> None:
     """Before SO_REUSEPORT and the journal's slots the second start ended at once: the port was in use."""
     async with Rig(tmp_path, answers(OK)) as rig, Process(rig, tmp_path) as old:
-        env = os.environ | {"ROUTER_CONFIG": str(old.config), "ROUTER_STATE": str(old.folder)}
-        env["ROUTER_DISCOVERY"] = f"127.0.0.1:{old.platform.port}"
-        command = (sys.executable, "-m", "rowanrack", "serve")
-        new = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
+        new = await old.another()
         try:
             assert new.stderr is not None
             while line := await new.stderr.readline():
@@ -231,10 +231,7 @@
     async with Rig(tmp_path, silent) as rig, Process(rig, tmp_path) as old:
         client = await old.client()
         assert await client.submit("m1", d=5000) == b"+OK\r\n"
-        env = os.environ | {"ROUTER_CONFIG": str(old.config), "ROUTER_STATE": str(old.folder)}
-        env["ROUTER_DISCOVERY"] = f"127.0.0.1:{old.platform.port}"
-        command = (sys.executable, "-m", "rowanrack", "serve")
-        new = await asyncio.create_subprocess_exec(*command, env=env, stderr=asyncio.subprocess.PIPE)
+        new = await old.another()
         try:
             assert new.stderr is not None
             lines: list[str] = []
