--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -10,6 +10,7 @@
 import logging
 import os
 import struct
+import time
 import zlib
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
 
 MAGIC = b"rowanrack journal 1\n"
 SLOTS = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
+OPEN_TRIES, OPEN_PAUSE_S = 20, 0.01  # a slot held for a look is free again within microseconds
 FRAME = struct.Struct("<II")
 LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
 BLOCK = 512  # bytes in which a file's size counts on the disk
@@ -156,6 +158,18 @@
             return None
         return fd
 
+    def _free_slot(self) -> tuple[str, int]:
+        """A slot and the descriptor that holds it.
+
+        Guards a start against a look of the other process: `shared` and `absorb` hold a slot for a moment.
+        """
+        for _ in range(OPEN_TRIES):
+            for slot in SLOTS:
+                if (fd := self._lock(slot)) is not None:
+                    return slot, fd
+            time.sleep(OPEN_PAUSE_S)
+        raise JournalError("journal: two processes hold this folder already")
+
     def shared(self) -> bool:
         """Whether another process holds the other slot: one of the two of a hot restart."""
         fd = self._lock(self.other)
@@ -170,12 +184,7 @@
         Guards the journal against two writers: each process of a hot restart holds a slot of its own.
         """
         try:
-            for slot in SLOTS:
-                if (fd := self._lock(slot)) is not None:
-                    self.slot, self.lock_fd = slot, fd
-                    break
-            else:
-                raise JournalError("journal: two processes hold this folder already")
+            self.slot, self.lock_fd = self._free_slot()
             self.fresh.unlink(missing_ok=True)
             data = self.path.read_bytes() if self.path.exists() else b""
             if data and not data.startswith(MAGIC[: len(data)]):
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
+import os
 import signal
+import threading
 from dataclasses import replace
 from pathlib import Path
 
@@ -16,7 +19,7 @@
 from rowanrack.fronts.mgmt.calls import answer
 from rowanrack.net.http import Request
 from rowanrack.store.bans import BanFile
-from rowanrack.store.journal import Journal
+from rowanrack.store.journal import Journal, JournalError
 from rowanspindle import Scope, Status
 from tests.rig import Process, Rig, answers, on_loop, silent
 from tests.test_platform import OK
@@ -246,3 +249,18 @@
         finally:
             new.kill()
             await new.wait()
+
+
+def test_a_start_waits_out_a_look_at_the_other_slot(tmp_path: Path) -> None:
+    """The old process's look at the other slot, at SIGTERM, made a start at that moment fail outright."""
+    old = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
+    old.open()
+    looking = os.open(tmp_path / "messages.b.lock", os.O_RDWR | os.O_CREAT)
+    fcntl.flock(looking, fcntl.LOCK_EX)
+    threading.Timer(0.05, os.close, (looking,)).start()
+    new = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
+    new.open()
+    assert new.slot == "messages.b"
+    third = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
+    with pytest.raises(JournalError, match="two processes"):
+        third.open()
