Carry a message's idempotency key from the front to the call, and count its time

Ruled out: id and body, which are passed on as they came. Also seen in the code: after a restart `held.Message` counted a key's time from the restart (ran_at = now), so that a repeat could go beyond the time for which it is dropped; and a repeat that waited for its connection was not held to it.

Accept tells how long ago the first execution that may have run began. `begin` bars a repeat whose time is over. OTLP takes the key from its map, else the message's id.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -213,9 +213,9 @@
     if (otlp := site.otlp) is None:
         return None
     given = otlp.map
-    sources = (given.cls, given.tenant, given.destination, given.id, given.left_ms)
-    cls, tenant, dest, message_id, left_ms = (Source(s.header, s.attribute, s.default) for s in sources)
-    mapping = RequestMap(cls, tenant, dest, message_id, left_ms, otlp.destinations)
+    sources = (given.cls, given.tenant, given.destination, given.id, given.left_ms, given.key)
+    cls, tenant, dest, message_id, left_ms, key = (Source(s.header, s.attribute, s.default) for s in sources)
+    mapping = RequestMap(cls, tenant, dest, message_id, left_ms, key, otlp.destinations)
     return OtlpConfig(parse_address(otlp.listen), otlp.body_limit, mapping)
 
 
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -22,6 +22,7 @@
     Arm,
     Cancel,
     Disconnect,
+    Effect,
     Event,
     Fail,
     Forwarder,
@@ -43,6 +44,7 @@
 
 MAYBE_RAN = frozenset({Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED})
 GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
+LONG_AGO_US = 1 << 60
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -186,11 +188,29 @@
                 message.dest,
                 left_us,
                 message.tenant or None,
+                message.key or None,
                 legs=message.legs,
                 ran=bool(message.unsettled),
+                ran_us=self._ran_us(message),
             )
         )
 
+    def _ran_us(self, message: Message) -> int:
+        """How long ago the first execution that may have run began."""
+        if not message.unsettled:
+            return 0
+        since, cls = min(message.unsettled.values()), self.settings.classes.get(message.cls)
+        # Guards a keyed repeat across a restart: where it may go, or for how long, is not known any more.
+        if not since or (cls is not None and cls.same_zone):
+            return LONG_AGO_US
+        return max(0, self.clock.unix_us() - since)
+
+    def _key_lapsed(self, message: Message) -> bool:
+        """Whether a keyed message may go no more: its repeat would not be dropped."""
+        cls = self.settings.classes.get(message.cls)
+        keyed = cls is not None and cls.effect is Effect.KEYED and bool(message.unsettled)
+        return keyed and cls is not None and self._ran_us(message) >= cls.key_ttl_us
+
     def known(self, message_id: str) -> Message | End | None:
         """A message that was handed in before: itself while it is owed, then its end while that is kept."""
         return self.messages.get(message_id) or self.store.ended(message_id)
@@ -287,11 +307,13 @@
         # that was decided on before and waited for its connection.
         waiting = (self._waits.get(self._limit(execution)) or 0) > self.clock.now_us()
         barred = waiting or not self._owed(message) or not self.table.listed(execution.instance.name)
+        # Or a repeat that waited for its connection until its key's time was over.
+        barred = barred or self._key_lapsed(message)
         # Guards against a second effect after a restart: what the store does not know must not begin.
         if barred or not self.store.begin(message, execution.leg):
             self.settle(execution, Result.MOOT)
             return False
-        message.unsettled.add(execution.leg)
+        message.unsettled[execution.leg] = self.clock.unix_us()
         execution.begun = True
         self.figures.forwarded(message.cls)
         self._no_longer_unbegun(execution)
@@ -319,7 +341,7 @@
             self._waits.set(limit, max(now + wait_us, self._waits.get(limit) or 0))
         owed = self._owed(message)
         if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
-            message.unsettled.discard(execution.leg)
+            message.unsettled.pop(execution.leg, None)
             if owed:
                 self.store.never_ran(message, execution.leg)
         if owed and result is Result.OK:
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -63,8 +63,10 @@
     body: bytes
     front: str
     form: str = ""
+    key: str = ""  # the idempotency key, passed on unchanged
     legs: int = 0
-    unsettled: set[int] = field(default_factory=set)  # executions begun, not proved never to have run
+    # Executions begun and not proved never to have run, and when each began (Unix time; 0: not known).
+    unsettled: dict[int, int] = field(default_factory=dict)
     ref: int = 0
     out: dict[int, Execution] = field(default_factory=dict)
     guard: WheelTimer | None = None
--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -36,9 +36,11 @@
     """OTLP/HTTP's form of a call: the export request as it was received, uncompressed."""
 
     def call(self, execution: Execution, left_us: int) -> Call:
-        """OTLP has no header for the time that the sender waits."""
-        signal, _, kind = execution.message.form.partition(" ")
-        return Call("POST", f"/v1/{signal}", (("Content-Type", kind),), execution.message.body)
+        """OTLP has no header for the time that the sender waits; a key goes in the usual one."""
+        message = execution.message
+        signal, _, kind = message.form.partition(" ")
+        keyed = (("Idempotency-Key", message.key),) if message.key else ()
+        return Call("POST", f"/v1/{signal}", (("Content-Type", kind), *keyed), message.body)
 
     def verdict(self, execution: Execution, reply: Reply) -> Verdict:
         """429 and 503 are nacks; 502 and 504 may have run; what the specification never repeats is final."""
--- a/rowanrack/fronts/otlp/mapping.py
+++ b/rowanrack/fronts/otlp/mapping.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import hashlib
+import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from rowanrack.core.messages import Message
 from rowanrack.fronts.otlp import FRONT, OtlpError
-from rowanspindle import Settings
+from rowanspindle import Effect, Settings
 
 ID_MOST = 256
+HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the key travels in a header
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +42,7 @@
     destination: Source
     id: Source = field(default_factory=Source)
     left_ms: Source = field(default_factory=Source)
+    key: Source = field(default_factory=Source)
     destinations: Mapping[str, int] = field(default_factory=dict)
 
     def message(
@@ -72,7 +75,13 @@
         message_id = self.id.find(headers, attributes) or digest(tenant, body)
         if len(message_id) > ID_MOST or not message_id.isprintable():
             raise OtlpError(400, "bad id")
-        return Message(message_id, cls, tenant, dest, now_unix_us + left_us, body, FRONT, form)
+        key = self.key.find(headers, attributes)
+        if not key and settings.classes[cls].effect is Effect.KEYED:
+            # The same request is the same message, and its repeat the one to be dropped.
+            key = message_id if HEADER_SAFE.fullmatch(message_id) else digest(tenant, message_id.encode())
+        if key and not HEADER_SAFE.fullmatch(key):
+            raise OtlpError(400, "bad key")
+        return Message(message_id, cls, tenant, dest, now_unix_us + left_us, body, FRONT, form, key)
 
 
 NO_LIMIT = 1 << 62
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -20,9 +20,12 @@
     """The platform's form of a call."""
 
     def call(self, execution: Execution, left_us: int) -> Call:
-        """The id and the body are passed on unchanged."""
-        headers = (("X-Txn", execution.message.id), ("X-Remaining", f"{left_us // 1000}m"))
-        return Call("POST", "/inbox", headers, execution.message.body)
+        """The id, the key and the body are passed on unchanged."""
+        message = execution.message
+        headers = [("X-Txn", message.id), ("X-Remaining", f"{left_us // 1000}m")]
+        if message.key:
+            headers.append(("Idempotency-Key", message.key))
+        return Call("POST", "/inbox", tuple(headers), message.body)
 
     def verdict(self, execution: Execution, reply: Reply) -> Verdict:
         """The table of outcomes in the protocol."""
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -11,10 +11,10 @@
 from rowanrack.fronts.platform.resp import RespError, error, parse_command, simple
 from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
-from rowanspindle import Settings
+from rowanspindle import Effect, Settings
 
 WHOLE = re.compile(r"[0-9]{1,15}")
-HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the id travels in a header
+HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the id and the key travel in headers
 
 
 def read_submit(words: list[bytes], settings: Settings, now_unix_us: int) -> Message:
@@ -41,7 +41,13 @@
     # Guards the hold against a message that would stay in it for ever. Clients add a little to the deadline.
     if left_ms * 1000 > 2 * settings.classes[cls].deadline_us:
         raise RespError("ERR d is far over the deadline of the class")
-    return Message(message_id, cls, tenant, dest, now_unix_us + left_ms * 1000, words[4], FRONT)
+    key = values.get("k", "")
+    if key and not HEADER_SAFE.fullmatch(key):
+        raise RespError("ERR bad k")
+    if not key and settings.classes[cls].effect is Effect.KEYED:
+        # Without it the destination could not drop a repeat: no attempt but the first would ever be safe.
+        raise RespError(f"ERR the list lacks k: class {cls} is keyed")
+    return Message(message_id, cls, tenant, dest, now_unix_us + left_ms * 1000, words[4], FRONT, key=key)
 
 
 def class_of(listed: bytes) -> str:
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -120,6 +120,7 @@
     destination: SourceTable = msgspec.field(default_factory=SourceTable)
     id: SourceTable = msgspec.field(default_factory=SourceTable)
     left_ms: SourceTable = msgspec.field(default_factory=SourceTable)
+    key: SourceTable = msgspec.field(default_factory=SourceTable)
 
 
 class OtlpTable(Part):
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -24,6 +24,7 @@
 SLOTS = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
 OPEN_TRIES, OPEN_PAUSE_S = 20, 0.01  # a slot held for a look is free again within microseconds
 FRAME = struct.Struct("<II")
+TIMED = 12  # bytes of an execution's number with its time
 LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
 BLOCK = 512  # bytes in which a file's size counts on the disk
 ROOM_EACH = 512  # bytes kept free for each owed message: its executions and its end
@@ -33,6 +34,7 @@
 COMPACT_LEAST = 64 * 1024  # bytes of dead records before a compaction is worth its while
 
 TAKEN, BEGUN, NEVER_RAN, ENDED, TOLD = b"T", b"B", b"N", b"E", b"K"
+KEYED = b"Y"  # a taken message with a key; one without is recorded as ever, and old records are still read
 ENDINGS = {Ending.DELIVERED: b"d", Ending.REFUSED: b"r", Ending.FAILED: b"f", Ending.OVER: b"o"}
 ENDING_OF = {code: ending for ending, code in ENDINGS.items()}
 
@@ -79,6 +81,8 @@
     """The record of a taken message."""
     texts = (m.cls, m.tenant, m.front, m.form)
     fixed = struct.pack("<qq", m.deadline_us, m.dest)
+    if m.key:
+        return KEYED + pack_text(m.id.encode(), *(t.encode() for t in texts), m.body, m.key.encode()) + fixed
     return TAKEN + pack_text(m.id.encode(), *(t.encode() for t in texts), m.body) + fixed
 
 
@@ -87,6 +91,12 @@
     return kind + pack_text(message_id.encode()) + struct.pack("<I", leg)
 
 
+def begun_record(message: Message, leg: int, at_us: int) -> bytes:
+    """The record of an execution begun; where a key's time counts, with when that was."""
+    timed = struct.pack("<q", at_us) if message.key else b""
+    return step_record(BEGUN, message.id, leg) + timed
+
+
 @dataclass(slots=True)
 class Ended:
     """A recorded end, kept until its time; `told` once the platform has confirmed its notice.
@@ -254,12 +264,11 @@
     def _parts(message: Message) -> list[bytes]:
         """The records that say all that is known of an owed message."""
         parts = [frame(taken_record(message))]
-        begun = frame(step_record(BEGUN, message.id, max(message.legs - 1, 0)))
         if message.legs:
-            parts.append(begun)
+            parts.append(frame(step_record(BEGUN, message.id, message.legs - 1)))
             if message.legs - 1 not in message.unsettled:
                 parts.append(frame(step_record(NEVER_RAN, message.id, message.legs - 1)))
-        parts += [frame(step_record(BEGUN, message.id, leg)) for leg in sorted(message.unsettled)]
+        parts += [frame(begun_record(message, leg, at)) for leg, at in sorted(message.unsettled.items())]
         return parts
 
     # What the exchange records.
@@ -279,7 +288,7 @@
 
     def begin(self, message: Message, leg: int) -> bool:
         """Record an execution before its first byte; False if it was not written."""
-        return self._append(frame(step_record(BEGUN, message.id, leg)))
+        return self._append(frame(begun_record(message, leg, self.unix_us())))
 
     def never_ran(self, message: Message, leg: int) -> None:
         """Record the proof that an execution never ran."""
@@ -422,8 +431,9 @@
     def _read(self, payload: bytes) -> None:
         kind, (raw, *_), rest = payload[:1], *unpack_text(payload[1:], 1)
         message_id = raw.decode()
-        if kind == TAKEN:
-            (_, cls, tenant, front, form, body), fixed = unpack_text(payload[1:], 6)
+        if kind in (TAKEN, KEYED):
+            texts, fixed = unpack_text(payload[1:], 7 if kind == KEYED else 6)
+            _, cls, tenant, front, form, body, key = texts if kind == KEYED else (*texts, b"")
             deadline_us, dest = struct.unpack("<qq", fixed)
             self.owed[message_id] = Message(
                 message_id,
@@ -434,6 +444,7 @@
                 body,
                 front.decode(),
                 form.decode(),
+                key.decode(),
             )
         elif kind == ENDED:
             self.owed.pop(message_id, None)
@@ -445,10 +456,13 @@
             if message_id in self.ends:
                 self.ends[message_id].told = True
         elif kind in (BEGUN, NEVER_RAN):
-            (leg,) = struct.unpack("<I", rest)
+            leg, *at = struct.unpack("<Iq" if len(rest) == TIMED else "<I", rest)
             if (message := self.owed.get(message_id)) is not None:
                 message.legs = max(message.legs, leg + 1)
-                (message.unsettled.add if kind == BEGUN else message.unsettled.discard)(leg)
+                if kind == BEGUN:
+                    message.unsettled[leg] = at[0] if at else 0
+                else:
+                    message.unsettled.pop(leg, None)
         else:
             raise ValueError(f"unknown type {kind!r}")
 
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -153,7 +153,8 @@
     tenant: str | None = None
     key: str | None = None
     legs: int = 0  # attempts already used; the next one has this number
-    ran: bool = False  # whether one of them may have run
+    ran: bool = False  # whether one of them may have run,
+    ran_us: int = 0  # and how long ago the first of these was sent
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanspindle/held.py
+++ b/rowanspindle/held.py
@@ -29,7 +29,7 @@
         self.aim_at = self.deadline - cls.deadline_us + cls.aim_us
         self.share, self.legs, self.taken_at, self.ran_zone = share, event.legs, now, ""
         self.out: set[int] = set()  # the numbers of its attempts that are out
-        self.ran_at: int | None = now if event.ran else None
+        self.ran_at: int | None = now - event.ran_us if event.ran else None
         self.sort: Sort | None = None  # among which it is held, if it is
 
     def value(self, at: int, halves: bool) -> float:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -46,6 +46,15 @@
             "late_worth": 0.5,
             "effect": "fragile",
         },
+        {
+            "name": "entry-fee",
+            "slo_us": 500_000,
+            "deadline_us": 20_000_000,
+            "worth": 1.0,
+            "late_worth": 0.3,
+            "effect": "dedup",
+            "key_ttl_us": 4_000_000,
+        },
     ],
     "kinds": ["print-lab"],
     "extra": {"slots": 8, "batch_by_kind": [1], "kind_apart": [False]},
@@ -235,10 +244,17 @@
         return await self.raw(resp(*words))
 
     async def submit(
-        self, message_id: str, cls: str = "album-update", d: int = 3000, dest: int = 7, body: bytes = b"x"
+        self,
+        message_id: str,
+        cls: str = "album-update",
+        d: int = 3000,
+        dest: int = 7,
+        body: bytes = b"x",
+        key: str = "",
     ) -> bytes:
         """Hand a message in."""
-        return await self.command("SUBMIT", "0", message_id, f"c={cls},t=a,d={d},dest={dest}", body)
+        keyed = f",k={key}" if key else ""
+        return await self.command("SUBMIT", "0", message_id, f"c={cls},t=a,d={d},dest={dest}{keyed}", body)
 
 
 class Rig(AsyncExitStack):
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,167 @@
+"""Idempotency keys, from the front to the call, and the time for which they hold, across a restart too."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from rowanrack.core.messages import Message
+from rowanrack.fronts.otlp import OtlpError
+from rowanrack.fronts.otlp.mapping import Source
+from rowanrack.fronts.platform.resp import RespError
+from rowanrack.fronts.platform.service_clients import read_submit
+from rowanrack.net.http import Reply
+from rowanrack.store.journal import TAKEN, Journal, frame, pack_text, step_record
+from rowanspindle import Result
+from rowanspindle.wire import parse_settings
+from tests.rig import MAPPING, SETTINGS, Rig, answers, on_loop
+from tests.test_core import Desk
+
+SECOND = 1_000_000
+PARSED = parse_settings(json.dumps(SETTINGS))
+
+
+def listed(more: str, cls: str = "entry-fee") -> list[bytes]:
+    return [b"SUBMIT", b"0", b"m1", f"c={cls},d=3000,dest=7{more}".encode(), b"x"]
+
+
+@pytest.mark.parametrize(
+    ("more", "cls", "key"),
+    [
+        (",k=5c0f6e1a2b3d4c59", "entry-fee", "5c0f6e1a2b3d4c59"),
+        (",k=a=b", "entry-fee", "a=b"),
+        (",k=" + "x" * 256, "entry-fee", "x" * 256),
+        (",k=abc", "album-update", "abc"),  # passed on unchanged where no class asks for it
+        ("", "print-order", ""),
+    ],
+)
+def test_a_key_is_read(more: str, cls: str, key: str) -> None:
+    assert read_submit(listed(more, cls), PARSED, 0).key == key
+
+
+@pytest.mark.parametrize(
+    ("more", "cls", "text"),
+    [
+        ("", "entry-fee", "ERR the list lacks k: class entry-fee is keyed"),
+        (",k=", "entry-fee", "ERR the list lacks k: class entry-fee is keyed"),
+        (",k=a b", "entry-fee", "ERR bad k"),
+        (",k=a\r\nX-Txn: b", "album-update", "ERR bad k"),
+        (",k=\u00e9", "entry-fee", "ERR bad k"),
+        (",k=" + "x" * 257, "entry-fee", "ERR bad k"),
+    ],
+)
+def test_a_bad_key_is_said_so(more: str, cls: str, text: str) -> None:
+    with pytest.raises(RespError, match=text):
+        read_submit(listed(more, cls), PARSED, 0)
+
+
+@on_loop
+async def test_each_attempt_carries_the_key_and_no_other_class_has_one(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(Reply(500, {}), Reply(200, {}))) as rig:
+        client = await rig.client()
+        await client.submit("m1", "entry-fee", key="5c0f")
+        first, second = await rig.servers[0].asked(2)
+        assert first.headers["idempotency-key"] == second.headers["idempotency-key"] == "5c0f"
+        await client.submit("m2")
+        assert "idempotency-key" not in (await rig.servers[0].asked(3))[2].headers
+
+
+@on_loop
+async def test_a_key_outlasts_the_process(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(Reply(500, {}))) as rig:
+        await (await rig.client()).submit("m1", "entry-fee", key="5c0f", d=20_000)
+        await rig.servers[0].asked(1)
+        rig.sender.close()
+        rig.servers[0].behave = answers(Reply(200, {}))
+        before = len(rig.servers[0].requests)
+        await rig.start()
+        again = (await rig.servers[0].asked(before + 1))[-1]
+        assert (again.headers["x-txn"], again.headers["idempotency-key"]) == ("m1", "5c0f")
+
+
+def keyed(name: str = "m1") -> Message:
+    return Message(name, "entry-fee", "a", 7, 2000 * SECOND, b"x", "platform", "f", "k1")
+
+
+def test_the_journal_keeps_a_key_and_when_its_time_began(tmp_path: Path) -> None:
+    now = [1000 * SECOND]
+    journal = Journal(tmp_path, 3_000_000, lambda: now[0])
+    journal.open()
+    message = keyed()
+    journal.take(message)
+    journal.begin(message, 0)
+    message.legs, message.unsettled = 1, {0: now[0]}
+    now[0] += SECOND
+    assert journal._compact()
+    journal.begin(message, 1)
+    journal.close()
+    again = Journal(tmp_path, 3_000_000, lambda: now[0])
+    again.open()
+    assert again.owed["m1"].key == "k1"
+    assert again.owed["m1"].unsettled == {0: 1000 * SECOND, 1: 1001 * SECOND}
+    other = Journal(tmp_path, 3_000_000, lambda: now[0])  # the second process of a hot restart
+    other.open()
+    again.close()
+    (taken,) = other.absorb() or []
+    assert (taken.key, taken.unsettled) == ("k1", {0: 1000 * SECOND, 1: 1001 * SECOND})
+    other.close()
+
+
+def test_records_of_earlier_versions_are_read(tmp_path: Path) -> None:
+    texts = (b"old", b"c", b"t", b"platform", b"f", b"body")
+    taken = TAKEN + pack_text(*texts) + (5).to_bytes(8, "little") + (3).to_bytes(8, "little")
+    journal = Journal(tmp_path, 3_000_000, lambda: 0)
+    journal.open()
+    journal._append(frame(taken))
+    journal._append(frame(step_record(b"B", "old", 0)))
+    journal.close()
+    again = Journal(tmp_path, 3_000_000, lambda: 0)
+    again.open()
+    assert (again.owed["old"].key, again.owed["old"].dest, again.owed["old"].unsettled) == ("", 3, {0: 0})
+    again.close()
+
+
+@pytest.mark.parametrize(("gone_s", "goes"), [(3, True), (5, False)])
+def test_a_repeat_after_a_restart_stays_inside_the_time_of_its_key(
+    tmp_path: Path, gone_s: int, goes: bool
+) -> None:
+    """The time counted from the restart, so that a repeat could take effect twice."""
+    desk = Desk(tmp_path)
+    message = replace(keyed(), deadline_us=desk.now + 15 * SECOND, legs=1)
+    message.unsettled = {0: desk.now - gone_s * SECOND}
+    desk.journal.take(message)
+    desk.exchange.adopt(message)
+    desk.run(10_000)
+    assert bool(desk.calls) is goes
+    assert bool(desk.ends) is not goes
+
+
+def test_a_repeat_that_waits_for_its_connection_heeds_the_time_of_its_key(tmp_path: Path) -> None:
+    desk = Desk(tmp_path)
+    message = replace(keyed(), deadline_us=desk.now + 15 * SECOND)
+    desk.exchange.submit(message)
+    desk.run(10_000)
+    assert desk.exchange.begin(desk.calls[0])
+    desk.exchange.settle(desk.calls[0], Result.ERROR)
+    while len(desk.calls) < 2:
+        desk.run(5000)
+    desk.now += 4 * SECOND
+    assert len(desk.calls) == 2 and not desk.exchange.begin(desk.calls[1])
+
+
+def test_otlp_takes_the_key_from_its_map_else_the_id() -> None:
+    mapping = replace(MAPPING, cls=Source(default="entry-fee"), key=Source(header="x-key"))
+
+    def key(**headers: str) -> str:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        return mapping.message(PARSED, named, (), b"x", "logs j", 0).key
+
+    assert key(x_id="m1", x_key="k1") == "k1"
+    assert key(x_id="m1") == "m1"
+    assert len(key(x_id="m 1")) == 32  # no header carries that id
+    with pytest.raises(OtlpError, match="bad key"):
+        key(x_id="m1", x_key="k 1")
+    assert replace(mapping, cls=Source(default="print-order")).message(PARSED, {}, (), b"", "", 0).key == ""
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -187,7 +187,7 @@
     book.journal.told("c")
     again = Book(tmp_path).journal
     assert list(again.owed) == ["a"] and again.owed["a"].body == b"body" and again.owed["a"].form == "f"
-    assert (again.owed["a"].legs, again.owed["a"].unsettled) == (2, {1})
+    assert (again.owed["a"].legs, again.owed["a"].unsettled) == (2, {1: 0})
     assert again.ended("b") == End(Ending.REFUSED, 700_000) and again.ended("c") == End(Ending.FAILED)
     assert again.untold("platform") == [("b", End(Ending.REFUSED, 700_000))] and again.untold("otlp") == []
 
@@ -222,14 +222,14 @@
     book = Book(tmp_path)
     message = book.message("a")
     book.journal.take(message)
-    message.legs, message.unsettled = 3, {1}
+    message.legs, message.unsettled = 3, {1: 0}
     for n in range(2000):
         book.journal.take(book.message(str(n)))
         book.journal.end(book.message(str(n)), End(Ending.OVER))
     book.journal.ends.clear()
     assert book.journal._compact() and book.journal.size < 1000
     again = Book(tmp_path).journal
-    assert (again.owed["a"].legs, again.owed["a"].unsettled) == (3, {1})
+    assert (again.owed["a"].legs, again.owed["a"].unsettled) == (3, {1: 0})
 
 
 def test_a_compaction_at_any_record_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -241,7 +241,7 @@
     assert list(peek(tmp_path).owed) == ["a"]
     message.legs = 1
     assert book.journal.begin(message, 0)
-    assert peek(tmp_path).owed["a"].unsettled == {0}
+    assert peek(tmp_path).owed["a"].unsettled == {0: 0}
     book.journal.end(message, End(Ending.FAILED))
     assert peek(tmp_path).untold("platform") == [("a", End(Ending.FAILED))]
     book.journal.told("a")
