Send the messages of one round to one instance in one call, and read reports

Lines at fault: Exchange._send started one call a message, and InboxForm knew /inbox only. Also seen: X-Pressure was not read, so Outcome.left and .limit were empty.

Change: sends of a round to one instance make a batch (one slot, one connection); POST /inbox/bulk carries up to as many as the kind takes, split at 64 KiB; each message keeps its execution, time-out, record and end. A wait or a report in any answer holds for all. Verdict moves to the core, with the report's two values; Settings names the report's fields.

Tests fail without: the check that an answer is whole, the shared fate of a batch, doubled entries.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -70,7 +70,7 @@
         keep = {PLATFORM: PLATFORM_KEEP_US}
         self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us, keep_us_of=keep)
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
-        self.forms: dict[str, CallForm] = {PLATFORM: InboxForm()}
+        self.forms: dict[str, CallForm] = {PLATFORM: InboxForm(config.settings.reports)}
         self.room = Descriptors.of(config.sockets, config.settings.slots)
         self.pool = InstancePool(self.exchange, self.forms, self.room.idle)
         self.exchange.side = self.pool
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from rowanrack.core.figures import Figures
-from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
+from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Verdict
 from rowanrack.core.name_table import NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.governor import Governor
@@ -83,10 +83,10 @@
 class InstanceSide(Protocol):
     """Calls to instances."""
 
-    def start(self, execution: Execution) -> None:
-        """Make the call; its end comes back by `Exchange.settle`."""
+    def start(self, batch: Batch) -> None:
+        """Make the call; the end of each execution comes back by `Exchange.settle`."""
 
-    def abandon(self, execution: Execution) -> None:
+    def abandon(self, batch: Batch) -> None:
         """Stop waiting: the call's connection is closed, and nothing more comes back."""
 
     def close_idle(self, name: str) -> None:
@@ -142,6 +142,7 @@
         self._due_us: int | None = None  # when the next round is due
         self._waits: Agenda[str | int] = Agenda()
         self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
+        self._batches: dict[str, list[Batch]] = {}  # what the round sends, by instance
 
     # The service clients' side.
 
@@ -321,12 +322,13 @@
             self.observer.began(execution)
         return True
 
-    def settle(
-        self, execution: Execution, result: Result, wait_us: int = 0, end: Ending | None = None
-    ) -> None:
-        """An execution has ended, and its message too where `end` says so. Only its first end counts."""
+    def settle(self, execution: Execution, verdict: Verdict | Result) -> None:
+        """An execution has ended, and its message too if the verdict says so. Only its first end counts."""
         if execution.settled:
             return
+        if isinstance(verdict, Result):
+            verdict = Verdict(verdict)
+        result, wait_us, end = verdict.result, verdict.wait_us, verdict.end
         execution.settled = True
         if execution.timer is not None:
             execution.timer.cancel()
@@ -351,7 +353,11 @@
         over = not self._owed(message)
         latency = now - execution.started_us
         name = execution.instance.name
-        self._put(Outcome(message.ref, execution.leg, name, result, latency, over, wait_us))
+        self._put(
+            Outcome(
+                message.ref, execution.leg, name, result, latency, over, wait_us, verdict.left, verdict.limit
+            )
+        )
 
     def _no_longer_unbegun(self, execution: Execution) -> None:
         if (waiting := self._unbegun.get(execution.instance.name)) is not None:
@@ -425,6 +431,7 @@
                 except Exception:
                     # As above; the actions behind it are still done.
                     log.exception("%s failed", action)
+            self._start_batches()
         self.round_over()
         due = self.wheel.next_at()
         if due is not None:
@@ -470,18 +477,48 @@
         if instance is None or instance.dest != message.dest or self.side is None:
             self._put(Outcome(action.ref, leg, action.target, Result.MOOT, 0, False))
             return
-        execution = message.out[leg] = Execution(message, leg, instance, now, action.timeout_us)
+        batch = self._batch_for(message, instance)
+        execution = message.out[leg] = Execution(message, leg, instance, now, action.timeout_us, batch)
+        batch.executions.append(execution)
         self._unbegun.setdefault(instance.name, {})[execution] = None
         execution.timer = self.after(action.timeout_us, lambda: self._drop(execution, Result.TIMEOUT))
-        self.side.start(execution)
+
+    def _batch_for(self, message: Message, instance: Instance) -> Batch:
+        """The batch in which a message of this round travels: as many as the kind takes, none twice."""
+        most = self.settings.kinds.get(instance.kind, Kind()).batch
+        batches = self._batches.setdefault(instance.name, [])
+        for batch in batches[-1:]:
+            if len(batch.executions) < most and all(e.message is not message for e in batch.executions):
+                return batch
+        batches.append(Batch(instance))
+        return batches[-1]
+
+    def _start_batches(self) -> None:
+        """The calls that a round has gathered go out together with it."""
+        gathered, self._batches = self._batches, {}
+        for batch in (b for batches in gathered.values() for b in batches):
+            if self.side is not None and batch.waiting():
+                self.side.start(batch)
 
     def _drop(self, execution: Execution, result: Result) -> None:
-        """Stop waiting for an execution; what was never begun has never run."""
+        """Stop waiting for an execution; what was never begun has never run.
+
+        One that shares its call with others ends with that call: until then it may run, and no other attempt
+        of its message may be out. The message's own end does not wait for it.
+        """
+        if execution.begun:
+            execution.given_up = result
+        elif result in MAYBE_RAN:
+            self.settle(execution, Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT)
+        else:
+            self.settle(execution, result)
+        left = [e for e in execution.batch.executions if not e.settled]
+        if any(e.given_up is None for e in left):
+            return
         if self.side is not None:
-            self.side.abandon(execution)
-        if not execution.begun and result in MAYBE_RAN:
-            result = Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT
-        self.settle(execution, result)
+            self.side.abandon(execution.batch)
+        for other in left:
+            self.settle(other, other.given_up or result)
 
     def _finish(self, ref: int, end: End) -> None:
         message = self._refs.get(ref)
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from rowanrack.core.wheel import WheelTimer
-from rowanspindle import Member, Status
+from rowanspindle import Member, Result, Status
 
 
 class Ending(Enum):
@@ -33,6 +33,20 @@
     retry_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What the end of a call means for an execution; with `end` its message ends, whatever the result.
+
+    `left` and `limit` are what a report told: the share of the limit that is left, and calls a second.
+    """
+
+    result: Result
+    wait_us: int = 0
+    end: Ending | None = None
+    left: float | None = None
+    limit: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Instance:
     """An endpoint as the name table lists it."""
@@ -81,6 +95,20 @@
     instance: Instance
     started_us: int
     timeout_us: int
+    batch: Batch
     timer: WheelTimer | None = None
     begun: bool = False
     settled: bool = False
+    given_up: Result | None = None  # how it ends unless its call, which goes on for others, says otherwise
+
+
+@dataclass(slots=True, eq=False)
+class Batch:
+    """Executions that travel to an instance together: one slot, and one call where the protocol has one."""
+
+    instance: Instance
+    executions: list[Execution] = field(default_factory=list)
+
+    def waiting(self) -> list[Execution]:
+        """Those that are still to be written."""
+        return [e for e in self.executions if not (e.begun or e.settled)]
--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Sequence
 from datetime import datetime
 from email.utils import parsedate_to_datetime
 
-from rowanrack.core.messages import Ending, Execution
+from rowanrack.core.messages import Ending, Execution, Verdict
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.signals import JSON, PROTOBUF, SIGNALS, parse_message
 from rowanrack.net.http import Call, Reply
-from rowanrack.net.pool import Verdict
 from rowanspindle import Result
 
 log = logging.getLogger(__name__)
@@ -35,14 +35,22 @@
 class OtlpForm:
     """OTLP/HTTP's form of a call: the export request as it was received, uncompressed."""
 
-    def call(self, execution: Execution, left_us: int) -> Call:
+    def part(self, waiting: Sequence[Execution]) -> int:
+        """An export request is one message, so each goes in a call of its own."""
+        return min(1, len(waiting))
+
+    def call(self, part: Sequence[Execution], left_us: int) -> Call:
         """OTLP has no header for the time that the sender waits; a key goes in the usual one."""
-        message = execution.message
+        message = part[0].message
         signal, _, kind = message.form.partition(" ")
         keyed = (("Idempotency-Key", message.key),) if message.key else ()
         return Call("POST", f"/v1/{signal}", (("Content-Type", kind), *keyed), message.body)
 
-    def verdict(self, execution: Execution, reply: Reply) -> Verdict:
+    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+        """What the one answer means."""
+        return [self._verdict(part[0], reply)]
+
+    def _verdict(self, execution: Execution, reply: Reply) -> Verdict:
         """429 and 503 are nacks; 502 and 504 may have run; what the specification never repeats is final."""
         match reply.status:
             case 200:
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -1,39 +1,92 @@
-"""Calls to the platform's instances: POST /inbox, and what their answers mean."""
+"""Calls to the platform's instances: POST /inbox and /inbox/bulk, and what their answers mean."""
 
 from __future__ import annotations
 
-from rowanrack.core.messages import Ending, Execution
+import math
+from collections.abc import Mapping, Sequence
+
+from rowanrack.core.messages import Ending, Execution, Verdict
+from rowanrack.fronts.platform import bulk
 from rowanrack.net.http import Call, Reply
-from rowanrack.net.pool import Verdict
 from rowanspindle import Result
 
 WAIT_MOST_MS = 3_600_000  # a longer wait outlives every message that is held
+SINGLY_MOST = 256  # instances remembered as taking no bulk; names are ever new
+STATES = {
+    "ok": Verdict(Result.OK),
+    "error": Verdict(Result.ERROR),
+    "later": Verdict(Result.FULL),
+    "gone": Verdict(Result.MOOT, end=Ending.OVER),
+    "exhausted": Verdict(Result.MOOT),
+    "": Verdict(Result.ERROR),  # not told, or not clearly: it may have run
+}
 
 
-def wait_us(header: str) -> int:
-    """The wait that X-Retry-In-Ms tells; 0 if it cannot be read."""
-    text = header.strip()
+def wait_us(headers: Mapping[str, str]) -> int:
+    """The wait that X-Retry-In-Ms tells; 0 if it tells none, or cannot be read."""
+    text = headers.get("x-retry-in-ms", "").strip()
     return min(int(text[:12]), WAIT_MOST_MS) * 1000 if text.isascii() and text.isdigit() else 0
 
 
+def report(headers: Mapping[str, str], names: Sequence[str]) -> tuple[float | None, float | None]:
+    """What X-Pressure tells under the names that the settings give: the share left, and the limit.
+
+    A value that cannot be is as good as none: a made-up limit would hold a destination back for nothing.
+    """
+    told: dict[str, float] = {}
+    for pair in headers.get("x-pressure", "").split(","):
+        name, _, text = pair.partition("=")
+        try:
+            value = float(text)
+        except ValueError:
+            continue
+        if name.strip() in names and math.isfinite(value) and value >= 0:
+            told[name.strip()] = value
+    return told.get("x0"), told.get("x1")
+
+
 class InboxForm:
     """The platform's form of a call."""
 
-    def call(self, execution: Execution, left_us: int) -> Call:
-        """The id, the key and the body are passed on unchanged."""
-        message = execution.message
-        headers = [("X-Txn", message.id), ("X-Remaining", f"{left_us // 1000}m")]
+    def __init__(self, reports: Sequence[str] = ()) -> None:
+        self._reports = reports
+        self._singly: dict[str, None] = {}  # instances that have turned a bulk down
+
+    def part(self, waiting: Sequence[Execution]) -> int:
+        """As many as one body holds; one where the instance has turned a bulk down unread."""
+        if waiting[0].instance.name in self._singly:
+            return 1
+        return bulk.fit([e.message for e in waiting])
+
+    def call(self, part: Sequence[Execution], left_us: int) -> Call:
+        """Ids, keys and bodies are passed on unchanged."""
+        remaining = ("X-Remaining", f"{left_us // 1000}m")
+        if len(part) > 1:
+            kind = ("Content-Type", "application/json")
+            return Call("POST", "/inbox/bulk", (remaining, kind), bulk.encode([e.message for e in part]))
+        message = part[0].message
+        headers = [("X-Txn", message.id), remaining]
         if message.key:
             headers.append(("Idempotency-Key", message.key))
         return Call("POST", "/inbox", tuple(headers), message.body)
 
-    def verdict(self, execution: Execution, reply: Reply) -> Verdict:
+    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+        """What the answer says of each. A wait and a report hold for all, whatever each one's state."""
+        wait = wait_us(reply.headers)
+        left, limit = report(reply.headers, self._reports) if self._reports else (None, None)
+        found = [self._verdict(reply)] if len(part) == 1 else self._bulk_verdicts(part, reply)
+        if len(part) == 1 and reply.status != 429:
+            wait = 0  # on a single call only 429 tells one
+        return [Verdict(v.result, wait, v.end, left, limit) for v in found]
+
+    @staticmethod
+    def _verdict(reply: Reply) -> Verdict:
         """The table of outcomes in the protocol."""
         match reply.status:
             case 200:
                 return Verdict(Result.OK)
             case 429:
-                return Verdict(Result.FULL, wait_us(reply.headers.get("x-retry-in-ms", "")))
+                return Verdict(Result.FULL)
             case 503 if reply.headers.get("x-no-slot") == "1":
                 return Verdict(Result.MOOT)
             case 503:
@@ -44,3 +97,20 @@
                 return Verdict(Result.MOOT, end=Ending.OVER)
             case _:
                 return Verdict(Result.ERROR)
+
+    def _bulk_verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+        match reply.status:
+            case 200 if reply.whole:
+                return [STATES[s] for s in bulk.states(reply.body, [e.message.id for e in part])]
+            case 200:
+                return [Verdict(Result.RESET)] * len(part)  # cut behind its first line: any may have run
+            case 400 | 413:
+                # None has run. One of them may be the cause, so they go singly from now on.
+                self._singly[part[0].instance.name] = None
+                if len(self._singly) > SINGLY_MOST:
+                    del self._singly[next(iter(self._singly))]
+                return [Verdict(Result.MOOT)] * len(part)
+            case 429 | 503:
+                return [self._verdict(reply)] * len(part)
+            case _:
+                return [Verdict(Result.ERROR)] * len(part)
--- a/rowanrack/model/calls.py
+++ b/rowanrack/model/calls.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from rowanrack.core.messages import Execution
+from rowanrack.core.messages import Batch, Execution, Verdict
 from rowanrack.model.history import Entry
 from rowanrack.model.partner import Answer, Place, State, Visit
 from rowanspindle import Result
@@ -41,7 +41,12 @@
 
     # What the exchange asks for.
 
-    def start(self, execution: Execution) -> None:
+    def start(self, batch: Batch) -> None:
+        """Make the calls of a batch."""
+        for execution in batch.executions:
+            self._start(execution)
+
+    def _start(self, execution: Execution) -> None:
         """Make the call, on an idle connection or a new one."""
         place = self.sender.places[execution.instance.name]
         waiting = self.idle.get(place.name, [])
@@ -55,7 +60,12 @@
         there = self._one_way(place)
         self.engine.after(there, lambda: self._knock(execution, place))
 
-    def abandon(self, execution: Execution) -> None:
+    def abandon(self, batch: Batch) -> None:
+        """Stop waiting for the calls of a batch."""
+        for execution in batch.executions:
+            self._abandon(execution)
+
+    def _abandon(self, execution: Execution) -> None:
         """Close the call's connection, which its place sees a little later."""
         line, visit = self.out.pop(execution, (None, None))
         if line is not None:
@@ -74,7 +84,7 @@
         for name in list(self.idle):
             self.close_idle(name)
         for execution in list(self.out):
-            self.abandon(execution)
+            self._abandon(execution)
 
     # One call.
 
@@ -141,7 +151,7 @@
             line.close()
         else:
             self._keep(line)
-        self.sender.exchange.settle(execution, RESULTS[answer.status], answer.wait_us)
+        self.sender.exchange.settle(execution, Verdict(RESULTS[answer.status], answer.wait_us))
 
     def _gone(self, visit: Visit) -> None:
         visit.gone = True
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Ending, Execution, Message, Nack
+from rowanrack.core.messages import End, Execution, Message, Nack, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.model.calls import Calls
 from rowanrack.model.discovery import Discovery
@@ -108,10 +108,9 @@
         self.exchange.side = self.calls
         settle = self.exchange.settle
 
-        def settle_and_note(
-            execution: Execution, result: Result, wait_us: int = 0, end: Ending | None = None
-        ) -> None:
+        def settle_and_note(execution: Execution, verdict: Verdict | Result) -> None:
             if not execution.settled:
+                known = Verdict(verdict) if isinstance(verdict, Result) else verdict
                 m, name = execution.message, execution.instance.name
                 self.history.add(
                     Entry(
@@ -122,11 +121,11 @@
                         execution.leg,
                         name,
                         m.dest,
-                        result.value,
-                        wait_us,
+                        known.result.value,
+                        known.wait_us,
                     )
                 )
-            settle(execution, result, wait_us, end)
+            settle(execution, verdict)
 
         self.exchange.settle = settle_and_note  # type: ignore[method-assign]
         life = self.life
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -60,6 +60,7 @@
     status: int
     headers: dict[str, str]
     body: bytes = b""
+    whole: bool = True  # whether its body came whole
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,7 +183,7 @@
         # line with 200 has said how the call went; any other proves nothing then: the call may have run.
         if not whole and head.status_code != 200:
             raise CallBrokenError(f"answered {head.status_code} with a spoilt body")
-        return Reply(head.status_code, headers, bytes(body))
+        return Reply(head.status_code, headers, bytes(body), whole)
 
     async def _head(self) -> h11.Event | type[h11.PAUSED]:
         """The head of the answer behind any 1xx, whenever it comes; once begun it must come whole."""
@@ -199,7 +200,7 @@
     def _spoilt(self, why: str) -> Reply:
         """An answer whose head cannot be read: the call may have run, unless its first line says 200."""
         if SAYS_200.match(self._raw):
-            return Reply(200, {})
+            return Reply(200, {}, whole=False)
         # Guards against a load report that h11 takes for a broken head: what stands beside it still counts.
         cleaned, again = PRESSURE.sub(b"", bytes(self._raw)), h11.Connection(h11.CLIENT)
         if cleaned != self._raw:
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -5,11 +5,11 @@
 import asyncio
 import logging
 from collections import defaultdict
-from dataclasses import dataclass
+from collections.abc import Sequence
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Ending, Execution, Instance
+from rowanrack.core.messages import Batch, Execution, Instance, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller, Reply
 from rowanrack.net.rare_log import RareLog
@@ -24,23 +24,17 @@
 REST_US = 200_000  # for the rest of an answer: the message's end is known by then
 
 
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    """What an instance's answer means; with `end` the message ends, whatever its result teaches."""
-
-    result: Result
-    wait_us: int = 0
-    end: Ending | None = None
-
-
 class CallForm(Protocol):
     """How a front's messages are called out to instances."""
 
-    def call(self, execution: Execution, left_us: int) -> Call:
-        """The request of an execution that is waited for so long."""
+    def part(self, waiting: Sequence[Execution]) -> int:
+        """How many of them, from the first on, go in one call; all are for one instance."""
 
-    def verdict(self, execution: Execution, reply: Reply) -> Verdict:
-        """What the answer means."""
+    def call(self, part: Sequence[Execution], left_us: int) -> Call:
+        """The request of executions that are waited for so long."""
+
+    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+        """What the answer means for each."""
 
 
 class Idle:
@@ -53,12 +47,12 @@
 
 
 class InstancePool:
-    """Connections to instances, each with one call at a time, and a task for each execution."""
+    """Connections to instances, each with one call at a time, and a task for each batch of executions."""
 
     def __init__(self, exchange: Exchange, forms: dict[str, CallForm], idle_most: int) -> None:
         self.exchange, self.forms = exchange, forms
         self.idle: defaultdict[str, list[Idle]] = defaultdict(list)
-        self.tasks: dict[Execution, asyncio.Task[None]] = {}
+        self.tasks: dict[Batch, asyncio.Task[None]] = {}
         self._aged: dict[Idle, None] = {}  # all idle connections, the one that is idle longest first
         self._idle_most = idle_most
         self._rare = RareLog(log)
@@ -66,14 +60,14 @@
 
     # What the exchange asks for.
 
-    def start(self, execution: Execution) -> None:
+    def start(self, batch: Batch) -> None:
         """Make the call in a task of its own."""
-        task = self.tasks[execution] = asyncio.create_task(self._run(execution))
-        task.add_done_callback(lambda _: self.tasks.pop(execution, None))
+        task = self.tasks[batch] = asyncio.create_task(self._run(batch))
+        task.add_done_callback(lambda _: self.tasks.pop(batch, None))
 
-    def abandon(self, execution: Execution) -> None:
+    def abandon(self, batch: Batch) -> None:
         """Give the call up: its connection is closed, which tells the instance."""
-        if (task := self.tasks.pop(execution, None)) is not None:
+        if (task := self.tasks.pop(batch, None)) is not None:
             task.cancel()
 
     def close_idle(self, name: str) -> None:
@@ -83,46 +77,61 @@
 
     def close(self) -> None:
         """Give up all calls and close all connections."""
-        for execution in list(self.tasks):
-            self.abandon(execution)
+        for batch in list(self.tasks):
+            self.abandon(batch)
         for name in list(self.idle):
             self.close_idle(name)
 
-    # One execution.
+    # One batch.
 
-    async def _run(self, execution: Execution) -> None:
-        result = Verdict(Result.RESET)
+    async def _run(self, batch: Batch) -> None:
+        """Write a batch, in one call or one after the other on one connection: it has one slot."""
         caller: HttpCaller | None = None
         try:
-            caller = await self._take(execution.instance) or await self._open(execution.instance)
-            if not self.exchange.begin(execution):
-                self._keep(execution.instance, caller)
-                caller = None
-                return
-            form = self.forms[execution.message.front]
-            gone_us = self.exchange.clock.now_us() - execution.started_us
-            call = form.call(execution, max(1000, execution.timeout_us - gone_us))
-            reply = await caller.call(call)
-            result = form.verdict(execution, reply)
-            if caller.reusable:
-                self._keep(execution.instance, caller)
+            while waiting := batch.waiting():
+                if caller is None:
+                    caller = await self._take(batch.instance) or await self._open(batch.instance)
+                form = self.forms[waiting[0].message.front]
+                same = [e for e in waiting if self.forms[e.message.front] is form]
+                part = [e for e in same[: form.part(same)] if self.exchange.begin(e)]
+                if not part:
+                    continue
+                verdicts = await self._call(caller, form, part)
+                if not caller.reusable:
+                    caller.stream.abort()
+                    caller = None
+                elif len(part) == len(waiting):
+                    self._keep(batch.instance, caller)
+                    caller = None
+                for execution, verdict in zip(part, verdicts, strict=True):
+                    self.exchange.settle(execution, verdict)
+            if caller is not None:
+                self._keep(batch.instance, caller)
                 caller = None
-        except CallNotSentError:
-            result = Verdict(Result.CONNECT_FAILED)
-        except CallBrokenError as error:
-            self._rare.warning("%s: %s, the call may have run", execution.instance.name, error)
-            result = Verdict(Result.RESET)
         except (OSError, TimeoutError):
-            # Only opening the connection raises these: nothing of the call was written.
-            result = Verdict(Result.CONNECT_FAILED)
+            # Only opening the connection raises these: nothing of what still waits was written.
+            for execution in batch.waiting():
+                self.exchange.settle(execution, Result.CONNECT_FAILED)
         except Exception:
-            log.exception("a call to %s failed", execution.instance.name)
+            log.exception("a call to %s failed", batch.instance.name)
+            for execution in batch.executions:
+                self.exchange.settle(execution, Result.RESET if execution.begun else Result.CONNECT_FAILED)
         finally:
             if caller is not None:
                 caller.stream.abort()
-        if not execution.begun and result.result is Result.RESET:
-            result = Verdict(Result.CONNECT_FAILED)
-        self.exchange.settle(execution, result.result, result.wait_us, result.end)
+
+    async def _call(self, caller: HttpCaller, form: CallForm, part: list[Execution]) -> list[Verdict]:
+        """One call and what became of each execution in it."""
+        now = self.exchange.clock.now_us()
+        left_us = max(e.started_us + e.timeout_us - now for e in part)
+        try:
+            return form.verdicts(part, await caller.call(form.call(part, max(1000, left_us))))
+        except CallNotSentError:
+            result = Result.CONNECT_FAILED
+        except CallBrokenError as error:
+            self._rare.warning("%s: %s, the call may have run", part[0].instance.name, error)
+            result = Result.RESET
+        return [Verdict(result)] * len(part)
 
     async def _open(self, instance: Instance) -> HttpCaller:
         async with time_limit(self.exchange.after, self.exchange.settings.connect_timeout_us):
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -81,6 +81,13 @@
     fraction: Share | None = None
 
 
+class Report(Part):
+    """The load reports that answers carry."""
+
+    how: Literal["piggyback", "pull", "silent"] = "silent"
+    names: list[str] = []
+
+
 class SettingsTable(Part):
     """The module's settings, under the platform's names."""
 
@@ -90,6 +97,7 @@
     extra: Extra = msgspec.field(default_factory=Extra)
     rules: Rules = msgspec.field(default_factory=Rules)
     tenants: list[Tenant] = []
+    report: Report = msgspec.field(default_factory=Report)
     replicas_of_me: Count | None = None
     over_share_worth: Share | None = None
     weight_kind: Literal["silent", "nominal", "rough"] = "nominal"
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -116,6 +116,7 @@
     fall_us: int = 2_000_000
     overload_factor: float = 2.0
     key_rest_us: int = 0
+    reports: tuple[str, ...] = ()  # the fields that a load report in an answer may hold
 
     def __post_init__(self) -> None:
         for field in (
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -109,7 +109,7 @@
 
 def _settings(doc: dict[str, Any]) -> Settings:
     limits, rules, extra = doc["limits"], doc.get("rules", {}), doc.get("extra", {})
-    names = doc.get("kinds", [])
+    names, report = doc.get("kinds", []), doc.get("report") or {}
     batches = extra.get("batch_by_kind") or [1] * len(names)
     aparts = extra.get("kind_apart") or [False] * len(names)
     given: dict[str, Any] = {
@@ -150,6 +150,7 @@
         tenants={t["name"]: float(t["quota_per_s"]) for t in doc.get("tenants") or []},
         kinds={n: Kind(b, bool(a)) for n, b, a in zip(names, batches, aparts, strict=False)},
         weights_told=doc.get("weight_kind") != "silent",
+        reports=tuple(report.get("names") or ()) if report.get("how") == "piggyback" else (),
         on_request=doc.get("membership_mode") == "on_request",
         halves=extra.get("fades") == "halves",
         **{name: value for name, value in given.items() if value is not None},
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -17,7 +17,7 @@
 
 from rowanrack.app import Sender
 from rowanrack.config import Config, OtlpConfig, PlatformConfig
-from rowanrack.core.messages import End, Execution, Instance, Message
+from rowanrack.core.messages import End, Execution, Instance, Message, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.net.http import Call, HttpCaller, HttpServed, Reply, Request
@@ -260,11 +260,13 @@
 class Rig(AsyncExitStack):
     """A sender with both fronts among stand-ins, whose folder outlasts it."""
 
-    def __init__(self, state: Path, *behaviours: Behaviour, **limits: int) -> None:
+    def __init__(
+        self, state: Path, *behaviours: Behaviour, given: dict[str, Any] | None = None, **limits: int
+    ) -> None:
         super().__init__()
         self.state, self.platform = state, Platform()
         self.servers = [HttpStandIn(b) for b in behaviours]
-        doc = SETTINGS | {"limits": SETTINGS["limits"] | limits}
+        doc = SETTINGS | (given or {}) | {"limits": SETTINGS["limits"] | limits}
         self.settings: Settings = parse_settings(json.dumps(doc))
         self.known: tuple[Instance, ...] = ()
         self.results, self.ends = list[Result](), list[tuple[str, End]]()
@@ -293,15 +295,15 @@
         await self.sender.start()
         exchange, settle = self.sender.exchange, self.sender.exchange.settle
 
-        def settle_and_tell(execution: Execution, result: Result, *rest: Any) -> None:
-            settle(execution, result, *rest)
-            self._tell(self.results, result)
+        def settle_and_tell(execution: Execution, verdict: Verdict | Result) -> None:
+            settle(execution, verdict)
+            self._tell(self.results, verdict if isinstance(verdict, Result) else verdict.result)
 
         def listen_and_tell(listener: Callable[[Message, End], None], message: Message, end: End) -> None:
             listener(message, end)
             self._tell(self.ends, (message.id, end))
 
-        exchange.settle = settle_and_tell  # type: ignore[method-assign, assignment]
+        exchange.settle = settle_and_tell  # type: ignore[method-assign]
         for front, listener in exchange.listeners.items():
             exchange.listeners[front] = functools.partial(listen_and_tell, listener)
 
--- /dev/null
+++ b/tests/test_bulk.py
@@ -0,0 +1,342 @@
+"""Several messages in one call: its body, what its answers mean, and who waits for whom."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Verdict
+from rowanrack.fronts.platform import bulk
+from rowanrack.fronts.platform.inbox import InboxForm, report
+from rowanrack.net.http import Reply, Request
+from rowanspindle import Result, Scope
+from tests.rig import Rig, answers, instance, on_loop
+from tests.test_core import SECOND, Desk
+
+PLACE = instance("i0", 1)
+
+
+def message(name: str, body: bytes = b"x", key: str = "") -> Message:
+    return Message(name, "album-update", "a", 7, 0, body, "platform", key=key)
+
+
+def executions(*names: str) -> list[Execution]:
+    batch = Batch(PLACE)
+    batch.executions = [Execution(message(n), 0, PLACE, 0, SECOND, batch) for n in names]
+    return batch.executions
+
+
+def test_the_body_holds_ids_keys_and_bodies_unchanged() -> None:
+    doc = json.loads(bulk.encode([message("a", bytes(range(256)), "k=1"), message("b", b"")]))
+    assert doc[0] == {"id": "a", "key": "k=1", "body": base64.b64encode(bytes(range(256))).decode()}
+    assert doc[1] == {"id": "b", "body": ""}
+
+
+@given(st.lists(st.integers(0, 60_000), min_size=1, max_size=20))
+def test_a_body_never_outgrows_its_bound(sizes: list[int]) -> None:
+    messages = [message(str(n), bytes(size)) for n, size in enumerate(sizes)]
+    while messages:
+        count = bulk.fit(messages)
+        assert count == 1 or len(bulk.encode(messages[:count])) <= bulk.BODY_MOST
+        assert count == len(messages) or len(bulk.encode(messages[: count + 1])) > bulk.BODY_MOST
+        messages = messages[count:]
+
+
+def test_a_body_names_no_message_twice() -> None:
+    assert bulk.fit([message("a"), message("b"), message("a")]) == 2
+
+
+@pytest.mark.parametrize(
+    ("doc", "found"),
+    [
+        ([{"id": "a", "state": "ok"}, {"id": "b", "state": "later"}], ["ok", "later"]),
+        ([{"id": "b", "state": "error"}, {"id": "a", "state": "gone"}], ["gone", "error"]),
+        ([{"id": "a", "state": "exhausted"}], ["exhausted", ""]),  # b is missing
+        ([{"id": "a", "state": "ok"}, {"id": "a", "state": "ok"}], ["", ""]),  # named twice
+        ([{"id": "a", "state": "ok"}, {"id": "z", "state": "ok"}], ["ok", ""]),
+        ([{"id": "a", "state": "fine"}, {"id": "b", "state": ["ok"]}], ["", ""]),
+        ([{"id": "a"}, {"state": "ok"}, "ok", None, 7, {"id": ["b"], "state": "ok"}], ["", ""]),
+        ({"a": "ok"}, ["", ""]),
+        (None, ["", ""]),
+    ],
+)
+def test_only_what_is_told_clearly_is_believed(doc: Any, found: list[str]) -> None:
+    assert bulk.states(json.dumps(doc).encode(), ["a", "b"]) == found
+
+
+LOOSE = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5) | st.sampled_from(["a", "ok"]),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.sampled_from(["id", "state", "x"]), inner, max_size=3)
+    ),
+    max_leaves=20,
+)
+
+
+@given(LOOSE.map(lambda doc: json.dumps(doc).encode()) | st.binary(max_size=60))
+def test_any_answer_is_read_and_ok_is_never_made_up(body: bytes) -> None:
+    found = bulk.states(body, ["a", "b"])
+    assert len(found) == 2 and set(found) <= bulk.STATES | {""}
+    if "ok" in found:
+        assert any(
+            isinstance(i, dict) and i.get("id") in ("a", "b") and i.get("state") == "ok"
+            for i in json.loads(body)
+        )
+
+
+FULL, RESET, ERROR, MOOT = Result.FULL, Result.RESET, Result.ERROR, Result.MOOT
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "result", "wait_us"),
+    [
+        (429, {"x-retry-in-ms": "250"}, FULL, 250_000),
+        (503, {}, FULL, 0),
+        (503, {"x-no-slot": "1"}, MOOT, 0),
+        (500, {}, ERROR, 0),
+        (400, {}, MOOT, 0),
+        (413, {}, MOOT, 0),
+        (404, {}, ERROR, 0),
+        (410, {}, ERROR, 0),  # one message may be over, never a call of several
+        (302, {}, ERROR, 0),
+    ],
+)
+def test_what_holds_for_all(status: int, headers: dict[str, str], result: Result, wait_us: int) -> None:
+    found = InboxForm().verdicts(executions("a", "b"), Reply(status, headers, b'[{"id":"a","state":"ok"}]'))
+    assert found == [Verdict(result, wait_us)] * 2
+
+
+def test_each_state_has_its_meaning_and_a_wait_holds_for_all() -> None:
+    names = ["ok", "error", "later", "gone", "exhausted"]
+    body = json.dumps([{"id": n, "state": n} for n in names]).encode()
+    found = InboxForm().verdicts(executions(*names, "none"), Reply(200, {"x-retry-in-ms": "40"}, body))
+    results = [Result.OK, ERROR, FULL, MOOT, MOOT, ERROR]
+    assert [v.result for v in found] == results and {v.wait_us for v in found} == {40_000}
+    assert [v.end for v in found] == [None, None, None, Ending.OVER, None, None]
+
+
+def test_one_that_is_cut_behind_its_first_line_is_no_delivery() -> None:
+    body = b'[{"id":"a","state":"ok"},{"id":"b","state":"ok"}]'
+    found = InboxForm().verdicts(executions("a", "b"), Reply(200, {}, body, whole=False))
+    assert found == [Verdict(RESET)] * 2
+    assert InboxForm().verdicts(executions("a"), Reply(200, {}, b"", whole=False)) == [Verdict(Result.OK)]
+
+
+@pytest.mark.parametrize("status", [400, 413])
+def test_behind_a_bulk_that_was_turned_down_they_go_singly(status: int) -> None:
+    form, pair = InboxForm(), executions("a", "b")
+    assert form.part(pair) == 2
+    form.verdicts(pair, Reply(status, {}))
+    assert form.part(pair) == 1 and form.call(pair[:1], 1000).target == "/inbox"
+
+
+@pytest.mark.parametrize(
+    ("header", "told"),
+    [
+        ("x0=0.4,x1=25", (0.4, 25.0)),
+        (" x1 = 25 ", (None, 25.0)),
+        ("x0=0,x1=0", (0.0, 0.0)),
+        ("x0=nan,x1=inf", (None, None)),
+        ("x0=-1,x1=1e999", (None, None)),
+        ("x0,x1=,=3,x1=x", (None, None)),
+        ("x2=1,x1=3", (None, 3.0)),
+        ("", (None, None)),
+    ],
+)
+def test_a_report_is_read_and_what_cannot_be_is_left_out(
+    header: str, told: tuple[float | None, float | None]
+) -> None:
+    assert report({"x-pressure": header}, ("x0", "x1")) == told
+
+
+def test_only_the_fields_that_the_settings_name_are_read() -> None:
+    reply = Reply(200, {"x-pressure": "x0=0.4,x1=25"})
+    assert InboxForm(("x1",)).verdicts(executions("a"), reply) == [Verdict(Result.OK, 0, None, None, 25.0)]
+    assert InboxForm().verdicts(executions("a"), reply) == [Verdict(Result.OK)]
+
+
+# On sockets.
+
+BULKY = {"extra": {"slots": 8, "batch_by_kind": [20], "kind_apart": [False]}}
+REPORTING = {"report": {"how": "piggyback", "names": ["x0", "x1"]}}
+
+
+def ids(request: Request) -> list[str]:
+    if request.target != "/inbox/bulk":
+        return [request.headers["x-txn"]]
+    return [item["id"] for item in json.loads(request.body)]
+
+
+async def all_ok(request: Request) -> Reply:
+    """An instance that takes what it gets."""
+    body = json.dumps([{"id": i, "state": "ok"} for i in ids(request)]).encode()
+    return Reply(200, {"X-Pressure": "x0=0.5,x1=30"}, body)
+
+
+async def hand_in(rig: Rig, *names: str, cls: str = "album-update", key: str = "") -> None:
+    """Hand messages in, all in one turn of the sender's loop."""
+    exchange = rig.sender.exchange
+    for name in names:
+        due = exchange.clock.unix_us() + 3 * SECOND
+        exchange.submit(Message(name, cls, "a", 7, due, b"body", "platform", key=key and key + name))
+    exchange.pump()
+
+
+@on_loop
+async def test_the_messages_of_one_turn_travel_in_one_call(tmp_path: Path) -> None:
+    async with Rig(tmp_path, all_ok, given=BULKY | REPORTING) as rig:
+        told: list[tuple[float | None, float | None]] = []
+        settle = rig.sender.exchange.settle
+
+        def see(execution: Execution, verdict: Verdict | Result) -> None:
+            assert isinstance(verdict, Verdict)
+            told.append((verdict.left, verdict.limit))
+            settle(execution, verdict)
+
+        rig.sender.exchange.settle = see  # type: ignore[method-assign]
+        await hand_in(rig, "a", "b", "c", cls="entry-fee", key="k")
+        for name in "abc":
+            assert await rig.ended(name) == End(Ending.DELIVERED)
+        (request,) = rig.servers[0].requests
+        doc = json.loads(request.body)
+        assert request.target == "/inbox/bulk" and {i["id"]: i["key"] for i in doc} == {
+            n: "k" + n for n in "abc"
+        }
+        assert told == [(0.5, 30.0)] * 3
+
+
+@on_loop
+async def test_a_body_that_is_too_long_is_split(tmp_path: Path) -> None:
+    async with Rig(tmp_path, all_ok, given=BULKY) as rig:
+        exchange = rig.sender.exchange
+        for name in "abc":
+            due = exchange.clock.unix_us() + 3 * SECOND
+            exchange.submit(Message(name, "album-update", "a", 7, due, bytes(30_000), "platform"))
+        exchange.pump()
+        for name in "abc":
+            assert await rig.ended(name) == End(Ending.DELIVERED)
+        calls = rig.servers[0].requests
+        assert [len(ids(c)) for c in calls] == [1, 1, 1] and rig.servers[0].connections == 1
+
+
+@on_loop
+async def test_each_message_has_its_own_end(tmp_path: Path) -> None:
+    async def mixed(request: Request) -> Reply:
+        states = {"a": "ok", "b": "gone", "c": "error"}
+        if request.target != "/inbox/bulk":
+            return Reply(200, {})
+        return Reply(
+            200, {}, json.dumps([{"id": i, "state": states.get(i, "ok")} for i in ids(request)]).encode()
+        )
+
+    async with Rig(tmp_path, mixed, given=BULKY) as rig:
+        await hand_in(rig, "a", "b", "c", cls="print-order")
+        assert await rig.ended("a") == End(Ending.DELIVERED)
+        assert await rig.ended("b") == End(Ending.OVER)
+        assert await rig.ended("c") == End(Ending.FAILED)  # it may have run, and may not be repeated
+        assert set(rig.sender.journal.owed) == set()
+
+
+@pytest.mark.parametrize("status", [400, 413])
+@on_loop
+async def test_messages_of_a_bulk_that_was_turned_down_are_delivered_singly(
+    tmp_path: Path, status: int
+) -> None:
+    async def picky(request: Request) -> Reply:
+        return Reply(status if request.target == "/inbox/bulk" else 200, {})
+
+    async with Rig(tmp_path, picky, given=BULKY) as rig:
+        await hand_in(rig, "a", "b", cls="print-order")
+        assert [await rig.ended(n) for n in "ab"] == [End(Ending.DELIVERED)] * 2
+        assert [c.target for c in rig.servers[0].requests] == ["/inbox/bulk", "/inbox", "/inbox"]
+
+
+@on_loop
+async def test_an_answer_cut_at_any_byte_delivers_none_and_repeats_no_order(tmp_path: Path) -> None:
+    body = b'[{"id":"a","state":"ok"},{"id":"b","state":"ok"}]  '  # it can be read a byte before its end
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    async with Rig(tmp_path, answers(Reply(200, {})), given=BULKY) as rig:
+        calls = 0
+        for cut in range(0, len(whole) + 1):
+
+            async def accept(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter, cut: int = cut
+            ) -> None:
+                nonlocal calls
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+                calls += 1
+                sent = whole.replace(b'"a"', b'"a%03d"' % cut).replace(b'"b"', b'"b%03d"' % cut)
+                sent = sent.replace(b": %d\r\n" % len(body), b": %d\r\n" % (len(body) + 6))
+                writer.write(sent[: cut if cut < len(whole) else len(sent)])
+                writer.close()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            exchange, dest = rig.sender.exchange, 100 + cut
+            exchange.list_instances(Scope.DELTA, [instance(f"s{cut}", port, dest)])
+            names = [f"a{cut:03d}", f"b{cut:03d}"]
+            for name in names:
+                due = exchange.clock.unix_us() + 3 * SECOND
+                exchange.submit(Message(name, "print-order", "a", dest, due, b"x", "platform"))
+            exchange.pump()
+            ends = [(await rig.ended(name)).ending for name in names]
+            assert ends == [Ending.DELIVERED if cut == len(whole) else Ending.FAILED] * 2, cut
+            server.close()
+        assert calls == len(whole) + 1  # none was sent again
+
+
+# Who waits for whom.
+
+
+def bulk_desk(folder: Path) -> Desk:
+    return Desk(folder, BULKY)
+
+
+def test_giving_one_message_up_does_not_cut_the_others_off(tmp_path: Path) -> None:
+    """A time-out closed the connection, and what else was on it may have run for nothing."""
+    desk = bulk_desk(tmp_path)
+    for name, left in (("a", 3 * SECOND), ("b", SECOND)):
+        desk.exchange.submit(Message(name, "print-order", "a", 7, desk.now + left, b"x", "platform"))
+    desk.run(10_000)
+    first, second = desk.calls
+    assert first.batch is second.batch and desk.exchange.begin(first) and desk.exchange.begin(second)
+    desk.run(SECOND + 100_000)
+    assert desk.ends == {"b": End(Ending.FAILED)} and not desk.abandoned
+    assert not second.settled and len(desk.calls) == 2  # it may still run: no other attempt is out
+    desk.exchange.settle(first, Result.OK)
+    desk.exchange.settle(second, Result.OK)
+    desk.run(SECOND)
+    assert desk.ends == {"a": End(Ending.DELIVERED), "b": End(Ending.FAILED)}
+
+
+def test_the_call_is_given_up_with_its_last_message(tmp_path: Path) -> None:
+    desk = bulk_desk(tmp_path)
+    for name in "ab":
+        desk.exchange.submit(Message(name, "album-update", "a", 7, desk.now + 20 * SECOND, b"x", "platform"))
+    desk.run(10_000)
+    pair = list(desk.calls)
+    assert all(desk.exchange.begin(e) for e in pair)
+    desk.exchange._drop(pair[0], Result.TIMEOUT)
+    assert not desk.abandoned and not pair[0].settled
+    desk.exchange._drop(pair[1], Result.TIMEOUT)
+    assert desk.abandoned == pair and all(e.settled for e in pair)
+
+
+def test_one_that_waits_for_its_connection_leaves_its_batch_at_once(tmp_path: Path) -> None:
+    desk = bulk_desk(tmp_path)
+    for name in "ab":
+        desk.exchange.submit(Message(name, "album-update", "a", 7, desk.now + 20 * SECOND, b"x", "platform"))
+    desk.run(10_000)
+    first, second = desk.calls
+    desk.exchange._drop(first, Result.TIMEOUT)
+    assert first.settled and not desk.abandoned
+    assert not desk.exchange.begin(first) and desk.exchange.begin(second)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,11 +5,12 @@
 import json
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Ending, Execution, Message
+from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Verdict
 from rowanrack.core.wheel import TimerWheel
 from rowanrack.store.journal import Journal
 from rowanspindle import Fail, Result, Scope, Status
@@ -22,14 +23,16 @@
 class Desk:
     """An exchange with its ports in hand: the clock stands still, and calls are kept."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, given: dict[str, Any] | None = None) -> None:
         self.now = 1000 * SECOND
         self.calls: list[Execution] = []
         self.abandoned: list[Execution] = []
         self.ends: dict[str, End] = {}
         self.journal = Journal(folder, 3_000_000, self.unix_us)
         self.journal.open()
-        self.exchange = Exchange(parse_settings(json.dumps(SETTINGS)), 1, self, self.journal, 5000)
+        self.exchange = Exchange(
+            parse_settings(json.dumps(SETTINGS | (given or {}))), 1, self, self.journal, 5000
+        )
         self.exchange.side = self
         self.exchange.listeners["platform"] = lambda m, end: self.ends.update({m.id: end})
         self.exchange.list_instances(Scope.FULL, [instance("i0", 1)])
@@ -42,11 +45,11 @@
     def wake_at(self, due_us: int) -> None:
         assert due_us > 0
 
-    def start(self, execution: Execution) -> None:
-        self.calls.append(execution)
+    def start(self, batch: Batch) -> None:
+        self.calls += batch.executions
 
-    def abandon(self, execution: Execution) -> None:
-        self.abandoned.append(execution)
+    def abandon(self, batch: Batch) -> None:
+        self.abandoned += batch.executions
 
     def close_idle(self, name: str) -> None:
         assert name
@@ -76,7 +79,7 @@
     desk = Desk(tmp_path)
     first, second = desk.submit("m1"), desk.submit("m2")
     assert first is not second and desk.exchange.begin(first)
-    desk.exchange.settle(first, Result.FULL, wait_us=SECOND)
+    desk.exchange.settle(first, Verdict(Result.FULL, SECOND))
     assert not desk.exchange.begin(second)
     desk.run(SECOND + 600_000)
     assert desk.exchange.begin(desk.calls[2])
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -16,7 +16,7 @@
 import pytest
 
 from rowanrack.config import ConfigError, operator_config
-from rowanrack.core.messages import Message
+from rowanrack.core.messages import Message, Verdict
 from rowanrack.model.calibrate import Outage, fit_limit, fit_times, outages, slow_spans
 from rowanrack.model.engine import SECOND
 from rowanrack.model.partner import Figures, Limit
@@ -155,7 +155,7 @@
     execution = desk.submit("secret-id")
     assert desk.exchange.begin(execution)
     desk.now += 50_000
-    desk.exchange.settle(execution, Result.FULL, 300_000)
+    desk.exchange.settle(execution, Verdict(Result.FULL, 300_000))
     desk.exchange.submit(Message("m2", "print-order", "a", 99, desk.now + SECOND, b"secret-body", "platform"))
     desk.run(4 * SECOND)
     recorder.close()
