Pace by told limits, leave slow and dear routes, and call an endpoint silent later

Lines at fault: Gate.weight (the list's rough rate, up to half wrong) and next_token, whose crowd is one sender while work is fresh, so three senders took three limits; distance, which compared zones only; SILENCE_* and TIMEOUT_SILENCES, learnt on a site with aims of 2.5 s; SLOT_SHARE.

Change: reports set the rate and the pace; route cost has answer times and fees; the constants.

--- a/rowanrack/console/snapshot.py
+++ b/rowanrack/console/snapshot.py
@@ -37,7 +37,7 @@
                 "state": endpoint_state(e, now),
                 "window": e.window.size,
                 "out": len(e.calls),
-                "usual_ms": e.mean / 1000,
+                "usual_ms": e.usual.mean / 1000,
             }
             for e in destination.endpoints.values()
         ],
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from dataclasses import dataclass
 from enum import Enum
@@ -116,6 +117,7 @@
     fall_us: int = 2_000_000
     overload_factor: float = 2.0
     key_rest_us: int = 0
+    zone_fees: dict[str, float] = dataclasses.field(default_factory=dict)  # points a message, on routes apart
     reports: tuple[str, ...] = ()  # the fields that a load report in an answer may hold
 
     def __post_init__(self) -> None:
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -15,29 +15,30 @@
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
 from rowanspindle.held import NEVER, Hold, KeyLine, Message, turns
-from rowanspindle.order import Agenda, Bucket, Meter, Ranking
+from rowanspindle.order import Agenda, Bucket, Meter, Ranking, Usual, Window, crowd
+from rowanspindle.trust import LEAST_US, Trust
 
 SECOND = 1_000_000  # microseconds
 
 FLOOR = 1.0  # every window lets one call out, as in Dialogue; outages and waits are guarded elsewhere
 START_LEAST = 3.0  # calls of a first window, and one second of own calls: enough for a healthy destination
 CUT = 0.7  # factor; gentle, since windows here hold few calls and a halving would leave the floor
-SLOT_SHARE = 0.5  # part of the slots that one destination may hold: a hung one never takes them all
+SLOT_SHARE = 0.35  # part of the slots that one destination may hold: a hung one never takes them all
 
 FAILURE_WEIGHT = 10.0  # in-flight calls that one recent failure weighs, as in Dialogue
 FAILURE_DECAY_S = 3.0  # seconds in which a failure's weight falls to 1/e
-REUSE_LEAST = 3.0  # calls expected while an idle connection is trusted: below, it is closed after its answer
-TRUST_GROW = 1.005  # factor of each answer on the idle time for which a connection is trusted
-TRUST_LEAST_US = 500_000  # idle time below which a failure is the endpoint's, not the connection's
 FAR_WHEN_FULL = 3.0  # times more that a far zone weighs when every slot is taken
 NEW_CONNECTION = 1.5  # in-flight calls that the lack of a warm idle connection weighs
+SLOWNESS = 2.0  # in-flight calls that an answer time twice that of the quickest route weighs
+FEE = 25.0  # and that a point of the result weighs, which a route apart takes for each message
 
 SMOOTH = 0.15  # weight of a new answer time in the running mean and deviation (about the last dozen answers)
-SILENCE_DEVIATIONS = 5.0  # deviations past the mean, and SILENCE_MEANS: a call beyond both is out too long
-SILENCE_MEANS = 3.0  # times the mean answer time
+SILENCE_DEVIATIONS = 8.0  # deviations past the mean, and SILENCE_MEANS: a call beyond both is out too long
+SILENCE_MEANS = 5.0  # times the mean answer time
 LONE_CALL = 2.0  # times the silence that a single call out is allowed
 SILENCE_AIMS = 0.4  # of the shortest aim, which is the guess itself until there is an answer
-TIMEOUT_SILENCES = 2.5  # silences after which an attempt that may be repeated is given up
+TIMEOUT_SILENCES = 4.0  # silences after which an attempt that may be repeated is given up,
+STUCK_SILENCES = 2.5  # and one that may not, while others starve of slots
 
 OUT_FAILURES = 3  # failures in a row that mean an outage, at most
 OUT_EVIDENCE_S = 2.0  # or as many as this forwarder's part of the calls in this time: others fail likewise
@@ -57,6 +58,11 @@
 PACE_FALL = 0.8  # factor on the pace at a refusal
 PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs
 PACE_GONE = 2.5  # times the first pace: no limit is evident any more
+REPORT_WEIGHT = 0.3  # of a new report of the limit in the running mean: reports are noisy
+REPORT_MOST = 8.0  # times more or less than the list's rough rate that a report is believed
+REPORT_FALL = 0.95  # factor on the pace at a refusal where the limit is told,
+REPORT_RISE = 1.2  # and times the limit to which answers lift it
+EVEN_S = 1.0  # seconds in which the others are taken to have had work, where the limit is told
 BURST_S = 0.4  # seconds of pace that may go at once
 BACKOFF_S = 0.25  # seconds of the first backoff after a refusal with no wait; doubles thrice, with jitter
 JITTER = 0.25  # part of a wait or backoff by which its end is spread
@@ -74,29 +80,6 @@
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
 
 
-class Window:
-    """An AIMD limiter: how many calls may be in flight."""
-
-    def __init__(self, start: float, most: float) -> None:
-        self.size, self.most, self.cut_at = min(start, most), most, -1
-
-    def full(self, calls: list[Call], now: int) -> bool:
-        """Whether those in flight leave no permit; lost ones hold none."""
-        size = int(self.size)
-        return len(calls) >= size and sum(not c.lost(now) for c in calls) >= size
-
-    def grow(self, in_flight: int) -> None:
-        """Rise by one call a round, but only if the window was in use."""
-        if in_flight + 1 >= self.size / 2:
-            self.size = min(self.most, self.size + 1 / self.size)
-
-    def cut(self, now: int, sent_at: int) -> None:
-        """Fall once for a burst of failures: calls sent before the last cut do not count again."""
-        if sent_at > self.cut_at:
-            self.size = max(FLOOR, self.size * CUT)
-            self.cut_at = now
-
-
 class Call:
     """One call on the wire: one or more messages of one reply to one endpoint, with one fate."""
 
@@ -114,6 +97,12 @@
         return self.endpoint.answered_at > self.sent_at and now - self.sent_at >= self.endpoint.silence_us()
 
 
+def full(window: Window, calls: list[Call], now: int) -> bool:
+    """Whether the calls in flight leave no permit; lost ones hold none."""
+    size = int(window.size)
+    return len(calls) >= size and sum(not c.lost(now) for c in calls) >= size
+
+
 class Gate:
     """What shares one limit: a destination, or a single route where routes are apart."""
 
@@ -122,26 +111,32 @@
         self.measured = told <= 0 or not settings.weights_told
         self.weight = max(own * self.replicas if self.measured else told, 0.1)
         most = max(2.0, settings.slots * SLOT_SHARE)
-        self.window = Window(START_LEAST + self.weight / self.replicas, most)  # and its part of a second
+        self.window = Window(START_LEAST + self.weight / self.replicas, most, FLOOR, CUT)  # and a second's
         self.calls: list[Call] = []
-        self.routes = 0  # endpoints listed that share this limit
+        self.routes, self.limit = 0, 0.0  # endpoints listed that share it, and the limit that reports tell
         self.opens_at, self.refusals, self.refused_at = 0, 0, -1
         self.pace: float | None = None  # calls a second of all forwarders, while a limit is evident
         self.bucket = Bucket(1.0)
 
     def crowd(self, age_us: int) -> float:
-        """How many forwarders have work here, this one among them, where work has waited so long.
-
-        At most weight x age messages came in that time, spread evenly: each other forwarder has some with the
-        chance 1 - exp(-weight x age / forwarders). A few count in full; of hundreds only those likely to.
-        """
-        return 1 - (self.replicas - 1) * math.expm1(-self.weight * max(0, age_us) / SECOND / self.replicas)
+        """How many forwarders have work here, this one among them, where work has waited so long."""
+        return crowd(self.replicas, self.weight, age_us)
 
     def next_token(self, now: int, age_us: int) -> int:
         """When the pace lets the next call go: an even part for each forwarder likely to have work."""
-        rate = (self.pace or 0.0) / self.crowd(age_us)
+        rate = (self.pace or 0.0) / self.crowd(max(age_us, int(EVEN_S * SECOND)) if self.limit else age_us)
         return self.bucket.next_at(now, rate, max(1.0, rate * BURST_S)) if rate else now
 
+    def reported(self, limit: float) -> None:
+        """An answer told the limit: that is the rate, better than a rough one, and is paced from the start.
+
+        Answers refusals by limits that are known: they cost a wait, and use the limit up at some.
+        """
+        known = self.limit or self.weight
+        limit = min(max(limit, known / REPORT_MOST), known * REPORT_MOST)
+        self.limit = self.weight = self.limit + (REPORT_WEIGHT if self.limit else 1.0) * (limit - self.limit)
+        self.pace = self.limit if self.pace is None else self.pace
+
     def refused(self, now: int, sent_at: int, wait_us: int, age_us: int, rng: Random) -> None:
         """Full: heed a told wait, back off from an untold one, and pace what follows.
 
@@ -154,7 +149,8 @@
         self.refusals += not burst
         wait = wait_us or BACKOFF_S * SECOND * 2 ** min(self.refusals - 1, 3)
         if not burst:
-            self.pace = max(self.weight / 8, (self.weight if self.pace is None else self.pace) * PACE_FALL)
+            pace = min(self.weight if self.pace is None else self.pace, self.limit or math.inf)
+            self.pace = max(self.weight / 8, pace * (REPORT_FALL if self.limit else PACE_FALL))
         crowd = min(self.replicas, max(self.crowd(age_us), 2 ** min(self.refusals, 8)))
         others = (crowd - 1) / (self.pace or self.weight) * SECOND
         spread = max(min(wait, BACKOFF_S * SECOND * 2) * JITTER, others) * rng.random()
@@ -166,7 +162,8 @@
         self.refusals = 0
         if self.pace is not None:
             risen = self.pace + self.weight * PACE_RISE * self.replicas
-            self.pace = risen if risen <= self.weight * PACE_GONE else None
+            gone = None if risen > self.weight * PACE_GONE else risen
+            self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone
 
 
 class Endpoint:
@@ -176,10 +173,10 @@
         self.target, self.zone, self.dest, self.kind = member.target, member.zone, member.dest, member.kind
         self.gate, self.settings, self.lot = gate, settings, lot  # by the lot equal ranks spread the fleet
         self.listed, self.proved = True, False
-        self.window = Window(gate.window.size, gate.window.most)
+        self.window = Window(gate.window.size, gate.window.most, FLOOR, CUT)
         self.calls: list[Call] = []
         self.failures, self.failed_at, self.row = 0.0, 0, 0
-        self.mean = self.deviation = 0.0
+        self.usual = Usual(SMOOTH)
         self.warm: list[int] = []
         self.out_since: int | None = None
         self.trial_at = self.answered_at = self.struck_at = 0
@@ -197,13 +194,18 @@
         warm = (self.warm and now - self.warm[-1] < self.settings.keepalive_us) or self.shares_connection()
         return len(self.calls) + FAILURE_WEIGHT * recent + (0.0 if warm else NEW_CONNECTION)
 
+    def latency(self, now: int) -> float:
+        """Its usual answer time, or for how long its oldest call is out, if that is longer."""
+        return max(self.usual.mean, float(now - self.calls[0].sent_at) if self.calls else 0.0)
+
     def shares_connection(self) -> bool:
         """Whether a connection that is in use has room for the next call."""
         return len(self.calls) % self.settings.streams_per_conn > 0
 
     def silence_us(self) -> float:
         """How long a call may be out before that is a symptom."""
-        usual = max(self.mean * SILENCE_MEANS, self.mean + SILENCE_DEVIATIONS * self.deviation)
+        mean = self.usual.mean
+        usual = max(mean * SILENCE_MEANS, mean + SILENCE_DEVIATIONS * self.usual.deviation)
         return max(self.least_us, usual) if usual else self.least_us / SILENCE_AIMS
 
     def silent_at(self) -> int:
@@ -247,10 +249,7 @@
     def succeeded(self, now: int, latency: int) -> None:
         """A call was answered: learn the usual time."""
         self.row, self.answered_at = 0, now
-        if self.mean == 0:
-            self.mean, self.deviation = float(latency), latency / 2
-        self.deviation += SMOOTH * (abs(latency - self.mean) - self.deviation)
-        self.mean += SMOOTH * (latency - self.mean)
+        self.usual.add(latency)
 
     def returned(self, now: int, rng: Random) -> None:
         """The outage is over, here or at a sibling: most take all of a destination, and the next trial may be
@@ -299,7 +298,7 @@
         self.answered: dict[Endpoint, None] = {}
         self.zones: dict[str, float] = {}
         self.own = Meter(NEVER, MEMORY_S, GUESS)
-        self.trust_us: defaultdict[str, float] = defaultdict(lambda: float(settings.keepalive_us))
+        self.trust = Trust(settings)
         self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
         self.token, self.armed_for = 0, NEVER
         self.watch_at, self.watch_failures = 0 if settings.on_request else NEVER, 0
@@ -380,7 +379,8 @@
             first = line.waiting[0]
             if self.destinations[first.dest].hold.move(first, first.sort_of(line.in_turn(first, self.now))):
                 self.stir(first.dest)
-        self.tidy_key(key, line)
+        if not line.waiting and not line.out and self.now >= line.rest_until:
+            del self.keys[key]
 
     def tenant_share(self, tenant: str | None) -> float:
         """Full worth within the tenant's share, little beyond it."""
@@ -429,7 +429,7 @@
             else:
                 known.listed = True
                 self.stir(known.dest)
-                if not known.gate.measured:
+                if not (known.gate.measured or known.gate.limit):
                     known.gate.weight = max(member.weight, 0.1)
                 known.gate.routes += self.unlisted.pop(known.target, None) is not None
 
@@ -488,6 +488,8 @@
         self.stir(call.endpoint.dest)
         told_until = self.now + event.wait_us + 1 if event.wait_us else 0  # any message may be told (h80106d)
         call.endpoint.gate.opens_at = max(call.endpoint.gate.opens_at, told_until)
+        if event.limit:
+            call.endpoint.gate.reported(event.limit)
         if not call.judged:
             call.judged = True
             self.judge(call, event)
@@ -522,16 +524,9 @@
             self.line_up(message.key)
 
     def close_idle(self) -> None:
-        """Close connections that will hardly be used again while they live.
-
-        Answers endpoints that take few connections, and connections dropped unseen. Where one carries one
-        call at a time tables fill from the start; elsewhere failures at endpoints of the kind must show it.
-        It costs handshakes, for nothing after a crash, until answers regain the trust.
-        """
+        """Close connections that will hardly be used again while they live."""
         for endpoint in self.answered:
-            trust = self.trust_us[endpoint.kind]
-            doubted = trust < self.settings.keepalive_us or self.settings.streams_per_conn == 1
-            if doubted and endpoint.part() / self.settings.replicas * trust < REUSE_LEAST * SECOND:
+            if self.trust.too_rare(endpoint.kind, endpoint.part() / self.settings.replicas):
                 self.disconnect(endpoint)
         self.answered.clear()
 
@@ -552,7 +547,7 @@
             case Result.OK:
                 gate.answered()
                 gate.own.count += endpoint.out_since is None and endpoint.ramp_from is None
-                self.trust_us[kind] = min(self.settings.keepalive_us, self.trust_us[kind] * TRUST_GROW)
+                self.trust.answered(kind)
                 if endpoint.out_since is not None:
                     self.actions.append(Log(f"{endpoint.target}: answers again, slow start"))
                     for other in self.destinations[endpoint.dest].endpoints.values():
@@ -571,15 +566,15 @@
                 if endpoint.out_since is not None:
                     endpoint.proved = True
                     endpoint.next_trial(now, self.rng)
-            case Result.TIMEOUT | Result.RESET if call.idle_us > TRUST_LEAST_US and (
+            case Result.TIMEOUT | Result.RESET if call.idle_us > LEAST_US and (
                     evidence < 1 or endpoint.answered_at > call.sent_at):
                 # A connection dropped unseen while idle looks like this, where others are answered or own
                 # calls are too rare to tell. A new one tells more: a hang is noticed one call later.
-                self.trust_us[kind] = max(TRUST_LEAST_US, min(self.trust_us[kind], call.idle_us * CUT))
+                self.trust.dropped(kind, call.idle_us)
                 self.disconnect(endpoint)
             case Result.ERROR | Result.TIMEOUT | Result.RESET | Result.CONNECT_FAILED:
                 if event.result is Result.CONNECT_FAILED and endpoint.row == 0:  # down, or no connection left
-                    self.trust_us[kind] = max(TRUST_LEAST_US, self.trust_us[kind] * CUT)
+                    self.trust.dropped(kind)
                 endpoint.failed(now)
                 endpoint.window.cut(now, call.sent_at)
                 if event.result is Result.ERROR:
@@ -638,7 +633,7 @@
                 return NEVER
             if len(self.calls) > self.settings.slots * SCARCE and len(self.trials) >= self.trials_most:
                 return max(self.now + int(TRIAL_LEAST_S * SECOND), endpoint.trial_at)
-        elif gate.window.full(gate.calls, now) or endpoint.window.full(endpoint.calls, now):
+        elif full(gate.window, gate.calls, now) or full(endpoint.window, endpoint.calls, now):
             lapse = (c.sent_at + int(c.endpoint.silence_us()) + 1 for c in gate.calls)
             return min((at for at in lapse if at > now), default=NEVER)
         age = now - self.destinations[endpoint.dest].hold.since
@@ -655,28 +650,33 @@
         destination.opens_at = min((at for at, _ in opens if at > now), default=NEVER)
         routes = [e for at, e in opens if at <= now]
         if len(routes) > 1:
-            routes.sort(key=lambda e: (e.rank(now) + self.distance(e), e.lot))
+            quick = min((e.latency(now) for e in routes if e.usual.mean), default=0.0)
+            routes.sort(key=lambda e: (e.rank(now) + self.distance(e, quick), e.lot))
         drain_us = self.drain_us(destination) if routes else 0
         best: tuple[int, float] | None = None
         for cls, zone, line in destination.hold.sendable() if routes else ():
             if (route := next((e for e in routes if zone in ("", e.zone)), None)) is None:
                 continue
             trial = 0 if route.out_since is None else TRIAL_ORDER.index(cls.effect)
-            answer = now + int(route.mean)
+            answer = now + int(route.usual.mean)
             for message in line.around(turns(cls, answer, drain_us, self.settings.halves)):
                 key = trial, self.urgency(message, answer, drain_us)
                 if best is None or key > best:
                     best, destination.choice = key, (key[1], message, route)
 
-    def distance(self, endpoint: Endpoint) -> float:
-        """The answer time of an endpoint's zone against the quickest zone's, as calls in flight.
+    def distance(self, endpoint: Endpoint, quick: float) -> float:
+        """What speaks against a route beside its calls, as calls in flight: its fee, its answer time against
+        the quickest route's, and its zone's against the quickest zone's.
 
         Answers zones that are far or have turned slow: a forwarder that calls each endpoint rarely learns it
         from the others there. It hurts where one slow destination makes up most of a zone's calls.
         """
+        apart = self.settings.kinds.get(endpoint.kind, Kind()).apart
+        against = FEE * self.settings.zone_fees.get(endpoint.zone, 0.0) if apart else 0.0
+        against += SLOWNESS * (endpoint.latency(self.now) / quick - 1) if endpoint.usual.mean else 0.0
         least = min(self.zones.values(), default=1.0)
         scarce = 1 + FAR_WHEN_FULL * len(self.calls) / self.settings.slots  # a far call keeps its slot longer
-        return (self.zones.get(endpoint.zone, least) / least - 1) * scarce
+        return against + (self.zones.get(endpoint.zone, least) / least - 1) * scarce
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
@@ -738,7 +738,7 @@
         for call in (c for c in self.lapsed if wanted and not c.called_off):
             unsafe = any(m.cls.effect is Effect.UNSAFE or m.cls.same_zone for m in call.open.values())
             out, lost = call.endpoint.out_since is not None, call.endpoint.answered_at > call.sent_at
-            patience = call.endpoint.silence_us() * (TIMEOUT_SILENCES if unsafe else 1)
+            patience = call.endpoint.silence_us() * (STUCK_SILENCES if unsafe else 1)
             if now - call.sent_at >= patience and (lost or out):
                 stuck.append((unsafe, call.sent_at, len(stuck), call))
         for *_, call in sorted(stuck)[: wanted if self.settings.cancel else 0]:
@@ -758,7 +758,7 @@
             endpoint.next_trial(self.now, self.rng)
         if endpoint.warm and not endpoint.shares_connection():
             call.idle_us = self.now - endpoint.warm[0]
-            if call.idle_us > self.trust_us[endpoint.kind]:
+            if call.idle_us > self.trust.us[endpoint.kind]:
                 self.disconnect(endpoint)
                 call.idle_us = 0
             endpoint.warm = endpoint.warm[:-1]
@@ -783,7 +783,7 @@
     def together(
             self, first: Message, endpoint: Endpoint, destination: Destination, most: int) -> list[Message]:
         """What goes in one call, taken out of the hold: the choice, and the most urgent that may join it."""
-        taken, answer, drain_us = [first], self.now + int(endpoint.mean), self.drain_us(destination)
+        taken, answer, drain_us = [first], self.now + int(endpoint.usual.mean), self.drain_us(destination)
         self.release(first)
         while len(taken) < most and destination.hold:
             others = [m for cls, zone, line in destination.hold.sendable() if zone in ("", endpoint.zone)
@@ -871,11 +871,6 @@
             self.keys[message.key].waiting.remove(message)
             self.line_up(message.key)
 
-    def tidy_key(self, key: str, line: KeyLine) -> None:
-        """Forget a key with nothing waiting, out or resting."""
-        if not line.waiting and not line.out and self.now >= line.rest_until:
-            del self.keys[key]
-
     def tidy_destination(self, number: int) -> None:
         """Forget a destination with no endpoint and nothing held."""
         if (kept := self.destinations.get(number)) and not kept.endpoints and not kept.hold:
--- a/rowanspindle/order.py
+++ b/rowanspindle/order.py
@@ -194,6 +194,49 @@
         return [items[place][2] for place in sorted(places)]
 
 
+def crowd(senders: int, rate: float, age_us: int) -> float:
+    """How many of some senders have work for a destination, this one included, where work has waited so long.
+
+    At most rate x age messages came in that time, spread evenly: each other sender has some with the chance
+    1 - exp(-rate x age / senders). A few count in full; of hundreds only those likely to.
+    """
+    return 1 - (senders - 1) * math.expm1(-rate * max(0, age_us) / 1_000_000 / senders)
+
+
+class Usual:
+    """A running mean and mean deviation of what is measured, which forget."""
+
+    def __init__(self, weight: float) -> None:
+        self.mean = self.deviation = 0.0
+        self._weight = weight  # of each new value
+
+    def add(self, value: float) -> None:
+        """Measured once more."""
+        if self.mean == 0:
+            self.mean, self.deviation = float(value), value / 2
+        self.deviation += self._weight * (abs(value - self.mean) - self.deviation)
+        self.mean += self._weight * (value - self.mean)
+
+
+class Window:
+    """A count that rises by one a round while it is in use, and falls by a factor, once for a burst."""
+
+    def __init__(self, start: float, most: float, floor: float, cut: float) -> None:
+        self.size, self.most, self.cut_at = min(start, most), most, -1
+        self._floor, self._cut = floor, cut
+
+    def grow(self, in_flight: int) -> None:
+        """Rise, but only if the window was in use."""
+        if in_flight + 1 >= self.size / 2:
+            self.size = min(self.most, self.size + 1 / self.size)
+
+    def cut(self, now: int, sent_at: int) -> None:
+        """Fall, unless the call was sent before the last fall: it does not count again."""
+        if sent_at > self.cut_at:
+            self.size = max(self._floor, self.size * self._cut)
+            self.cut_at = now
+
+
 class Bucket:
     """Tokens that come at a rate; each call takes one."""
 
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -150,6 +150,7 @@
         tenants={t["name"]: float(t["quota_per_s"]) for t in doc.get("tenants") or []},
         kinds={n: Kind(b, bool(a)) for n, b, a in zip(names, batches, aparts, strict=False)},
         weights_told=doc.get("weight_kind") != "silent",
+        zone_fees=dict(zip(doc.get("azs") or [], extra.get("zone_fee") or [], strict=False)),
         reports=tuple(report.get("names") or ()) if report.get("how") == "piggyback" else (),
         on_request=doc.get("membership_mode") == "on_request",
         halves=extra.get("fades") == "halves",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -101,7 +101,7 @@
 
 
 def test_a_told_wait_halts_the_whole_destination_and_ends_spread() -> None:
-    caller = Caller(member("t1"), member("t2"))
+    caller = Caller(member("t1"), member("t2"), slots=24)
     ref = caller.accept()
     caller.wait(SECOND // 10)
     caller.end(ref, Result.FULL, wait_us=SECOND)
