--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -68,7 +68,13 @@
             lambda: self.exchange.pump(), lambda now, took: self.exchange.governor.ran(now, took)
         )
         keep = {PLATFORM: PLATFORM_KEEP_US}
-        self.journal = Journal(config.state, config.disk_bytes, self.clock.unix_us, keep_us_of=keep)
+        self.journal = Journal(
+            config.state,
+            config.disk_bytes,
+            self.clock.unix_us,
+            keep_us_of=keep,
+            attempts=config.settings.try_limit,
+        )
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
         self.forms: dict[str, CallForm] = {PLATFORM: InboxForm(config.settings.reports)}
         self.room = Descriptors.of(config.sockets, config.settings.slots)
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -27,7 +27,8 @@
 TIMED = 12  # bytes of an execution's number with its time
 LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
 BLOCK = 512  # bytes in which a file's size counts on the disk
-ROOM_EACH = 512  # bytes kept free for each owed message: its executions and its end
+ROOM_LEAST = 128  # bytes kept free for each owed message: its end,
+ROOM_EACH = 80  # and for each execution that it may have, with the proof that it never ran
 MARGIN = 8 * BLOCK
 TIDY_EACH = 256  # ends between two looks for those that need not be kept any more
 TIDY_US = 1_000_000  # ends whose time is over within one such span are looked at together
@@ -131,6 +132,7 @@
     unix_us: Callable[[], int]
     keep_us: int = 30_000_000  # for how long an end is kept past its message's time
     keep_us_of: Mapping[str, int] = field(default_factory=dict)  # the same for a front that needs another
+    attempts: int = 6  # executions that a message may have
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, Ended] = field(default_factory=dict)
     size: int = 0
@@ -349,7 +351,7 @@
         return self._compact() and self._fits(more)
 
     def _fits(self, more: int) -> bool:
-        reserve = (len(self.owed) + 1) * ROOM_EACH
+        reserve = (len(self.owed) + 1) * (ROOM_LEAST + self.attempts * ROOM_EACH)
         grown = self.size + more + reserve
         return grown + self._compacted() + more + reserve + MARGIN <= self.budget
 
--- /dev/null
+++ b/tests/test_settings_range.py
@@ -0,0 +1,241 @@
+"""The rules hold whatever a deployment's settings are: drawn settings and peers against a plain checker."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrack.core.exchange import Exchange
+from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Verdict
+from rowanrack.store.journal import Journal
+from rowanspindle import Effect, Result, Scope, Settings, Status
+from rowanspindle.wire import parse_settings
+
+SECOND, TICK = 1_000_000, 5000
+SLACK_US = 300_000  # past a message's time, by which it has its end
+EFFECTS = ("retryable", "dedup", "fragile")
+
+
+def drawn(rng: Random) -> dict[str, Any]:
+    """Settings over the range of the deployments that are known, and somewhat beyond."""
+    kinds = ["big", "small"][: rng.randint(1, 2)]
+    grades = [
+        {
+            "name": f"c{n}",
+            "slo_us": (aim := rng.randint(1, 5) * SECOND),
+            "deadline_us": aim * rng.randint(2, 6),
+            "worth": rng.choice([1.0, 2.0]),
+            "late_worth": rng.choice([0.0, 0.1, 0.5]),
+            "effect": effect,
+            "key_ttl_us": rng.choice([1, 4]) * SECOND,
+            "group": rng.choice(["all", "all", "zone"]),
+            "one_at_a_time": effect == "dedup" and rng.random() < 0.3,
+        }
+        for n, effect in enumerate(rng.sample(EFFECTS, rng.randint(1, 3)))
+    ]
+    tenants = [{"name": "a", "quota_per_s": 5.0}, {"name": "b", "quota_per_s": 1.0}]
+    return {
+        "grades": grades,
+        "kinds": kinds,
+        "azs": ["x", "y", "z"],
+        "extra": {
+            "slots": rng.choice([3, 8, 18]),
+            "batch_by_kind": [rng.choice([1, 1, 20]) for _ in kinds],
+            "kind_apart": [rng.random() < 0.5 for _ in kinds],
+            "fades": rng.choice(["line", "halves"]),
+            "zone_fee": rng.choice([[], [0.06, 0.0, 0.03]]),
+        },
+        "limits": {
+            "most_held": rng.choice([8, 40, 169]),
+            "try_limit": rng.choice([1, 2, 6]),
+            "cancel": rng.random() < 0.7,
+            "second_copies": rng.random() < 0.5,
+            "streams_per_conn": rng.choice([1, 8]),
+            "keepalive_us": rng.choice([5, 10]) * SECOND,
+        },
+        "rules": {"cold_share": 0.22, "ramp_time_us": 12 * SECOND, "key_rest_us": rng.choice([0, SECOND])},
+        "tenants": rng.choice([[], tenants]),
+        "report": rng.choice([{"how": "silent", "names": []}, {"how": "piggyback", "names": ["x0", "x1"]}]),
+        "replicas_of_me": rng.choice([1, 3, 200]),
+        "weight_kind": rng.choice(["silent", "nominal", "rough"]),
+    }
+
+
+class World:
+    """An exchange among peers that do anything they may, and the checks of what it does to them."""
+
+    def __init__(self, folder: Path, rng: Random) -> None:
+        self.rng, self.now = rng, 1000 * SECOND
+        self.settings: Settings = parse_settings(json.dumps(drawn(rng)))
+        self.journal = Journal(folder, 3_000_000, self.unix_us)
+        self.journal.open()
+        self.exchange = Exchange(self.settings, rng.randint(1, 1 << 30), self, self.journal, TICK)
+        self.exchange.side = self
+        self.exchange.listeners["platform"] = self.ended
+        self.due: list[tuple[int, int, Batch]] = []  # when a batch's connection is open, or its answer comes
+        self.out: dict[Batch, list[Execution]] = {}
+        self.open: set[Batch] = set()
+        self.ends: dict[str, tuple[int, End]] = {}
+        self.taken: dict[str, Message] = {}
+        self.begun: dict[str, list[tuple[int, Execution]]] = {}
+        self.results: dict[Execution, Result] = {}
+        self.waits: dict[str | int, int] = {}
+        self.closed: set[str] = set()
+        kinds = list(self.settings.kinds)
+        self.instances = [
+            Instance(f"i{d}{n}", "h", 1, "xyz"[n % 3], kinds[d % len(kinds)], d, Status.LISTED, 20.0)
+            for d in range(3)
+            for n in range(2)
+        ]
+        self.exchange.list_instances(Scope.FULL, self.instances)
+
+    def now_us(self) -> int:
+        return self.now
+
+    unix_us = now_us
+
+    def wake_at(self, due_us: int) -> None:
+        assert due_us
+
+    def close_idle(self, name: str) -> None:
+        assert name
+
+    # The instances' side, with its checks.
+
+    def start(self, batch: Batch) -> None:
+        most = self.settings.kinds[batch.instance.kind].batch
+        assert 1 <= len(batch.executions) <= most
+        ids = [e.message.id for e in batch.executions]
+        assert len(set(ids)) == len(ids)
+        self.open.add(batch)
+        assert len(self.open) <= self.settings.slots
+        self.due.append((self.now + self.rng.choice([0, 5, 300, 900]) * 1000, id(batch), batch))
+
+    def abandon(self, batch: Batch) -> None:
+        self.over(batch)
+
+    def over(self, batch: Batch) -> None:
+        self.open.discard(batch)
+        self.out.pop(batch, None)
+        self.due = [d for d in self.due if d[2] is not batch]
+
+    def limit(self, instance: Instance) -> str | int:
+        return instance.name if self.settings.kinds[instance.kind].apart else instance.dest
+
+    def may_have_run(self, execution: Execution) -> bool:
+        out = any(execution in part for part in self.out.values())
+        never = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
+        return out or self.results.get(execution, Result.CANCELLED) not in never
+
+    def begin(self, execution: Execution) -> None:
+        """The checks of a call's first byte."""
+        message, cls = execution.message, self.settings.classes[execution.message.cls]
+        assert execution.instance.dest == message.dest
+        assert execution.instance.name not in self.closed
+        assert self.waits.get(self.limit(execution.instance), 0) <= self.now
+        assert message.id not in self.ends
+        before = self.begun.setdefault(message.id, [])
+        assert len(before) < self.settings.try_limit
+        out = [e for part in self.out.values() for e in part if e.message is message]
+        assert not out or (self.settings.second_copies and len(out) == 1)
+        ran = [at for at, e in before if self.may_have_run(e)]
+        assert not ran or cls.effect is not Effect.UNSAFE
+        assert not ran or cls.effect is not Effect.KEYED or self.now < ran[0] + cls.key_ttl_us
+        before.append((self.now, execution))
+
+    def serve(self) -> None:
+        for at, _, batch in sorted(self.due, key=lambda d: d[:2]):
+            if at > self.now or batch not in self.open:
+                continue
+            self.due = [d for d in self.due if d[2] is not batch]
+            if batch in self.out:
+                self.answer(batch)
+            elif self.rng.random() < 0.1:
+                self.over(batch)
+                for e in batch.waiting():
+                    self.settle(e, Verdict(Result.CONNECT_FAILED))
+            else:
+                part = [e for e in batch.waiting() if self.exchange.begin(e)]
+                for e in part:
+                    self.begin(e)
+                if not part:
+                    self.over(batch)
+                    continue
+                self.out[batch] = part
+                if self.rng.random() < 0.9:  # else never
+                    later = self.now + int(self.rng.expovariate(1 / 400_000))
+                    self.due.append((later, id(batch), batch))
+
+    def answer(self, batch: Batch) -> None:
+        one = [Result.OK] * 6 + [Result.ERROR, Result.RESET, Result.FULL]
+        same, each = self.rng.choice(one), self.rng.random() < 0.3
+        wait = self.rng.choice([0, 0, 300, 2000]) * 1000 if same is Result.FULL else 0
+        limit = self.rng.choice([None, 0.0, 3.0, 30.0])
+        part = self.out[batch]
+        self.over(batch)
+        for e in part:
+            found = self.rng.choice(one) if each and len(part) > 1 else same
+            self.settle(e, Verdict(found, wait, None, 0.5, limit))
+        if wait:
+            key = self.limit(batch.instance)
+            self.waits[key] = max(self.waits.get(key, 0), self.now + wait)
+
+    def settle(self, execution: Execution, verdict: Verdict) -> None:
+        self.results.setdefault(execution, verdict.result)
+        self.exchange.settle(execution, verdict)
+
+    # The clients' side, with its checks.
+
+    def ended(self, message: Message, end: End) -> None:
+        assert message.id not in self.ends, "two ends"
+        assert self.now <= message.deadline_us + SLACK_US
+        if end.ending is Ending.REFUSED:
+            cls, ran = self.settings.classes[message.cls], self.begun.get(message.id, [])
+            repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and not cls.same_zone)
+            assert repeatable or not any(self.may_have_run(e) for _, e in ran)
+        self.ends[message.id] = self.now, end
+
+    def hand_in(self, number: int) -> None:
+        cls = self.rng.choice(list(self.settings.classes.values()))
+        tenant = self.rng.choice([*self.settings.tenants, ""])
+        left = self.rng.choice([cls.deadline_us, cls.deadline_us // 3])
+        key = f"k{number // 2 if self.rng.random() < 0.2 else number}"
+        keyed = key if cls.effect is Effect.KEYED else ""
+        dest = self.rng.choice([0, 0, 1, 2])
+        message = Message(f"m{number}", cls.name, tenant, dest, self.now + left, b"x", "platform", key=keyed)
+        if self.exchange.submit(message) is None:
+            self.taken[message.id] = message
+
+    def drain(self) -> None:
+        chosen = self.rng.choice(self.instances)
+        back = chosen.name in self.closed
+        status = Status.LISTED if back else Status.DRAINING
+        (self.closed.discard if back else self.closed.add)(chosen.name)
+        news = Instance(chosen.name, "h", 1, chosen.zone, chosen.kind, chosen.dest, status, 20.0)
+        self.exchange.list_instances(Scope.DELTA, [news])
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.integers(0, 1 << 32))
+def test_the_rules_hold_for_all_settings(seed: int) -> None:
+    with TemporaryDirectory() as folder:
+        world, rng, number = World(Path(folder), Random(seed)), Random(seed + 1), 0
+        while world.taken.keys() - world.ends.keys() or number < 120:
+            world.now += TICK
+            assert world.now < 1400 * SECOND, "some have no end"
+            if number < 120 and rng.random() < 0.15:
+                for _ in range(rng.choice([1, 1, 1, 12])):
+                    number += 1
+                    world.hand_in(number)
+            if rng.random() < 0.002:
+                world.drain()
+            world.serve()
+            world.exchange.pump()
+        assert set(world.ends) == set(world.taken)
+        world.journal.close()
