Say once which ids and keys a header can carry

Need: both fronts had the same pattern, written twice by the keys. Change: it stands with the messages, where both read it.

--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from enum import Enum
 
 from rowanrack.core.wheel import WheelTimer
 from rowanspindle import Member, Result, Status
 
+HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # ids and keys travel in headers
+
 
 class Ending(Enum):
     """How a message ended. OVER: its client wants it no more, and nothing is owed."""
--- a/rowanrack/fronts/otlp/mapping.py
+++ b/rowanrack/fronts/otlp/mapping.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import hashlib
-import re
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from rowanrack.core.messages import Message
+from rowanrack.core.messages import HEADER_SAFE, Message
 from rowanrack.fronts.otlp import FRONT, OtlpError
 from rowanspindle import Effect, Settings
 
 ID_MOST = 256
-HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the key travels in a header
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -6,7 +6,7 @@
 import re
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Message
+from rowanrack.core.messages import HEADER_SAFE, Message
 from rowanrack.fronts.platform import FRONT
 from rowanrack.fronts.platform.resp import RespError, error, parse_command, simple
 from rowanrack.net.listener import Listener, State
@@ -14,7 +14,6 @@
 from rowanspindle import Effect, Settings
 
 WHOLE = re.compile(r"[0-9]{1,15}")
-HEADER_SAFE = re.compile(r"[!-~]{1,256}")  # the id and the key travel in headers
 
 
 def read_submit(words: list[bytes], settings: Settings, now_unix_us: int) -> Message:
