--- a/rowanspindle/held.py
+++ b/rowanspindle/held.py
@@ -9,10 +9,14 @@
 import math
 from collections import deque
 from collections.abc import Iterator
+from typing import Generic, TypeVar
 
 from rowanspindle.api import Accept, MessageClass
 from rowanspindle.order import ByTime
 
+E = TypeVar("E")
+G = TypeVar("G")
+
 NEVER = 1 << 62  # microseconds; no clock gets there
 
 # The class, the share of the worth, the only zone that it may go to ("": any), and whether it is its turn.
@@ -118,3 +122,14 @@
     def refusable(self) -> Iterator[ByTime[Message]]:
         """The sorts that are not bound to the zone where they have run: coming again is safe for them."""
         return (line for (_, _, zone, _), line in self.sorts.items() if not zone)
+
+
+class Place(Generic[E, G]):
+    """What is held for a destination, and the endpoints that may take it, with the gate that they share."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, E] = {}
+        self.gate: G | None = None
+        self.hold = Hold()
+        self.choice: tuple[float, Message, E] | None = None  # the last pick
+        self.opens_at = NEVER  # when the next route opens that was closed then
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -14,7 +14,7 @@
 from rowanspindle.api import (
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
-from rowanspindle.held import NEVER, Hold, KeyLine, Message, turns
+from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
 from rowanspindle.order import Agenda, Bucket, Meter, Ranking, Usual, Window, crowd
 from rowanspindle.trust import LEAST_US, Trust
 
@@ -258,15 +258,7 @@
         self.ramp.tokens, self.ramp.filled_at = rng.random(), now
 
 
-class Destination:
-    """What is held for a destination, and the endpoints that may take it."""
-
-    def __init__(self) -> None:
-        self.endpoints: dict[str, Endpoint] = {}
-        self.gate: Gate | None = None
-        self.hold = Hold()
-        self.choice: tuple[float, Message, Endpoint] | None = None  # the last pick
-        self.opens_at = NEVER  # when the next route opens that was closed then
+Destination = Place[Endpoint, Gate]
 
 
 class Forwarder:
