Close connections after the answer where new ones are refused and kept ones are not

Ruled out: the limit (half used), queues. At fault: Trust.too_rare keeps a connection if its own sender will use it, and Gate.refused reads a full table as a limit.

Change: trust.py compares refusals on new and kept connections of a kind; where new ones fare twice as badly, idle ones are closed after each answer for a minute, and three such refusals in a row leave the pace alone.

--- a/rowanrack/model/calls.py
+++ b/rowanrack/model/calls.py
@@ -17,17 +17,17 @@
 
 
 class Line:
-    """A connection to a place."""
+    """A connection to a place. One too many comes up, but its first call is turned away unseen."""
 
     def __init__(self, place: Place) -> None:
-        self.place, self.open = place, True
-        place.connections += 1
+        self.place, self.open, self.extra = place, True, not place.room()
+        place.connections += not self.extra
 
     def close(self) -> None:
         """It is gone, on both sides."""
         if self.open:
             self.open = False
-            self.place.connections -= 1
+            self.place.connections -= not self.extra
 
 
 class Calls:
@@ -100,7 +100,7 @@
             self.engine.after(wait, lambda: self._failed(execution))
             return
         back = self._one_way(place)
-        if place.state is State.DOWN or not place.room():
+        if place.state is State.DOWN:
             place.saw.add(self.sender.number)
             self.engine.after(back, lambda: self._failed(execution))
             return
@@ -141,13 +141,20 @@
 
         visit = Visit(sender.number, message.id, execution.leg, answer)
         self.out[execution] = line, visit
-        self.engine.after(self._one_way(place), lambda: None if visit.gone else place.visit(visit))
+
+        def come() -> None:
+            if line.extra:
+                visit.answer(Answer(503))
+            elif not visit.gone:
+                place.visit(visit)
+
+        self.engine.after(self._one_way(place), come)
 
     def _answered(self, execution: Execution, answer: Answer) -> None:
         line, _ = self.out.pop(execution, (None, None))
         if line is None:
             return  # given up before
-        if answer.status == 0:
+        if answer.status == 0 or line.extra:
             line.close()
         else:
             self._keep(line)
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -43,6 +43,7 @@
 OUT_FAILURES = 3  # failures in a row that mean an outage, at most
 OUT_EVIDENCE_S = 2.0  # or as many as this forwarder's part of the calls in this time: others fail likewise
 REFUSALS_OUT = 4  # refusals in a row without an answer that mean that the destination is shut
+SHORT_REFUSALS = 3  # in a row for want of connections that say nothing of a limit
 REFUSALS_EACH = 1.3  # or so many for each forwarder, if more: answers may go to the others
 MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
 GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
@@ -87,6 +88,7 @@
         self.endpoint, self.sent_at = endpoint, now
         self.judged = self.called_off = False
         self.idle_us = 0  # for how long the connection that it may have used was idle
+        self.new = not endpoint.warm and not endpoint.shares_connection()  # it needs one of its own
         self.open: dict[tuple[int, int], Message] = {}
 
     def lost(self, now: int) -> bool:
@@ -137,7 +139,8 @@
         self.limit = self.weight = self.limit + (REPORT_WEIGHT if self.limit else 1.0) * (limit - self.limit)
         self.pace = self.limit if self.pace is None else self.pace
 
-    def refused(self, now: int, sent_at: int, wait_us: int, age_us: int, rng: Random) -> None:
+    def refused(
+            self, now: int, sent_at: int, wait_us: int, age_us: int, short: bool, rng: Random) -> None:
         """Full: heed a told wait, back off from an untold one, and pace what follows.
 
         Answers quick rate-limited destinations, which a window does not see; holds against shut ones and full
@@ -148,6 +151,9 @@
         self.refused_at = now
         self.refusals += not burst
         wait = wait_us or BACKOFF_S * SECOND * 2 ** min(self.refusals - 1, 3)
+        if short and self.refusals <= SHORT_REFUSALS:  # no connection was left: no limit is evident
+            self.opens_at = max(self.opens_at, now + int(wait * (0.5 + rng.random())))
+            return
         if not burst:
             pace = min(self.weight if self.pace is None else self.pace, self.limit or math.inf)
             self.pace = max(self.weight / 8, pace * (REPORT_FALL if self.limit else PACE_FALL))
@@ -518,7 +524,7 @@
     def close_idle(self) -> None:
         """Close connections that will hardly be used again while they live."""
         for endpoint in self.answered:
-            if self.trust.too_rare(endpoint.kind, endpoint.part() / self.settings.replicas):
+            if self.trust.too_rare(endpoint.kind, endpoint.part() / self.settings.replicas, self.now):
                 self.disconnect(endpoint)
         self.answered.clear()
 
@@ -539,7 +545,7 @@
             case Result.OK:
                 gate.answered()
                 gate.own.count += endpoint.out_since is None and endpoint.ramp_from is None
-                self.trust.answered(kind)
+                self.trust.answered(kind, call.new)
                 if endpoint.out_since is not None:
                     self.actions.append(Log(f"{endpoint.target}: answers again, slow start"))
                     for other in self.destinations[endpoint.dest].endpoints.values():
@@ -552,7 +558,8 @@
             case Result.FULL:
                 gate.window.cut(now, call.sent_at)
                 taken_at = min((m.taken_at for m in call.open.values()), default=now)
-                gate.refused(now, call.sent_at, event.wait_us, now - taken_at, self.rng)
+                short = not event.wait_us and self.trust.refused(kind, call.new, now)
+                gate.refused(now, call.sent_at, event.wait_us, now - taken_at, short, self.rng)
                 if gate.refusals >= max(REFUSALS_OUT, REFUSALS_EACH * self.settings.replicas):
                     self.out(endpoint, "refuses all", now)
                 if endpoint.out_since is not None:
@@ -752,7 +759,7 @@
             call.idle_us = self.now - endpoint.warm[0]
             if call.idle_us > self.trust.us[endpoint.kind]:
                 self.disconnect(endpoint)
-                call.idle_us = 0
+                call.idle_us, call.new = 0, True
             endpoint.warm = endpoint.warm[:-1]
         endpoint.calls.append(call)
         gate.calls.append(call)
