Pace by told limits from the start where refusals are paid for, and lift it less in a fleet

Checked, by a count over the fleet second by second (join's destination 7, 56 a second): answered and refused calls together came to 55 to 68 a second, so refused calls use the limit up there, and each one too many costs a delivery. Ruled out: the slots (two of six in use), connections (kept ones refused alike). At fault: Gate.answered adds the part of all senders for each answer, while a refusal cuts only its own sender's pace: with 40 senders the two balance at some 37% refused (9% with three). And Gate.pace is None until a refusal, and again past 2.5 times the rate, although the list tells the limit itself.

Change: an answer lifts for three senders at most; where the list tells limits and refusals are priced, the pace stands from the start and does not pass the limit.

--- a/rowanrack/model/world.py
+++ b/rowanrack/model/world.py
@@ -129,6 +129,7 @@
             tenants={m.name: m.quota for m in scenario.members},
             kinds={kind.name: Kind() for kind in scenario.kinds},
             replicas=scenario.senders,
+            weights_exact=not any(kind.listed for kind in scenario.kinds),
             try_limit=scenario.tries,
             on_request=True,
             over_share_worth=0.05,
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -105,6 +105,8 @@
     on_request: bool = False
     halves: bool = False
     weights_told: bool = True
+    weights_exact: bool = False  # the list's rates are the limits themselves, not rough ones
+    refused_price: float = 0.0  # points for calls refused above a limit, by first try
     over_share_worth: float = 1.0
     max_come_back_us: int = 2_000_000
     keepalive_us: int = 5_000_000
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -57,7 +57,9 @@
 RAMP_SAFETY = 0.75  # part of what a cold destination bears that is used: rough rates may be half too high
 
 PACE_FALL = 0.8  # factor on the pace at a refusal
-PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs
+PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs,
+PACE_OTHERS = 3  # for so many at most: refusals come to the others as well
+PACE_MOST = 1.0  # times the rate of a list that tells limits: the first pace, and to where answers lift it
 PACE_GONE = 2.5  # times the first pace: no limit is evident any more
 REPORT_WEIGHT = 0.3  # of a new report of the limit in the running mean: reports are noisy
 REPORT_MOST = 8.0  # times more or less than the list's rough rate that a report is believed
@@ -108,16 +110,20 @@
 class Gate:
     """What shares one limit: a destination, or a single route where routes are apart."""
 
-    def __init__(self, settings: Settings, told: float, own: float, now: int) -> None:
+    def __init__(self, settings: Settings, rate: float, own: float, now: int) -> None:
         self.replicas, self.own = settings.replicas, Meter(now, MEMORY_S, GUESS)
-        self.measured = told <= 0 or not settings.weights_told
-        self.weight = max(own * self.replicas if self.measured else told, 0.1)
+        self.measured = rate <= 0 or not settings.weights_told
+        self.weight = max(own * self.replicas if self.measured else rate, 0.1)
         most = max(2.0, settings.slots * SLOT_SHARE)
         self.window = Window(START_LEAST + self.weight / self.replicas, most, FLOOR, CUT)  # and a second's
         self.calls: list[Call] = []
         self.routes, self.limit = 0, 0.0  # endpoints listed that share it, and the limit that reports tell
         self.opens_at, self.refusals, self.refused_at = 0, 0, -1
-        self.pace: float | None = None  # calls a second of all forwarders, while a limit is evident
+        # Calls a second of all forwarders, while a limit is evident; from the start where the list tells it
+        # and refusals are paid for: a small fleet with free ones does better by trying.
+        told = settings.weights_exact and settings.refused_price > 0 and not self.measured
+        self.pace: float | None = self.weight * PACE_MOST if told else None
+        self.most = self.weight * PACE_MOST if told else math.inf
         self.bucket = Bucket(1.0)
 
     def crowd(self, age_us: int) -> float:
@@ -167,9 +173,9 @@
         """An answer: the pace rises until no limit is evident."""
         self.refusals = 0
         if self.pace is not None:
-            risen = self.pace + self.weight * PACE_RISE * self.replicas
+            risen = self.pace + self.weight * PACE_RISE * min(self.replicas, PACE_OTHERS)
             gone = None if risen > self.weight * PACE_GONE else risen
-            self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone
+            self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone and min(gone, self.most)
 
 
 class Endpoint:
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -129,6 +129,7 @@
         "fall_us": rules.get("fall_us"),
         "overload_factor": rules.get("overload_factor"),
         "key_rest_us": rules.get("key_rest_us"),
+        "refused_price": extra.get("turned_away_price"),
     }
     return Settings(
         classes={
@@ -150,6 +151,7 @@
         tenants={t["name"]: float(t["quota_per_s"]) for t in doc.get("tenants") or []},
         kinds={n: Kind(b, bool(a)) for n, b, a in zip(names, batches, aparts, strict=False)},
         weights_told=doc.get("weight_kind") != "silent",
+        weights_exact=doc.get("weight_kind") == "nominal",
         zone_fees=dict(zip(doc.get("azs") or [], extra.get("zone_fee") or [], strict=False)),
         reports=tuple(report.get("names") or ()) if report.get("how") == "piggyback" else (),
         on_request=doc.get("membership_mode") == "on_request",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,8 +10,9 @@
 from rowanrack.model.engine import SECOND
 from rowanrack.model.scenario import parse
 from rowanrack.model.world import World
+from rowanspindle import Result
 from rowanspindle.trust import Trust
-from tests.helpers import BASE
+from tests.helpers import BASE, Caller, member
 
 FLEET = """
 day {day} s
@@ -68,3 +69,25 @@
             else:
                 trust.answered("plain", fresh)
     assert found is short
+
+
+def test_where_refusals_are_paid_for_a_told_limit_paces_from_the_start_and_is_not_passed() -> None:
+    """Each answer lifted the pace by the part of all forty, but a refusal cut only one's own: 37% refused."""
+    caller = Caller(member("t1", weight=20.0), replicas=40, weights_exact=True, refused_price=0.1)
+    gate = caller.forwarder.endpoints["t1"].gate
+    assert gate.pace == 20.0
+    caller.end(caller.accept(), Result.FULL, wait_us=SECOND // 2)
+    cut, paces = gate.pace, []
+    for _ in range(30):
+        caller.wait(5 * SECOND)
+        for ref in {r for r, _ in caller.out} | ({caller.accept()} if not caller.out else set()):
+            if caller.is_out(ref):
+                caller.end(ref)
+        paces.append(gate.pace)
+    assert cut is not None and cut < 20.0 and paces[0] - cut < 0.1 * 20.0
+    assert max(paces) == 20.0  # 44 without the bound, and no pace at all behind that
+
+
+def test_free_refusals_are_tried() -> None:
+    caller = Caller(member("t1", weight=20.0), replicas=40, weights_exact=True)
+    assert caller.forwarder.endpoints["t1"].gate.pace is None
