--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -9,7 +9,15 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from rowanrack.config import Config, ConfigError, OtlpConfig, PlatformConfig, RecordConfig, needs_restart
+from rowanrack.config import (
+    Config,
+    ConfigError,
+    OtlpConfig,
+    PeersConfig,
+    PlatformConfig,
+    RecordConfig,
+    needs_restart,
+)
 from rowanrack.console.server import ConsoleServer
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
@@ -22,6 +30,7 @@
 from rowanrack.fronts.platform.notices import Notices
 from rowanrack.fronts.platform.service_clients import PlatformServiceClients
 from rowanrack.net.listener import Listener
+from rowanrack.net.peers import PeerPort
 from rowanrack.net.pool import CallForm, InstancePool
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.store.bans import BanFile
@@ -89,6 +98,7 @@
         self.recorder: Recorder | None = None
         self.bans = BanFile(config.state)
         self.mgmt: ManagementServer | None = None
+        self.peers: PeerPort | None = None
         self.serving = self.lame = self.stopping = False
 
     # What the operators' calls reach.
@@ -224,6 +234,19 @@
         for message_id, end in self.journal.untold(PLATFORM):
             notices.tell(message_id, end)
         exchange.list_instances(Scope.FULL, platform.known)
+        if platform.peers is not None:
+            self._start_peers(platform.peers)
+
+    def _start_peers(self, peers: PeersConfig) -> None:
+        exchange = self.exchange
+        port = PeerPort(peers.listen, peers.peers, peers.all_at, exchange.heard, self.clock.now_us)
+        try:
+            port.open()
+        except OSError as error:
+            # What is owed to clients rests on no note: a sender without them serves as it did before.
+            log.warning("notes: none: cannot listen on %s:%d: %s", *peers.listen, error.strerror or error)
+            return
+        self.peers, exchange.tell = port, port.tell
 
     def _start_recorder(self, record: RecordConfig) -> None:
         from rowanrack.record.recorder import recorder  # msgspec, blake3: only where they are used
@@ -313,6 +336,8 @@
             self.mgmt.close()
         if self.console is not None:
             self.console.close()
+        if self.peers is not None:
+            self.peers.close()
         self.pool.close()
         for source in (self.watch, self.consul, self.notices):
             if source is not None:
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -24,14 +24,24 @@
     """The configuration cannot be used; the text is one clear line."""
 
 
+@dataclass(frozen=True, slots=True)
+class PeersConfig:
+    """Where notes from other senders arrive, the addresses that they come from, and that of all of them."""
+
+    listen: tuple[str, int]
+    peers: tuple[tuple[str, int], ...]
+    all_at: tuple[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformConfig:
-    """Where the platform's front meets clients and discovery."""
+    """Where the platform's front meets clients and discovery, and this sender the others."""
 
     listen: tuple[str, int]
     discovery: tuple[str, int]
     seq: int
     known: tuple[Instance, ...]
+    peers: PeersConfig | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +166,7 @@
                 parse_address(doc.get("discovery") or env["ROUTER_DISCOVERY"]),
                 seq,
                 tuple(known),
+                _peers(doc, settings),
             ),
             mgmt=parse_address(mgmt) if (mgmt := env.get("ROUTER_MGMT") or doc.get("mgmt")) else None,
         )
@@ -202,6 +213,14 @@
         raise ConfigError(f"{path}: {error}") from None
 
 
+def _peers(doc: Mapping[str, Any], settings: Settings) -> PeersConfig | None:
+    """Where senders tell each other something; None where they may not, or no address is given."""
+    listen, peers, all_at = (doc.get(key) for key in ("peer_listen", "peers", "peers_all"))
+    if not settings.peers or settings.replicas < 2 or not (listen and peers and all_at):
+        return None
+    return PeersConfig(parse_address(listen), tuple(map(parse_address, peers)), parse_address(all_at))
+
+
 def _platform(site: SiteFile) -> PlatformConfig | None:
     if site.platform is None:
         return None
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -26,6 +26,7 @@
     Event,
     Fail,
     Forwarder,
+    Heard,
     Kind,
     Log,
     Outcome,
@@ -35,9 +36,11 @@
     Send,
     Settings,
     Status,
+    Tell,
     Timer,
     Watch,
 )
+from rowanspindle.notes import Note
 from rowanspindle.order import Agenda
 
 log = logging.getLogger(__name__)
@@ -45,6 +48,7 @@
 MAYBE_RAN = frozenset({Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED})
 GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
 LONG_AGO_US = 1 << 60
+HEARD_US = 10_000  # for which a note may wait for others
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -128,6 +132,7 @@
         self.side: InstanceSide | None = None
         self.observer: Observer | None = None
         self.watch: Callable[[], None] = lambda: None
+        self.tell: Callable[[Note], None] = lambda note: None  # a note to all other senders
         self.round_over: Callable[[], None] = lambda: None  # the ends of a round are known: tell them now
         self.governor = Governor(clock.now_us())
         self.listeners: dict[str, Callable[[Message, End], None]] = {}
@@ -371,6 +376,13 @@
         apart = self.settings.kinds.get(instance.kind, Kind()).apart
         return instance.name if apart else instance.dest
 
+    # The other senders.
+
+    def heard(self, peer: int, note: Note) -> None:
+        """A note from another sender, by its number. Notes of many come together: a round serves several."""
+        self._events.append(Heard(peer, note))
+        self._wake_at(self.clock.now_us() + HEARD_US)
+
     # The module.
 
     def after(self, delay_us: int, action: Callable[[], None]) -> WheelTimer:
@@ -463,6 +475,8 @@
                 self.wheel.at(now + action.after_us, lambda: self._events.append(Timer(token)))
             case Watch():
                 self.watch()
+            case Tell():
+                self.tell(action.note)
             case Log():
                 log.info("module: %s", action.text)
 
--- a/rowanrack/model/scenario.py
+++ b/rowanrack/model/scenario.py
@@ -17,8 +17,8 @@
 
 GRAMMAR = r"""
 start: statement*
-?statement: recorded | day | tick | zones | senders | discovery | class_ | member | kind | traffic | client
-          | event
+?statement: recorded | day | tick | zones | senders | discovery | notes | prices | class_ | member | kind
+          | traffic | client | event
 
 recorded: "recorded" STRING+
 day: "day" duration
@@ -26,6 +26,8 @@
 zones: "zones" NAME+ "apart" duration "jitter" percent
 senders: "senders" INT "slots" INT "held" INT ("tries" INT)?
 discovery: "discovery" "late" span
+prices: "prices" "refusal" percent
+notes: "notes" "within" span "lost" percent
 class_: "class" NAME "share" percent "aim" duration "deadline" duration "late-worth" percent repeat
 repeat: "repeatable" -> repeatable | "once" -> once
 member: "member" NAME "share" percent "quota" rate
@@ -188,6 +190,9 @@
     tick_us: int = 5_000
     tries: int = 6
     lag_us: tuple[int, int] = (500_000, 2_000_000)
+    notes_us: tuple[int, int] = (0, 0)  # how long a note from one sender to another is under way; 0: none go
+    notes_lost: float = 0.0
+    refused_price: float = 0.0
     members: tuple[MemberOf, ...] = ()
     zipf: float = 1.0
     clumps: float = 0.0
@@ -255,6 +260,14 @@
         """Fields."""
         return {"lag_us": parts[0]}
 
+    def notes(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields."""
+        return {"notes_us": parts[0], "notes_lost": parts[1]}
+
+    def prices(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields."""
+        return {"refused_price": parts[0]}
+
     def repeatable(self, _: list[Any]) -> bool:
         """A repeat does no harm."""
         return True
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -12,6 +12,7 @@
 from rowanrack.model.network import Network
 from rowanrack.model.partner import Place
 from rowanspindle import Result, Settings
+from rowanspindle.notes import Note, read
 
 FRONT = "model"
 UNIX_US = 1_750_000_000_000_000  # Unix time at the start of a run: any will do
@@ -130,6 +131,7 @@
         self.exchange.settle = settle_and_note  # type: ignore[method-assign]
         life = self.life
         self.exchange.watch = lambda: self.discovery.watch(self, life)
+        self.exchange.tell = lambda note: self.tell(note)
         self.exchange.listeners[FRONT] = self._ended
         self.discovery.start(self, life)
         for message in list(self.shelf.owed.values()):
@@ -156,6 +158,16 @@
         """The run is over: add up what the last life used."""
         self._count()
 
+    # The other senders.
+
+    def tell(self, note: Note) -> None:
+        """Set by the world: a note to all other senders."""
+
+    def hear(self, peer: int, data: bytes) -> None:
+        """A note from another sender."""
+        if self.alive:
+            self.exchange.heard(peer, read(data))
+
     # Clients.
 
     def submit(self, message: Message) -> Nack | None:
--- a/rowanrack/model/world.py
+++ b/rowanrack/model/world.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import fields, replace
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -21,6 +22,7 @@
 from rowanrack.model.sender import Sender
 from rowanrack.model.worth import service
 from rowanspindle import Effect, Kind, MessageClass, Settings, Status
+from rowanspindle.notes import Note, write
 
 TAIL_US = 3 * SECOND  # past the last message's time
 RESTART_US = SECOND  # for which a sender that died is away, unless the scenario says for how long
@@ -58,6 +60,9 @@
                    self.network, self.history, self.places, self.discovery)
             for n in range(scenario.senders)
         ]  # fmt: skip
+        for sender in self.senders:
+            sender.tell = partial(self._tell, sender)  # type: ignore[method-assign]
+        self.note_bytes, self._notes_rng = 0, chance(seed, "notes")
         rates = {dest: self.told_rate(partner) for dest, partner in self.partners.items()}
         owners = {dest: partner.member for dest, partner in self.partners.items()}
         if scenario.recorded:
@@ -73,6 +78,15 @@
         for event in scenario.events:
             self.engine.at(event.at_us, lambda event=event: self._begin(event))  # type: ignore[misc]
 
+    def _tell(self, sender: Sender, note: Note) -> None:
+        """A note goes to every other sender, each late by its own time or not at all."""
+        data, (low, high) = write(note), self.scenario.notes_us
+        self.note_bytes += len(data) * (len(self.senders) - 1)
+        for other in self.senders:
+            late, lost = self._notes_rng.random(), self._notes_rng.random() < self.scenario.notes_lost
+            if other is not sender and not lost:
+                self.engine.after(low + (high - low) * late, partial(other.hear, sender.number, data))
+
     def told_rate(self, partner: Partner) -> float:
         """What the list tells of a partner: its limit, or its capacity where there is none."""
         told = self.listed.get(partner.dest, 0.0)
@@ -129,6 +143,9 @@
             tenants={m.name: m.quota for m in scenario.members},
             kinds={kind.name: Kind() for kind in scenario.kinds},
             replicas=scenario.senders,
+            peers=scenario.notes_us[1] > 0,
+            peer_price=0.01,
+            refused_price=scenario.refused_price,
             weights_exact=not any(kind.listed for kind in scenario.kinds),
             try_limit=scenario.tries,
             on_request=True,
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from rowanspindle.notes import Note
+
 
 class Effect(Enum):
     """What a repeat of a message would do at its destination."""
@@ -107,6 +109,8 @@
     weights_told: bool = True
     weights_exact: bool = False  # the list's rates are the limits themselves, not rough ones
     refused_price: float = 0.0  # points for calls refused above a limit, by first try
+    peers: bool = False  # whether forwarders may tell each other something,
+    peer_price: float = 0.0  # and points for 256 bytes told to one, by first try
     over_share_worth: float = 1.0
     max_come_back_us: int = 2_000_000
     keepalive_us: int = 5_000_000
@@ -211,7 +215,15 @@
     token: int
 
 
-Event = Accept | Outcome | Members | Withdrawn | Timer
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A note from another forwarder, by its number; it may come late, twice, or not at all."""
+
+    peer: int
+    note: Note
+
+
+Event = Accept | Outcome | Members | Withdrawn | Timer | Heard
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,4 +285,11 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Disconnect | Arm | Watch | Log
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """A note to every other forwarder."""
+
+    note: Note
+
+
+Action = Send | Refuse | Fail | Cancel | Disconnect | Arm | Watch | Log | Tell
--- a/rowanspindle/drill.py
+++ b/rowanspindle/drill.py
@@ -86,7 +86,9 @@
         elif word == "BACKENDS_CHANGED":
             self.batch.setdefault(name, []).append(self.members(line))
         elif word in wire.EVENTS:
-            self.batch.setdefault(name, []).append(wire.EVENTS[word](line))
+            events, event = self.batch.setdefault(name, []), wire.EVENTS[word](line)
+            if event is not None:
+                events.append(event)
         elif word in wire.IGNORED:
             self.batch.setdefault(name, [])
         else:
--- /dev/null
+++ b/rowanspindle/hearsay.py
@@ -0,0 +1,180 @@
+"""What to tell the other senders, and how long to believe what they tell. No I/O, no choice of servers.
+
+Each fact is something seen. What is believed ages out within seconds, so that a peer that has died leaves
+nothing behind, and what is told is bounded by what traffic earns.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from rowanspindle.api import Settings, Tell
+from rowanspindle.held import NEVER
+from rowanspindle.notes import HEAD, MOST_BYTES, NUMBERS, VALUE_MOST, Fact, Note, What, digest, packed
+from rowanspindle.order import Agenda
+
+SECOND = 1_000_000
+SPENT = 0.015  # points that notes may cost, for each point that traffic is worth
+PACKET = 256  # bytes that `prices.peer` is for
+PURSE = 2.0 * MOST_BYTES  # bytes that may be saved up
+BEAT_US = 500_000  # between notes that tell of work, at least,
+BEAT_EACH_US = 10_000  # and so long for each sender: each hears the notes of all
+WAITED_US = 150_000  # for which work has waited before it is told
+REFRESH = 2  # beats after which work that still waits is told again
+WORK = 5  # beats for which work is believed to wait, unless told again
+LIVE_US = 5_000_000  # without a note from anybody, after which nothing is known of the others
+AGAIN_US = 5_000_000  # before a shortage of connections is told again
+UNIT_US = 10_000  # of waits in notes
+LIFT = 0.08  # of a limit, by which its pace rises in the second after a refusal, and so much more in each
+MOST_SENDERS = 64  # among which senders tell each other something: not measured beyond
+STALE = NUMBERS // 2  # running numbers so far back are those of an older note
+
+
+def lifted(quiet_us: int, gone_us: int) -> float:
+    """What part of the limit time adds to its pace: the longer no refusal was heard, the faster."""
+    return LIFT * (1 + quiet_us / SECOND) * gone_us / SECOND
+
+
+class Hearsay:
+    """One sender's share in what senders tell each other."""
+
+    def __init__(self, settings: Settings) -> None:
+        peers = settings.replicas - 1
+        self.on = settings.peers and 0 < peers < MOST_SENDERS
+        self._wait_most = max(c.deadline_us for c in settings.classes.values())
+        self._earned = SPENT * PACKET / max(settings.peer_price * peers, 1e-9) if self.on else 0.0
+        self.beat_us = max(BEAT_US, BEAT_EACH_US * settings.replicas)
+        self._purse = min(PURSE, 8 * self._earned)
+        self._number = 0
+        self._held: dict[int, tuple[int, int]] = {}  # our own work that waits, and since when
+        self._told: dict[int, tuple[int, int]] = {}  # what was told of it, and when
+        self._urgent: dict[tuple[What, int], tuple[int, int]] = {}  # value, and when it was seen
+        self._beat_at = 0  # when work is told next
+        self._short_at: dict[int, int] = {}
+        self._last: dict[int, tuple[int, int]] = {}  # of each peer: the last number, and when
+        self._heard_at: int | None = None
+        self._others: defaultdict[int, dict[int, int]] = defaultdict(dict)  # by destination and peer
+        self._sum: defaultdict[int, int] = defaultdict(int)
+        self._lapse: Agenda[tuple[int, int]] = Agenda()
+        self.told = self.heard_notes = self.dropped = 0  # notes: told, believed, and too old or twice
+
+    # What is seen here.
+
+    def earn(self) -> None:
+        """A message was taken: what it is worth pays for some bytes."""
+        self._purse = min(PURSE, self._purse + self._earned)
+
+    def holds(self, dest: int, held: int, since: int) -> None:
+        """So many messages wait for a destination by now, the oldest since then."""
+        if held and self.on:
+            self._held[dest] = held, since
+        else:
+            self._held.pop(dest, None)
+
+    def refused(self, dest: int, wait_us: int, short: bool, known: bool, now: int) -> None:
+        """A call was refused there: for want of connections, or else above a limit, or with one known of."""
+        if not self.on:
+            return
+        if short and now >= self._short_at.get(dest, 0):
+            self._short_at[dest] = now + AGAIN_US
+            self._urgent[What.SHORT, dest] = 0, now
+        elif not short and (wait_us or not known):
+            self._urgent[What.REFUSED, dest] = wait_us, now
+
+    def back(self, target: str, now: int) -> None:
+        """An endpoint answers again after an outage."""
+        if self.on:
+            self._urgent[What.BACK, digest(target)] = 0, now
+
+    # What is told.
+
+    def tell(self, now: int) -> list[Tell]:
+        """What goes out now: urgent facts at once, work now and then, as far as the purse reaches."""
+        if not self.on:
+            return []
+        facts: list[Fact] = []
+        for (what, dest), (value, seen) in self._urgent.items():
+            if what is What.REFUSED and value:
+                value = max(1, (value - (now - seen)) // UNIT_US)
+            facts.append(Fact(what, dest, min(value, VALUE_MOST)))
+        work = self._changed(now) if now >= self._beat_at else []
+        if not facts and not work:
+            return []
+        room, taken = min(self._purse, float(MOST_BYTES)) - HEAD, list[Fact]()
+        for fact in [*facts, *(Fact(What.WORK, dest, held) for dest, held in work)]:
+            if (size := len(packed(fact))) <= room:
+                taken.append(fact)
+                room -= size
+        self._urgent.clear()  # what the purse does not reach for is old news by the time that it does
+        if not taken:
+            return []
+        for fact in taken:
+            if fact.what is What.WORK:
+                self._says(fact.where, fact.value, now)
+            self._purse -= len(packed(fact))
+        self._purse -= HEAD
+        self._number = (self._number + 1) % NUMBERS
+        self.told += 1
+        return [Tell(Note(self._number, tuple(taken)))]
+
+    def _changed(self, now: int) -> list[tuple[int, int]]:
+        """Work to be told: new or gone, twice or half of what was told, or told so long ago."""
+        self._beat_at = now + self.beat_us
+        work = [(dest, 0) for dest in self._told if dest not in self._held]
+        for dest, (held, since) in self._held.items():
+            said, at = self._told.get(dest, (0, now))
+            waited = now - since >= WAITED_US
+            if waited and (not said or not said < 2 * held < 4 * said or now - at >= REFRESH * self.beat_us):
+                work.append((dest, held))
+        return work
+
+    def _says(self, dest: int, held: int, now: int) -> None:
+        if held:
+            self._told[dest] = held, now
+        else:
+            self._told.pop(dest, None)
+
+    def next_at(self) -> int:
+        """When there may be something to tell again."""
+        return self._beat_at if self._held or self._told else NEVER
+
+    # What is believed.
+
+    def wait_us(self, value: int) -> int:
+        """The wait that a fact tells, believed as far as any message could wait for it."""
+        return min(value * UNIT_US, self._wait_most)
+
+    def heard(self, peer: int, note: Note, now: int) -> tuple[Fact, ...]:
+        """Believe a note; the facts in it that are news. A double or one overtaken by a later one is none."""
+        if not self.on:
+            return ()
+        last, at = self._last.get(peer, (note.number, now - LIVE_US))
+        if now - at < LIVE_US and not 0 < (note.number - last) % NUMBERS < STALE:
+            self.dropped += 1
+            return ()
+        self._last[peer] = note.number, now
+        self._heard_at = now
+        self.heard_notes += 1
+        for fact in note.facts:
+            if fact.what is What.WORK:
+                self._believe(fact.where, peer, fact.value)
+                self._lapse.set((fact.where, peer), now + WORK * self.beat_us)
+        return note.facts
+
+    def _believe(self, dest: int, peer: int, held: int) -> None:
+        others = self._others[dest]
+        self._sum[dest] += held - others.pop(peer, 0)
+        if held:
+            others[peer] = held
+        elif not others:
+            del self._others[dest], self._sum[dest]
+
+    def crowd(self, dest: int, held: int, now: int) -> float | None:
+        """By how many a destination's pace is shared, by all work known to wait there; None: not known."""
+        if self._heard_at is None or now - self._heard_at >= LIVE_US:
+            return None
+        for known, peer in self._lapse.due(now):
+            if peer in self._others.get(known, ()):
+                self._believe(known, peer, 0)
+        own = max(1, held)
+        return (own + self._sum.get(dest, 0)) / own
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import math
-from collections import defaultdict
 from itertools import islice
 from random import Random
 
 from rowanspindle.api import (
-    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Kind, Log, Member, Members, Outcome,
+    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
+from rowanspindle.hearsay import UNIT_US, lifted
 from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
-from rowanspindle.order import Agenda, Bucket, Meter, Ranking, Usual, Window, crowd
-from rowanspindle.trust import LEAST_US, Trust
+from rowanspindle.notes import What, digest
+from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
+from rowanspindle.state import GUESS, MEMORY_S, Call, State
+from rowanspindle.trust import LEAST_US
 
 SECOND = 1_000_000  # microseconds
 
@@ -45,8 +47,6 @@
 REFUSALS_OUT = 4  # refusals in a row without an answer that mean that the destination is shut
 SHORT_REFUSALS = 3  # in a row for want of connections that say nothing of a limit
 REFUSALS_EACH = 1.3  # or so many for each forwarder, if more: answers may go to the others
-MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
-GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
 
 TRIAL_LEAST_S = 0.5  # seconds between trials of an endpoint in an outage, at least
 TRIAL_MOST_S = 2.0  # and at most, or for each forwarder TRIAL_EACH_S: the return must be noticed
@@ -66,6 +66,8 @@
 REPORT_FALL = 0.95  # factor on the pace at a refusal where the limit is told,
 REPORT_RISE = 1.2  # and times the limit to which answers lift it
 EVEN_S = 1.0  # seconds in which the others are taken to have had work, where the limit is told
+HEARD_MOST = 1.4  # times the told limit to which that may go: what others hold has often gone meanwhile
+HEARD_BURST_US = 150_000  # in which refusals, own or heard, are one symptom
 BURST_S = 0.4  # seconds of pace that may go at once
 BACKOFF_S = 0.25  # seconds of the first backoff after a refusal with no wait; doubles thrice, with jitter
 JITTER = 0.25  # part of a wait or backoff by which its end is spread
@@ -74,37 +76,25 @@
 HOLD_EASY = 0.8  # and below which what each destination could spare is no longer kept in mind
 DRAIN_MOST_S = 10.0  # seconds looked ahead when messages are compared
 HORIZON_S = 1.0  # seconds for which the loss by waiting is weighed, at least
-WATCH_RETRY_S = 1.0  # seconds before a failed watch is asked for again; doubles up to a quarter of ask_within
 STANDS_US = 50_000  # time for which a pick stands: urgencies hardly change, and picks are the costly part
 LOOKS = 8  # picks that have stood longer looked at anew before the most urgent is taken, at most
 STIRRED = 64  # destinations looked at in one round since something happened there; the others the next
 WEIGHED = 64  # destinations weighed in one round for what they could spare, at most
 IN_TURN = 8  # and those that have stood longest, in each round: a pick far down may have become urgent
-QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
 
 
-class Call:
-    """One call on the wire: one or more messages of one reply to one endpoint, with one fate."""
+def lost(call: Call[Endpoint], now: int) -> bool:
+    """Out beyond the silence while a later answer came: it will hardly be answered, and holds no permit.
 
-    def __init__(self, endpoint: Endpoint, now: int) -> None:
-        self.endpoint, self.sent_at = endpoint, now
-        self.judged = self.called_off = False
-        self.idle_us = 0  # for how long the connection that it may have used was idle
-        self.new = not endpoint.warm and not endpoint.shares_connection()  # it needs one of its own
-        self.open: dict[tuple[int, int], Message] = {}
+    Answers endpoints that swallow single calls: unsafe ones filled the windows until their deadline.
+    """
+    return call.endpoint.answered_at > call.sent_at and now - call.sent_at >= call.endpoint.silence_us()
 
-    def lost(self, now: int) -> bool:
-        """Out beyond the silence while a later answer came: it will hardly be answered, and holds no permit.
 
-        Answers endpoints that swallow single calls: unsafe ones filled the windows until their deadline.
-        """
-        return self.endpoint.answered_at > self.sent_at and now - self.sent_at >= self.endpoint.silence_us()
-
-
-def full(window: Window, calls: list[Call], now: int) -> bool:
+def full(window: Window, calls: list[Call[Endpoint]], now: int) -> bool:
     """Whether the calls in flight leave no permit; lost ones hold none."""
     size = int(window.size)
-    return len(calls) >= size and sum(not c.lost(now) for c in calls) >= size
+    return len(calls) >= size and sum(not lost(c, now) for c in calls) >= size
 
 
 class Gate:
@@ -116,7 +106,7 @@
         self.weight = max(own * self.replicas if self.measured else rate, 0.1)
         most = max(2.0, settings.slots * SLOT_SHARE)
         self.window = Window(START_LEAST + self.weight / self.replicas, most, FLOOR, CUT)  # and a second's
-        self.calls: list[Call] = []
+        self.calls: list[Call[Endpoint]] = []
         self.routes, self.limit = 0, 0.0  # endpoints listed that share it, and the limit that reports tell
         self.opens_at, self.refusals, self.refused_at = 0, 0, -1
         # Calls a second of all forwarders, while a limit is evident; from the start where the list tells it
@@ -124,15 +114,21 @@
         told = settings.weights_exact and settings.refused_price > 0 and not self.measured
         self.pace: float | None = self.weight * PACE_MOST if told else None
         self.most = self.weight * PACE_MOST if told else math.inf
-        self.bucket = Bucket(1.0)
+        self.bucket, self.by_time, self.risen_at = Bucket(1.0), False, now
 
     def crowd(self, age_us: int) -> float:
         """How many forwarders have work here, this one among them, where work has waited so long."""
-        return crowd(self.replicas, self.weight, age_us)
-
-    def next_token(self, now: int, age_us: int) -> int:
-        """When the pace lets the next call go: an even part for each forwarder likely to have work."""
-        rate = (self.pace or 0.0) / self.crowd(max(age_us, int(EVEN_S * SECOND)) if self.limit else age_us)
+        return crowd(self.replicas, self.weight, max(age_us, int(EVEN_S * SECOND)) if self.limit else age_us)
+
+    def next_token(self, now: int, crowd: float, heard: bool) -> int:
+        """When the pace lets the next call go, shared with the others that have work. Where their refusals
+        are heard, time without any lifts it."""
+        self.by_time = heard and self.most < math.inf
+        if self.by_time and self.pace is not None:
+            lift = self.weight * lifted(now - self.refused_at, now - self.risen_at)
+            self.pace = min(self.most * HEARD_MOST, self.pace + lift)
+        self.risen_at = now
+        rate = (self.pace or 0.0) / crowd
         return self.bucket.next_at(now, rate, max(1.0, rate * BURST_S)) if rate else now
 
     def reported(self, limit: float) -> None:
@@ -145,8 +141,7 @@
         self.limit = self.weight = self.limit + (REPORT_WEIGHT if self.limit else 1.0) * (limit - self.limit)
         self.pace = self.limit if self.pace is None else self.pace
 
-    def refused(
-            self, now: int, sent_at: int, wait_us: int, age_us: int, short: bool, rng: Random) -> None:
+    def refused(self, now: int, sent_at: int, wait_us: int, crowd: float, short: bool, rng: Random) -> None:
         """Full: heed a told wait, back off from an untold one, and pace what follows.
 
         Answers quick rate-limited destinations, which a window does not see; holds against shut ones and full
@@ -161,18 +156,31 @@
             self.opens_at = max(self.opens_at, now + int(wait * (0.5 + rng.random())))
             return
         if not burst:
-            pace = min(self.weight if self.pace is None else self.pace, self.limit or math.inf)
-            self.pace = max(self.weight / 8, pace * (REPORT_FALL if self.limit else PACE_FALL))
-        crowd = min(self.replicas, max(self.crowd(age_us), 2 ** min(self.refusals, 8)))
+            self.slow_down()
+        crowd = min(self.replicas, max(crowd, 2 ** min(self.refusals, 8)))
         others = (crowd - 1) / (self.pace or self.weight) * SECOND
         spread = max(min(wait, BACKOFF_S * SECOND * 2) * JITTER, others) * rng.random()
         self.opens_at = max(self.opens_at, now + int(wait + spread) + 1)
         self.bucket.tokens, self.bucket.filled_at = min(self.bucket.tokens, 1.0), now
 
+    def slow_down(self) -> None:
+        """A limit is evident, and lower than was thought."""
+        pace = min(self.weight if self.pace is None else self.pace, self.limit or math.inf)
+        self.pace = max(self.weight / 8, pace * (REPORT_FALL if self.limit else PACE_FALL))
+
+    def heard(self, now: int, wait_us: int, rng: Random) -> None:
+        """Another's call was refused: one symptom for all, and its wait holds for all; ours come spread."""
+        if self.by_time and now - self.refused_at > HEARD_BURST_US:
+            self.slow_down()
+            self.refused_at = now
+        if now + wait_us > self.opens_at:
+            self.opens_at = now + wait_us
+            self.bucket.tokens, self.bucket.filled_at = min(self.bucket.tokens, rng.random()), self.opens_at
+
     def answered(self) -> None:
         """An answer: the pace rises until no limit is evident."""
         self.refusals = 0
-        if self.pace is not None:
+        if self.pace is not None and not self.by_time:
             risen = self.pace + self.weight * PACE_RISE * min(self.replicas, PACE_OTHERS)
             gone = None if risen > self.weight * PACE_GONE else risen
             self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone and min(gone, self.most)
@@ -186,7 +194,7 @@
         self.gate, self.settings, self.lot = gate, settings, lot  # by the lot equal ranks spread the fleet
         self.listed, self.proved = True, False
         self.window = Window(gate.window.size, gate.window.most, FLOOR, CUT)
-        self.calls: list[Call] = []
+        self.calls: list[Call[Endpoint]] = []
         self.failures, self.failed_at, self.row = 0.0, 0, 0
         self.usual = Usual(SMOOTH)
         self.warm: list[int] = []
@@ -227,22 +235,21 @@
         alone = LONE_CALL if len(self.calls) == 1 else 1.0
         return self.calls[0].sent_at + math.ceil(self.silence_us() * alone)
 
-    def cold_rate(self, now: int) -> float:
-        """Calls a second that this forwarder may send while the endpoint is cold: an even part for each of
-        the forwarders that are likely to have work since the outage began."""
+    def cold_rate(self, now: int, heard: float | None = None) -> float:
+        """Calls a second that may go while it is cold: a part by heard work, else even among the likely."""
         gone = 0 if self.ramp_from is None else (now - self.ramp_from) / self.settings.ramp_us
         cold = min(1.0, self.settings.cold_share + (1 - self.settings.cold_share) * gone)
-        crowd = self.gate.crowd(now - self.struck_at + self.settings.fall_us)  # work comes on, and in clumps
+        crowd = heard or self.gate.crowd(now - self.struck_at + self.settings.fall_us)  # work comes in clumps
         return RAMP_SAFETY * self.settings.overload_factor * cold * self.part() / crowd
 
-    def next_send(self, now: int) -> int:
+    def next_send(self, now: int, heard: float | None) -> int:
         """When this endpoint's health lets the next call go."""
         if self.out_since is not None:
             return self.trial_at
         if self.ramp_from is None or now - self.ramp_from >= self.settings.ramp_us:
             self.ramp_from = None
             return now
-        return self.ramp.next_at(now, self.cold_rate(now), 1.0)
+        return self.ramp.next_at(now, self.cold_rate(now, heard), 1.0)
 
     def next_trial(self, now: int, rng: Random) -> None:
         """Space trials so that those of all forwarders, of a clump too, stay under what it bears cold."""
@@ -273,40 +280,9 @@
 Destination = Place[Endpoint, Gate]
 
 
-class Forwarder:
+class Forwarder(State[Endpoint, Gate]):
     """The decisions of one forwarder. It knows its settings and its own events, and nothing else."""
 
-    def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.rng = settings, Random(seed)
-        self.now, self.actions = 0, list[Action]()
-        self.messages: dict[int, Message] = {}
-        self.attempts: dict[tuple[int, int], tuple[Call, Message]] = {}
-        self.destinations: defaultdict[int, Destination] = defaultdict(Destination)
-        self.endpoints: dict[str, Endpoint] = {}
-        self.keys: dict[str, KeyLine] = {}
-        self.calls: dict[Call, None] = {}
-        self.trials, self.trials_most = dict[Call, None](), max(1, int(settings.slots * TRIAL_SHARE))
-        self.waiting: dict[int, Destination] = {}
-        self.stirred: dict[int, None] = {}  # destinations where something happened since they were looked at,
-        self.unweighed: dict[int, None] = {}  # and since it was weighed what they could spare
-        self.ready: Ranking[int] = Ranking()  # destinations with a choice, the most urgent first
-        self.spare: Ranking[int] = Ranking()  # while the hold is nearly full: the least valuable first
-        self.opens: Agenda[int] = Agenda()  # when a destination without a choice may have one
-        self.ends: Agenda[int] = Agenda()  # when a message is out of time, or may not go again
-        self.silences: Agenda[Endpoint] = Agenda()
-        self.lapses: Agenda[Call] = Agenda()  # when a call has been out for longer than the silence,
-        self.lapsed: dict[Call, None] = {}  # and those that have
-        self.rests: Agenda[str] = Agenda()  # when a key has rested
-        self.leaving: Agenda[Endpoint] = Agenda()  # when an unlisted endpoint may be forgotten
-        self.unlisted: dict[str, Endpoint] = {}
-        self.answered: dict[Endpoint, None] = {}
-        self.zones: dict[str, float] = {}
-        self.own = Meter(NEVER, MEMORY_S, GUESS)
-        self.trust = Trust(settings)
-        self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
-        self.token, self.armed_for = 0, NEVER
-        self.watch_at, self.watch_failures = 0 if settings.on_request else NEVER, 0
-
     def decide(self, now_us: int, events: list[Event]) -> list[Action]:
         """Take in what happened, and say what to do about it."""
         if events and all(isinstance(e, Timer) and e.token != self.token for e in events):
@@ -320,12 +296,14 @@
                     self.outcome(event)
                 case Members():
                     self.members(event)
+                case Heard():
+                    self.believe(event)
                 case Withdrawn() if event.ref in self.messages:
                     self.end(self.messages[event.ref])
                 case Timer() if event.token == self.token:
                     self.armed_for = NEVER
-        if now_us >= self.watch_at:
-            self.watch_at = NEVER
+        if now_us >= self.asking.at:
+            self.asking.at = NEVER
             self.actions.append(Watch())
         self.look_for_silence()
         for key in self.rests.due(now_us):
@@ -335,9 +313,25 @@
         self.close_idle()
         self.shed()
         self.forget()
+        self.actions += self.hearsay.tell(now_us)
         self.arm()
         return self.actions
 
+    def believe(self, event: Heard) -> None:
+        """What another forwarder has seen: it slows this one down, or takes the place of a trial."""
+        for what, number, value in self.hearsay.heard(event.peer, event.note, self.now):
+            if what is What.BACK and (back := self.digests.get(number)) is not None and (
+                    back.out_since is not None and self.now - back.failed_at > value * UNIT_US):
+                self.returned(back)
+            known = self.destinations[number] if number in self.destinations else Destination()
+            for endpoint in known.endpoints.values():
+                if what is What.SHORT:
+                    self.trust.short(endpoint.kind, self.now)
+                    self.answered |= {e: None for e in self.endpoints.values() if e.kind == endpoint.kind}
+                elif what is What.REFUSED and not self.settings.kinds.get(endpoint.kind, Kind()).apart:
+                    endpoint.gate.heard(self.now, self.hearsay.wait_us(value), self.rng)
+            self.stir(number)
+
     def accept(self, event: Accept) -> None:
         """Take a message in."""
         if (cls := self.settings.classes.get(event.cls)) is None:
@@ -345,6 +339,7 @@
         message = self.messages[event.ref] = Message(event, cls, self.now, self.tenant_share(event.tenant))
         self.measure(self.destinations[message.dest])
         self.own.count += 1
+        self.hearsay.earn()
         if message.key is not None:
             self.keys.setdefault(message.key, KeyLine()).waiting.append(message)
         self.keep(message)
@@ -370,6 +365,8 @@
 
     def stir(self, number: int) -> None:
         """Something happened at a destination: what was picked or weighed there stands no more."""
+        if (kept := self.destinations.get(number)) is not None:
+            self.hearsay.holds(number, len(kept.hold), kept.hold.since)
         if number in self.waiting:
             self.stirred[number] = None
             if self.spare or self.unweighed:
@@ -386,28 +383,12 @@
         if not line.waiting and not line.out and self.now >= line.rest_until:
             del self.keys[key]
 
-    def tenant_share(self, tenant: str | None) -> float:
-        """Full worth within the tenant's share, little beyond it."""
-        if tenant is None or (bucket := self.quota.get(tenant)) is None:
-            return 1.0  # no shares here
-        rate = self.settings.tenants[tenant] / self.settings.replicas
-        within = bucket.next_at(self.now, rate, max(1.0, rate * QUOTA_BURST_S)) <= self.now
-        bucket.tokens -= within
-        return 1.0 if within else self.settings.over_share_worth
-
     def members(self, event: Members) -> None:
         """Follow the list; an endpoint that drains or is gone gets nothing new from this moment on."""
         if event.scope is Scope.FAILED:
-            most = self.settings.ask_within_us / 4
-            retry = min(most, WATCH_RETRY_S * SECOND * 2 ** min(self.watch_failures, 8))
-            if self.settings.on_request:
-                self.watch_at = self.now + int(retry * (1 + JITTER * self.rng.random()))
-            if self.watch_failures == 0:
-                self.actions.append(Log("list of endpoints lost; the old one stays"))
-            self.watch_failures += 1
+            self.actions += map(Log, self.asking.failed(self.now, self.rng))
             return
-        self.actions += [Log("list of endpoints is back")] * (self.watch_failures > 0)
-        self.watch_failures = 0
+        self.actions += map(Log, self.asking.listed())
         named = {m.target for m in event.members}
         if event.scope is Scope.FULL:
             for endpoint in list(self.endpoints.values()):
@@ -429,6 +410,7 @@
                     self.settings, member.weight, self.usual_rate(), self.now)
                 destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, self.rng.random())
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
+                self.digests[digest(member.target)] = endpoint
                 gate.routes += 1
             else:
                 known.listed = True
@@ -479,6 +461,7 @@
     def drop(self, endpoint: Endpoint) -> None:
         """Forget an endpoint that was unlisted."""
         del self.endpoints[endpoint.target], self.unlisted[endpoint.target]
+        self.digests.pop(digest(endpoint.target), None)
         self.leaving.drop(endpoint)
         del self.destinations[endpoint.dest].endpoints[endpoint.target]
         self.tidy_destination(endpoint.dest)
@@ -540,7 +523,7 @@
             endpoint.warm = []
             self.actions.append(Disconnect(endpoint.target))
 
-    def judge(self, call: Call, event: Outcome) -> None:
+    def judge(self, call: Call[Endpoint], event: Outcome) -> None:
         """What the end of a call says of its endpoint and of its destination. One place for both windows."""
         endpoint, gate, kind, now = call.endpoint, call.endpoint.gate, call.endpoint.kind, self.now
         evidence = gate.weight / self.settings.replicas * OUT_EVIDENCE_S  # own calls that there may have been
@@ -554,18 +537,19 @@
                 self.trust.answered(kind, call.new)
                 if endpoint.out_since is not None:
                     self.actions.append(Log(f"{endpoint.target}: answers again, slow start"))
-                    for other in self.destinations[endpoint.dest].endpoints.values():
-                        if other.gate is gate and other.out_since is not None:
-                            other.returned(now, self.rng)
-                            self.listen(other)
+                    self.hearsay.back(endpoint.target, now)
+                    self.returned(endpoint)
                 endpoint.succeeded(now, event.latency_us)
                 gate.window.grow(len(gate.calls))
                 endpoint.window.grow(len(endpoint.calls))
             case Result.FULL:
                 gate.window.cut(now, call.sent_at)
-                taken_at = min((m.taken_at for m in call.open.values()), default=now)
                 short = not event.wait_us and self.trust.refused(kind, call.new, now)
-                gate.refused(now, call.sent_at, event.wait_us, now - taken_at, short, self.rng)
+                known = call.sent_at <= gate.refused_at
+                self.hearsay.refused(endpoint.dest, event.wait_us, short, known, now)
+                taken_at = min((m.taken_at for m in call.open.values()), default=now)
+                crowd, _ = self.crowd(endpoint, taken_at)
+                gate.refused(now, call.sent_at, event.wait_us, crowd, short, self.rng)
                 if gate.refusals >= max(REFUSALS_OUT, REFUSALS_EACH * self.settings.replicas):
                     self.out(endpoint, "refuses all", now)
                 if endpoint.out_since is not None:
@@ -589,6 +573,14 @@
                 if endpoint.row >= min(OUT_FAILURES, max(1, round(evidence))):
                     self.out(endpoint, f"calls end as {event.result.value}", call.sent_at)
 
+    def returned(self, endpoint: Endpoint) -> None:
+        """It answers again, here or elsewhere: the slow start begins, at its siblings that were out too."""
+        for other in self.destinations[endpoint.dest].endpoints.values():
+            if other.gate is endpoint.gate and other.out_since is not None:
+                other.returned(self.now, self.rng)
+                self.listen(other)
+        self.stir(endpoint.dest)
+
     def out(self, endpoint: Endpoint, why: str, since: int) -> None:
         """Judge an endpoint to be in an outage: only spaced trials from now on."""
         if endpoint.out_since is None:
@@ -636,13 +628,20 @@
         if endpoint.out_since is not None:
             if len(gate.calls) >= gate.window.most:
                 return NEVER
-            if len(self.calls) > self.settings.slots * SCARCE and len(self.trials) >= self.trials_most:
+            slots = self.settings.slots
+            if len(self.calls) > slots * SCARCE and len(self.trials) >= max(1, int(slots * TRIAL_SHARE)):
                 return max(self.now + int(TRIAL_LEAST_S * SECOND), endpoint.trial_at)
         elif full(gate.window, gate.calls, now) or full(endpoint.window, endpoint.calls, now):
             lapse = (c.sent_at + int(c.endpoint.silence_us()) + 1 for c in gate.calls)
             return min((at for at in lapse if at > now), default=NEVER)
-        age = now - self.destinations[endpoint.dest].hold.since
-        return max(gate.next_token(now, age), endpoint.next_send(now))
+        crowd, heard = self.crowd(endpoint, self.destinations[endpoint.dest].hold.since)
+        return max(gate.next_token(now, crowd, heard), endpoint.next_send(now, crowd if heard else None))
+
+    def crowd(self, endpoint: Endpoint, since: int) -> tuple[float, bool]:
+        """By how many a pace is shared, and whether that has been heard from them or is a guess."""
+        held = len(self.destinations[endpoint.dest].hold)
+        heard = self.hearsay.crowd(endpoint.dest, held, self.now)
+        return heard or endpoint.gate.crowd(self.now - since), heard is not None
 
     def pick(self, destination: Destination) -> None:
         """The one place that picks the next message of a destination, and its route.
@@ -685,8 +684,8 @@
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
-        age = self.now - destination.hold.since
-        rate = sum((e.gate.pace or e.part()) / e.gate.crowd(age) for e in destination.endpoints.values())
+        since, routes = destination.hold.since, destination.endpoints.values()
+        rate = sum((e.gate.pace or e.part()) / self.crowd(e, since)[0] for e in routes)
         return int(min(max(HORIZON_S, len(destination.hold) / max(rate, 0.1)), DRAIN_MOST_S) * SECOND)
 
     def urgency(self, message: Message, answer: int, drain_us: int) -> float:
@@ -736,7 +735,7 @@
         Answers hung, silent and very slow destinations that starve the others of slots, and their trials. It
         hurts where the late answers would have come: what may not go again elsewhere is given longer.
         """
-        now, stuck = self.now, list[tuple[bool, int, int, Call]]()
+        now, stuck = self.now, list[tuple[bool, int, int, Call[Endpoint]]]()
         choices = (self.destinations[n].choice for n in self.ready) if self.lapsed else ()
         sound = (c for c in choices if c is not None and c[2].out_since is None)
         wanted = sum(1 for _ in islice(sound, len(self.lapsed)))
@@ -752,7 +751,8 @@
 
     def send(self, destination: Destination, first: Message, endpoint: Endpoint) -> None:
         """Start one call, with as many messages as travel together."""
-        trial, gate, call = endpoint.out_since is not None, endpoint.gate, Call(endpoint, self.now)
+        trial, gate = endpoint.out_since is not None, endpoint.gate
+        call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if trial:
             self.trials[call] = None
         if gate.pace is not None:
@@ -885,7 +885,8 @@
         """Keep one timer armed for the next thing due."""
         full = len(self.calls) >= self.settings.slots
         agendas = self.ends, self.silences, self.rests, self.lapses if full else self.opens
-        due = [self.watch_at, *(at for a in agendas if (at := a.next_at()) is not None)]
+        due = [self.asking.at, self.hearsay.next_at()]
+        due += [at for a in agendas if (at := a.next_at()) is not None]
         due += [self.now + 1] if self.stirred and not full else []
         soonest = min((t for t in due if t > self.now), default=NEVER)
         if soonest < self.armed_for and soonest < NEVER:
--- /dev/null
+++ b/rowanspindle/notes.py
@@ -0,0 +1,105 @@
+"""Notes between senders as bytes: reading and writing only; nothing here decides.
+
+A note is a version byte, a running number and facts. A fact is a byte that says what it is, the number that
+it is about and a value, both as varints. At most 256 bytes; whatever cannot be read is a NoteError.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+from zlib import crc32
+
+VERSION = 0xA1
+MOST_BYTES = 256
+HEAD = 2  # bytes before the facts
+NUMBERS = 256  # running numbers, before they begin again
+WHERE_MOST, VALUE_MOST = (1 << 32) - 1, (1 << 14) - 1
+
+
+class What(IntEnum):
+    """What a fact says, of a destination if nothing else is said."""
+
+    WORK = 1  # so many messages wait for it here
+    REFUSED = 2  # it refused a call; so many hundredths of a second of the told wait are left, 0: none told
+    SHORT = 3  # endpoints of its kind run short of connections
+    BACK = 4  # of an endpoint, by the digest of its name: it answers again after an outage
+
+
+class Fact(NamedTuple):
+    """One thing that a sender has seen."""
+
+    what: What
+    where: int
+    value: int = 0
+
+
+class Note(NamedTuple):
+    """What one sender tells at once."""
+
+    number: int
+    facts: tuple[Fact, ...]
+
+
+def digest(name: str) -> int:
+    """The number that an endpoint's name has in notes. Two may share one, seldom: see `Hearsay`."""
+    return crc32(name.encode())
+
+
+class NoteError(ValueError):
+    """Bytes that are no note."""
+
+
+def varint(value: int) -> bytes:
+    """Seven bits a byte, the lowest first; the highest bit says that more come."""
+    out = bytearray()
+    while value > 0x7F:
+        out.append(value & 0x7F | 0x80)
+        value >>= 7
+    out.append(value)
+    return bytes(out)
+
+
+def packed(fact: Fact) -> bytes:
+    """One fact."""
+    return bytes([fact.what]) + varint(fact.where) + varint(min(fact.value, VALUE_MOST))
+
+
+def write(note: Note) -> bytes:
+    """A note's bytes. Raises ValueError if it is too long."""
+    data = bytes([VERSION, note.number % NUMBERS]) + b"".join(map(packed, note.facts))
+    if len(data) > MOST_BYTES:
+        raise ValueError(f"a note of {len(data)} bytes, {MOST_BYTES} at most")
+    return data
+
+
+def read(data: bytes) -> Note:
+    """The note in some bytes, whole. Raises NoteError."""
+    if not HEAD < len(data) <= MOST_BYTES:
+        raise NoteError(f"{len(data)} bytes")
+    if data[0] != VERSION:
+        raise NoteError(f"version {data[0]}")
+    facts, at = list[Fact](), HEAD
+    while at < len(data):
+        try:
+            what = What(data[at])
+        except ValueError:
+            raise NoteError(f"fact {data[at]}") from None
+        where, at = _number(data, at + 1, WHERE_MOST)
+        value, at = _number(data, at, VALUE_MOST)
+        facts.append(Fact(what, where, value))
+    return Note(data[1], tuple(facts))
+
+
+def _number(data: bytes, at: int, most: int) -> tuple[int, int]:
+    """A varint at that place, and the place behind it."""
+    value = shift = 0
+    while at < len(data) and shift <= 28:
+        value |= (data[at] & 0x7F) << shift
+        at += 1
+        if not data[at - 1] & 0x80:
+            if value > most:
+                raise NoteError(f"number {value}")
+            return value, at
+        shift += 7
+    raise NoteError("a number without its end")
--- /dev/null
+++ b/rowanspindle/state.py
@@ -0,0 +1,77 @@
+"""What a forwarder keeps: its messages, calls and endpoints, and what is due. Nothing here decides."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from random import Random
+from typing import Generic, TypeVar
+
+from rowanspindle.api import Action, Settings
+from rowanspindle.asking import Asking
+from rowanspindle.hearsay import Hearsay
+from rowanspindle.held import NEVER, KeyLine, Message, Place
+from rowanspindle.order import Agenda, Bucket, Meter, Ranking
+from rowanspindle.trust import Trust
+
+E = TypeVar("E")
+G = TypeVar("G")
+
+MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
+GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
+QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
+
+
+class Call(Generic[E]):
+    """One call on the wire: one or more messages of one reply to one endpoint, with one fate."""
+
+    def __init__(self, endpoint: E, now: int, new: bool) -> None:
+        self.endpoint, self.sent_at = endpoint, now
+        self.judged = self.called_off = False
+        self.idle_us = 0  # for how long the connection that it may have used was idle
+        self.new = new  # it needs a connection of its own
+        self.open: dict[tuple[int, int], Message] = {}
+
+
+class State(Generic[E, G]):
+    """All that a forwarder knows, as it stands."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings, self.rng = settings, Random(seed)
+        self.now, self.actions = 0, list[Action]()
+        self.messages: dict[int, Message] = {}
+        self.attempts: dict[tuple[int, int], tuple[Call[E], Message]] = {}
+        self.destinations: defaultdict[int, Place[E, G]] = defaultdict(Place)
+        self.endpoints: dict[str, E] = {}
+        self.digests: dict[int, E] = {}  # by what notes call them
+        self.keys: dict[str, KeyLine] = {}
+        self.calls: dict[Call[E], None] = {}
+        self.trials: dict[Call[E], None] = {}  # those of them to endpoints in an outage
+        self.waiting: dict[int, Place[E, G]] = {}
+        self.stirred: dict[int, None] = {}  # destinations where something happened since they were looked at,
+        self.unweighed: dict[int, None] = {}  # and since it was weighed what they could spare
+        self.ready: Ranking[int] = Ranking()  # destinations with a choice, the most urgent first
+        self.spare: Ranking[int] = Ranking()  # while the hold is nearly full: the least valuable first
+        self.opens: Agenda[int] = Agenda()  # when a destination without a choice may have one
+        self.ends: Agenda[int] = Agenda()  # when a message is out of time, or may not go again
+        self.silences: Agenda[E] = Agenda()
+        self.lapses: Agenda[Call[E]] = Agenda()  # when a call has been out for longer than the silence,
+        self.lapsed: dict[Call[E], None] = {}  # and those that have
+        self.rests: Agenda[str] = Agenda()  # when a key has rested
+        self.leaving: Agenda[E] = Agenda()  # when an unlisted endpoint may be forgotten
+        self.unlisted: dict[str, E] = {}
+        self.answered: dict[E, None] = {}
+        self.zones: dict[str, float] = {}
+        self.own = Meter(NEVER, MEMORY_S, GUESS)
+        self.trust = Trust(settings)
+        self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
+        self.token, self.armed_for = 0, NEVER
+        self.asking, self.hearsay = Asking(settings), Hearsay(settings)
+
+    def tenant_share(self, tenant: str | None) -> float:
+        """Full worth within the tenant's share, little beyond it, as the settings say."""
+        if tenant is None or (bucket := self.quota.get(tenant)) is None:
+            return 1.0  # no shares here
+        rate = self.settings.tenants[tenant] / self.settings.replicas
+        within = bucket.next_at(self.now, rate, max(1.0, rate * QUOTA_BURST_S)) <= self.now
+        bucket.tokens -= within
+        return 1.0 if within else self.settings.over_share_worth
--- a/rowanspindle/trust.py
+++ b/rowanspindle/trust.py
@@ -18,6 +18,7 @@
 LEAST_US = 500_000  # idle time below which a failure is the endpoint's, not the connection's
 SHORT_SENDERS = 8  # that keep a connection each fill a table; fewer hardly do
 SHORT_US = 60_000_000  # for which connections are taken to be short once a refusal showed it
+HEARD_SHORT_US = 10_000_000  # and once another sender told so
 SHORT_TIMES = 2.0  # new connections are refused so many times more often than kept ones: no limit does that
 BEFORE = 2.0, 0.5  # calls on kept connections, and refusals of them, taken for granted until there are others
 FADE = 0.97  # factor of each call on the weight of those before it
@@ -66,6 +67,10 @@
             self._short[kind] = now + SHORT_US
         return short
 
+    def short(self, kind: str, now: int) -> None:
+        """Another sender found connections to be short there: believed for a while."""
+        self._short[kind] = max(self._short.get(kind, 0), now + HEARD_SHORT_US)
+
     def dropped(self, kind: str, idle_us: float | None = None) -> None:
         """A connection was dropped after so long, or one more could not be had."""
         known = self.us[kind] if idle_us is None else min(self.us[kind], idle_us)
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from rowanspindle import notes
 from rowanspindle.api import (
     Accept,
     Action,
@@ -16,6 +17,7 @@
     Effect,
     Event,
     Fail,
+    Heard,
     Kind,
     Log,
     Member,
@@ -28,6 +30,7 @@
     Send,
     Settings,
     Status,
+    Tell,
     Timer,
     Watch,
     Withdrawn,
@@ -130,6 +133,8 @@
         "overload_factor": rules.get("overload_factor"),
         "key_rest_us": rules.get("key_rest_us"),
         "refused_price": extra.get("turned_away_price"),
+        "peers": limits.get("peers"),
+        "peer_price": doc.get("prices", {}).get("peer"),
     }
     return Settings(
         classes={
@@ -206,13 +211,25 @@
     return Timer(whole(fields(line, 1)[0]))
 
 
-EVENTS: dict[str, Callable[[str], Event]] = {
+def parse_heard(line: str) -> Event | None:
+    """A note from another instance; None if its bytes are none."""
+    peer, raw = fields(line, 2)
+    try:
+        return Heard(whole(peer), notes.read(bytes.fromhex("" if raw == "-" else raw)))
+    except notes.NoteError:
+        return None
+    except ValueError:
+        raise WireError(f"not hex: {raw!r}") from None
+
+
+EVENTS: dict[str, Callable[[str], Event | None]] = {
     "ACCEPT": parse_accept,
     "COMPLETED": parse_outcome,
     "ABORTED": parse_withdrawn,
     "DUE": parse_timer,
+    "MAIL": parse_heard,
 }
-IGNORED = frozenset({"STREAMING", "PING_RESULT", "MAIL"})
+IGNORED = frozenset({"STREAMING", "PING_RESULT"})
 
 
 def format_action(action: Action) -> str:
@@ -234,6 +251,8 @@
             return "FOLLOW 1"
         case Log():
             return f"WRITE_LOG {action.text}"
+        case Tell():
+            return f"BROADCAST_TO -1 {notes.write(action.note).hex()}"
 
 
 __all__ = [
