Write notes with less code: facts sized once, no ages that are always zero

Urgent facts go out in the round that saw them, so the age that was kept and subtracted was always nothing; each fact was packed three times and cut to size twice; the running number was reduced twice; the model added up bytes of notes that nobody read. Change: these are gone. What is told stays the same.

--- a/rowanrack/model/world.py
+++ b/rowanrack/model/world.py
@@ -62,7 +62,7 @@
         ]  # fmt: skip
         for sender in self.senders:
             sender.tell = partial(self._tell, sender)  # type: ignore[method-assign]
-        self.note_bytes, self._notes_rng = 0, chance(seed, "notes")
+        self._notes_rng = chance(seed, "notes")
         rates = {dest: self.told_rate(partner) for dest, partner in self.partners.items()}
         owners = {dest: partner.member for dest, partner in self.partners.items()}
         if scenario.recorded:
@@ -81,7 +81,6 @@
     def _tell(self, sender: Sender, note: Note) -> None:
         """A note goes to every other sender, each late by its own time or not at all."""
         data, (low, high) = write(note), self.scenario.notes_us
-        self.note_bytes += len(data) * (len(self.senders) - 1)
         for other in self.senders:
             late, lost = self._notes_rng.random(), self._notes_rng.random() < self.scenario.notes_lost
             if other is not sender and not lost:
--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -48,7 +48,7 @@
         self._number = 0
         self._held: dict[int, tuple[int, int]] = {}  # our own work that waits, and since when
         self._told: dict[int, tuple[int, int]] = {}  # what was told of it, and when
-        self._urgent: dict[tuple[What, int], tuple[int, int]] = {}  # value, and when it was seen
+        self._urgent: dict[tuple[What, int], int] = {}  # what this round has seen, with its value
         self._beat_at = 0  # when work is told next
         self._short_at: dict[int, int] = {}
         self._last: dict[int, tuple[int, int]] = {}  # of each peer: the last number, and when
@@ -77,14 +77,14 @@
             return
         if short and now >= self._short_at.get(dest, 0):
             self._short_at[dest] = now + AGAIN_US
-            self._urgent[What.SHORT, dest] = 0, now
+            self._urgent[What.SHORT, dest] = 0
         elif not short and (wait_us or not known):
-            self._urgent[What.REFUSED, dest] = wait_us, now
+            self._urgent[What.REFUSED, dest] = min(max(wait_us // UNIT_US, int(wait_us > 0)), VALUE_MOST)
 
-    def back(self, target: str, now: int) -> None:
+    def back(self, target: str) -> None:
         """An endpoint answers again after an outage."""
         if self.on:
-            self._urgent[What.BACK, digest(target)] = 0, now
+            self._urgent[What.BACK, digest(target)] = 0
 
     # What is told.
 
@@ -92,40 +92,33 @@
         """What goes out now: urgent facts at once, work now and then, as far as the purse reaches."""
         if not self.on:
             return []
-        facts: list[Fact] = []
-        for (what, dest), (value, seen) in self._urgent.items():
-            if what is What.REFUSED and value:
-                value = max(1, (value - (now - seen)) // UNIT_US)
-            facts.append(Fact(what, dest, min(value, VALUE_MOST)))
-        work = self._changed(now) if now >= self._beat_at else []
-        if not facts and not work:
-            return []
-        room, taken = min(self._purse, float(MOST_BYTES)) - HEAD, list[Fact]()
-        for fact in [*facts, *(Fact(What.WORK, dest, held) for dest, held in work)]:
-            if (size := len(packed(fact))) <= room:
-                taken.append(fact)
-                room -= size
+        facts = [Fact(what, where, value) for (what, where), value in self._urgent.items()]
+        if now >= self._beat_at:
+            facts += self._changed(now)
         self._urgent.clear()  # what the purse does not reach for is old news by the time that it does
+        size, most, taken = HEAD, min(self._purse, MOST_BYTES), list[Fact]()
+        for fact in facts:
+            if size + (more := len(packed(fact))) <= most:
+                taken.append(fact)
+                size += more
+                if fact.what is What.WORK:
+                    self._says(fact.where, fact.value, now)
         if not taken:
             return []
-        for fact in taken:
-            if fact.what is What.WORK:
-                self._says(fact.where, fact.value, now)
-            self._purse -= len(packed(fact))
-        self._purse -= HEAD
+        self._purse -= size
         self._number = (self._number + 1) % NUMBERS
         self.told += 1
         return [Tell(Note(self._number, tuple(taken)))]
 
-    def _changed(self, now: int) -> list[tuple[int, int]]:
+    def _changed(self, now: int) -> list[Fact]:
         """Work to be told: new or gone, twice or half of what was told, or told so long ago."""
         self._beat_at = now + self.beat_us
-        work = [(dest, 0) for dest in self._told if dest not in self._held]
+        work = [Fact(What.WORK, dest) for dest in self._told if dest not in self._held]
         for dest, (held, since) in self._held.items():
             said, at = self._told.get(dest, (0, now))
             waited = now - since >= WAITED_US
             if waited and (not said or not said < 2 * held < 4 * said or now - at >= REFRESH * self.beat_us):
-                work.append((dest, held))
+                work.append(Fact(What.WORK, dest, min(held, VALUE_MOST)))
         return work
 
     def _says(self, dest: int, held: int, now: int) -> None:
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -537,7 +537,7 @@
                 self.trust.answered(kind, call.new)
                 if endpoint.out_since is not None:
                     self.actions.append(Log(f"{endpoint.target}: answers again, slow start"))
-                    self.hearsay.back(endpoint.target, now)
+                    self.hearsay.back(endpoint.target)
                     self.returned(endpoint)
                 endpoint.succeeded(now, event.latency_us)
                 gate.window.grow(len(gate.calls))
--- a/rowanspindle/notes.py
+++ b/rowanspindle/notes.py
@@ -42,7 +42,7 @@
 
 
 def digest(name: str) -> int:
-    """The number that an endpoint's name has in notes. Two may share one, seldom: see `Hearsay`."""
+    """The number that an endpoint's name has in notes. Of two that share one, seldom, one is not heard of."""
     return crc32(name.encode())
 
 
@@ -62,12 +62,12 @@
 
 def packed(fact: Fact) -> bytes:
     """One fact."""
-    return bytes([fact.what]) + varint(fact.where) + varint(min(fact.value, VALUE_MOST))
+    return bytes([fact.what]) + varint(fact.where) + varint(fact.value)
 
 
 def write(note: Note) -> bytes:
     """A note's bytes. Raises ValueError if it is too long."""
-    data = bytes([VERSION, note.number % NUMBERS]) + b"".join(map(packed, note.facts))
+    data = bytes([VERSION, note.number]) + b"".join(map(packed, note.facts))
     if len(data) > MOST_BYTES:
         raise ValueError(f"a note of {len(data)} bytes, {MOST_BYTES} at most")
     return data
