Take no port for notes where none are told: one condition for both

The configuration opened the peers' port by a condition of its own, without the bound of 64 senders: among 200 every note of a peer would have been read, checked and handed to a module that drops it. Change: hearsay.talks() is asked by both. The new test fails with the old condition.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -14,6 +14,7 @@
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.fronts.platform.discovery import ListError, parse_address, parse_list
 from rowanspindle import Settings, Status
+from rowanspindle.hearsay import talks
 from rowanspindle.wire import WireError, parse_settings
 
 if TYPE_CHECKING:
@@ -216,7 +217,7 @@
 def _peers(doc: Mapping[str, Any], settings: Settings) -> PeersConfig | None:
     """Where senders tell each other something; None where they may not, or no address is given."""
     listen, peers, all_at = (doc.get(key) for key in ("peer_listen", "peers", "peers_all"))
-    if not settings.peers or settings.replicas < 2 or not (listen and peers and all_at):
+    if not talks(settings) or not (listen and peers and all_at):
         return None
     return PeersConfig(parse_address(listen), tuple(map(parse_address, peers)), parse_address(all_at))
 
--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -30,6 +30,11 @@
 STALE = NUMBERS // 2  # running numbers so far back are those of an older note
 
 
+def talks(settings: Settings) -> bool:
+    """Whether senders tell each other something here."""
+    return settings.peers and 1 < settings.replicas <= MOST_SENDERS
+
+
 def lifted(quiet_us: int, gone_us: int) -> float:
     """What part of the limit time adds to its pace: the longer no refusal was heard, the faster."""
     return LIFT * (1 + quiet_us / SECOND) * gone_us / SECOND
@@ -40,7 +45,7 @@
 
     def __init__(self, settings: Settings) -> None:
         peers = settings.replicas - 1
-        self.on = settings.peers and 0 < peers < MOST_SENDERS
+        self.on = talks(settings)
         self._wait_most = max(c.deadline_us for c in settings.classes.values())
         self._earned = SPENT * PACKET / max(settings.peer_price * peers, 1e-9) if self.on else 0.0
         self.beat_us = max(BEAT_US, BEAT_EACH_US * settings.replicas)
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from rowanrack.config import _peers
 from rowanrack.net.peers import EACH_MOST, PeerPort
 from rowanspindle import Accept, Heard, Result, Send, Tell
 from rowanspindle.hearsay import BEAT_US, LIVE_US, WORK, Hearsay
@@ -212,3 +213,13 @@
         probe.bind(("127.0.0.1", 0))
         number: int = probe.getsockname()[1]
         return number
+
+
+@pytest.mark.parametrize(("replicas", "peers", "there"), [(2, True, True), (1, True, False), (40, False, False),
+                                                          (65, True, False)])  # fmt: skip
+def test_no_port_is_taken_where_nothing_is_told(replicas: int, peers: bool, there: bool) -> None:
+    """Among more senders than tell each other something the port was open, and what came was read for nothing."""
+    settings = replace(FLEET, replicas=replicas, peers=peers)
+    doc = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.2:7946"], "peers_all": "127.0.0.3:7946"}
+    assert (_peers(doc, settings) is not None) is Hearsay(settings).on is there
+    assert _peers({}, settings) is None
