--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -215,10 +215,11 @@
         return number
 
 
-@pytest.mark.parametrize(("replicas", "peers", "there"), [(2, True, True), (1, True, False), (40, False, False),
-                                                          (65, True, False)])  # fmt: skip
+@pytest.mark.parametrize(
+    ("replicas", "peers", "there"), [(2, True, True), (1, True, False), (40, False, False), (65, True, False)]
+)
 def test_no_port_is_taken_where_nothing_is_told(replicas: int, peers: bool, there: bool) -> None:
-    """Among more senders than tell each other something the port was open, and what came was read for nothing."""
+    """Among too many senders the port was open all the same, and what came was read for nothing."""
     settings = replace(FLEET, replicas=replicas, peers=peers)
     doc = {"peer_listen": "127.0.0.1:7946", "peers": ["127.0.0.2:7946"], "peers_all": "127.0.0.3:7946"}
     assert (_peers(doc, settings) is not None) is Hearsay(settings).on is there
