--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -25,7 +25,6 @@
 LIVE_US = 5_000_000  # without a note from anybody, after which nothing is known of the others
 AGAIN_US = 5_000_000  # before a shortage of connections is told again
 UNIT_US = 10_000  # of waits in notes
-LIFT = 0.08  # of a limit, by which its pace rises in the second after a refusal, and so much more in each
 MOST_SENDERS = 64  # among which senders tell each other something: not measured beyond
 STALE = NUMBERS // 2  # running numbers so far back are those of an older note
 
@@ -35,11 +34,6 @@
     return settings.peers and 1 < settings.replicas <= MOST_SENDERS
 
 
-def lifted(quiet_us: int, gone_us: int) -> float:
-    """What part of the limit time adds to its pace: the longer no refusal was heard, the faster."""
-    return LIFT * (1 + quiet_us / SECOND) * gone_us / SECOND
-
-
 class Hearsay:
     """One sender's share in what senders tell each other."""
 
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -13,7 +13,7 @@
 from rowanspindle.api import (
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
-from rowanspindle.hearsay import UNIT_US, lifted
+from rowanspindle.hearsay import UNIT_US
 from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
 from rowanspindle.notes import What, digest
 from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
@@ -59,13 +59,13 @@
 PACE_FALL = 0.8  # factor on the pace at a refusal
 PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs,
 PACE_OTHERS = 3  # for so many at most: refusals come to the others as well
-PACE_MOST = 1.0  # times the rate of a list that tells limits: the first pace, and to where answers lift it
 PACE_GONE = 2.5  # times the first pace: no limit is evident any more
 REPORT_WEIGHT = 0.3  # of a new report of the limit in the running mean: reports are noisy
 REPORT_MOST = 8.0  # times more or less than the list's rough rate that a report is believed
 REPORT_FALL = 0.95  # factor on the pace at a refusal where the limit is told,
 REPORT_RISE = 1.2  # and times the limit to which answers lift it
 EVEN_S = 1.0  # seconds in which the others are taken to have had work, where the limit is told
+HEARD_RISE = 0.08  # of the first pace, by which time lifts it in the second after a refusal, and more later
 HEARD_MOST = 1.4  # times the told limit to which that may go: what others hold has often gone meanwhile
 HEARD_BURST_US = 150_000  # in which refusals, own or heard, are one symptom
 BURST_S = 0.4  # seconds of pace that may go at once
@@ -109,11 +109,10 @@
         self.calls: list[Call[Endpoint]] = []
         self.routes, self.limit = 0, 0.0  # endpoints listed that share it, and the limit that reports tell
         self.opens_at, self.refusals, self.refused_at = 0, 0, -1
-        # Calls a second of all forwarders, while a limit is evident; from the start where the list tells it
-        # and refusals are paid for: a small fleet with free ones does better by trying.
+        # Calls a second of all while a limit is evident: from the start if it is told and refusals are priced
         told = settings.weights_exact and settings.refused_price > 0 and not self.measured
-        self.pace: float | None = self.weight * PACE_MOST if told else None
-        self.most = self.weight * PACE_MOST if told else math.inf
+        self.pace: float | None = self.weight if told else None
+        self.most = self.weight if told else math.inf
         self.bucket, self.by_time, self.risen_at = Bucket(1.0), False, now
 
     def crowd(self, age_us: int) -> float:
@@ -125,8 +124,9 @@
         are heard, time without any lifts it."""
         self.by_time = heard and self.most < math.inf
         if self.by_time and self.pace is not None:
-            lift = self.weight * lifted(now - self.refused_at, now - self.risen_at)
-            self.pace = min(self.most * HEARD_MOST, self.pace + lift)
+            quiet, gone = (now - self.refused_at) / SECOND, (now - self.risen_at) / SECOND
+            risen = self.pace + self.weight * HEARD_RISE * (1 + quiet) * gone
+            self.pace = min(self.most * HEARD_MOST, risen)
         self.risen_at = now
         rate = (self.pace or 0.0) / crowd
         return self.bucket.next_at(now, rate, max(1.0, rate * BURST_S)) if rate else now
