--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -22,6 +22,7 @@
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
+from rowanrack.fronts.mgmt.calls import NotKeptError
 from rowanrack.fronts.mgmt.server import ManagementServer
 from rowanrack.fronts.otlp import FRONT as OTLP
 from rowanrack.fronts.platform import FRONT as PLATFORM
@@ -97,6 +98,7 @@
         self.otlp: OtlpServiceClients | None = None
         self.recorder: Recorder | None = None
         self.bans = BanFile(config.state)
+        self.unkept: dict[str, bool] = {}  # changes that hold and are not on disk: True for a ban
         self.mgmt: ManagementServer | None = None
         self.peers: PeerPort | None = None
         self.serving = self.lame = self.stopping = False
@@ -117,21 +119,36 @@
 
     def detach(self, name: str) -> bool:
         """Send nothing new to an endpoint, also after a restart; False if nobody knows it."""
-        return self._changed_ban(name, self.exchange.detach, "detached")
+        return self._changed_ban(name, True)
 
     def attach(self, name: str) -> bool:
         """Use an endpoint again, as a cold one; False if it was not detached."""
-        return self._changed_ban(name, self.exchange.attach, "attached again")
+        return self._changed_ban(name, False)
 
-    def _changed_ban(self, name: str, change: Callable[[str], bool], done: str) -> bool:
-        """Change a ban on the bans as they stand, and write them for a restart and the other process."""
+    def _changed_ban(self, name: str, banned: bool) -> bool:
+        """Change a ban on the bans as they stand, and write them for a restart and the other process.
+
+        Raises NotKeptError if they cannot be written: the change holds, and is written once there is room.
+        """
         self._take_bans()
-        if not change(name):
+        if not (self.exchange.detach if banned else self.exchange.attach)(name):
             return False
-        self.bans.write(self.exchange.bans)
-        log.info("mgmt: %s is %s", name, done)
+        log.info("mgmt: %s is %s", name, "detached" if banned else "attached again")
+        self.unkept[name] = banned
+        if why := self._keep_bans():
+            log.error("mgmt: detached endpoints are not written, and kept in memory until they are: %s", why)
+            raise NotKeptError(why)
         return True
 
+    def _keep_bans(self) -> str:
+        """Write the bans; why that failed, or nothing."""
+        try:
+            self.bans.write(self.exchange.bans)
+        except OSError as error:
+            return error.strerror or str(error)
+        self.unkept.clear()
+        return ""
+
     def lameduck(self, on: bool) -> None:
         """Begin or end a drain of the clients: the health answer turns, connections end between requests."""
         if on != self.lame:
@@ -144,6 +161,8 @@
         """Take over the bans as the file has them, if the other process has changed them."""
         if (bans := self.bans.changed()) is None:
             return
+        for name, banned in self.unkept.items():
+            (bans.add if banned else bans.discard)(name)
         for name in sorted(self.exchange.bans - bans):
             self.exchange.attach(name)
         for name in sorted(bans - self.exchange.bans):
@@ -153,6 +172,8 @@
         while True:
             await pause(self.exchange.after, BANS_LOOK_US)
             self._take_bans()
+            if self.unkept and not self._keep_bans():
+                log.info("mgmt: detached endpoints are written again")
 
     async def _take_over(self) -> None:
         """Wait for the process before this one to let go of its journal, then own what it left."""
--- a/rowanrack/fronts/mgmt/calls.py
+++ b/rowanrack/fronts/mgmt/calls.py
@@ -12,6 +12,10 @@
 NAME_MOST = 256  # characters of an endpoint's id
 
 
+class NotKeptError(Exception):
+    """A change holds but could not be written; the text says why. It is lost if the process ends now."""
+
+
 class Operations(Protocol):
     """What the operators' calls reach in the sender."""
 
@@ -22,10 +26,10 @@
         """The figures in the exposition format."""
 
     def detach(self, name: str) -> bool:
-        """Send nothing new to an endpoint; False if nobody knows it."""
+        """Send nothing new to an endpoint; False if nobody knows it. Raises NotKeptError."""
 
     def attach(self, name: str) -> bool:
-        """Use an endpoint again; False if it was not detached."""
+        """Use an endpoint again; False if it was not detached. Raises NotKeptError."""
 
     def lameduck(self, on: bool) -> None:
         """Begin or end a drain of the clients."""
@@ -68,9 +72,15 @@
         name = endpoint_name(request.body)
     except ValueError as bad:
         return plain(400, str(bad))
-    if path == "/_endpoints/detach":
-        return plain(200, f"detached {name}") if ops.detach(name) else plain(404, f"no endpoint {name}")
-    return plain(200, f"attached {name}") if ops.attach(name) else plain(404, f"{name} is not detached")
+    change, done, unknown = (
+        (ops.detach, "detached", f"no endpoint {name}")
+        if path == "/_endpoints/detach"
+        else (ops.attach, "attached", f"{name} is not detached")
+    )
+    try:
+        return plain(200, f"{done} {name}") if change(name) else plain(404, unknown)
+    except NotKeptError as error:
+        return plain(507, f"{done} {name} until this process ends, not written yet: {error}")
 
 
 ROUTES = {
--- a/rowanrack/store/bans.py
+++ b/rowanrack/store/bans.py
@@ -37,11 +37,12 @@
         return {n for n in names if isinstance(n, str)} if isinstance(names, list) else None
 
     def write(self, bans: set[str]) -> None:
-        """Replace the file at once: a reader sees the old set or the new one."""
+        """Replace the file at once: a reader sees the old set or the new one. Raises OSError: the old one."""
         fresh = self.path.with_suffix(f".{os.getpid()}.new")
         try:
             fresh.write_text(json.dumps(sorted(bans)), encoding="utf-8")
             os.replace(fresh, self.path)
-            self._seen = self.path.stat().st_mtime_ns
-        except OSError as error:
-            log.error("%s: not written: %s", self.path.name, error.strerror or error)
+        except OSError:
+            fresh.unlink(missing_ok=True)
+            raise
+        self._seen = self.path.stat().st_mtime_ns
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import fcntl
 import json
 import os
@@ -124,6 +125,29 @@
         assert rig.sender.exchange.table.listed("i0")
 
 
+@on_loop
+async def test_a_detach_that_cannot_be_written_holds_says_so_and_is_written_once_it_can(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was answered 200 and lost with the process: only the log said that nothing had been written."""
+
+    def full(*_: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    async with Rig(tmp_path, answers(OK)) as rig:
+        detach = Request("POST", "/_endpoints/detach", {}, b'{"name":"i0"}')
+        with monkeypatch.context() as disk:
+            disk.setattr(os, "replace", full)
+            reply = answer(detach, rig.sender)
+            assert reply.status == 507 and b"No space left" in reply.body and reply.body.count(b"\n") == 1
+            assert not rig.sender.exchange.table.listed("i0")
+        while rig.sender.unkept:
+            await asyncio.sleep(0.01)
+        assert BanFile(tmp_path).changed() == {"i0"}
+        assert answer(detach, rig.sender).status == 200
+        assert not [p for p in tmp_path.iterdir() if p.suffix == ".new"]
+
+
 def test_bans_written_by_one_process_are_read_by_the_other(tmp_path: Path) -> None:
     one, other = BanFile(tmp_path), BanFile(tmp_path)
     assert one.changed() == set()
