Let several observers watch the exchange, not one alone

Need: the channels' log has to see what a recording sees, beside it. The exchange held one observer, and the recorder took the place by assignment. The exchange now has `observe` and `unobserve`; the recorder uses them.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -130,7 +130,7 @@
         self.messages: dict[str, Message] = {}
         self.counts = dict.fromkeys(Ending, 0)
         self.side: InstanceSide | None = None
-        self.observer: Observer | None = None
+        self.observers: tuple[Observer, ...] = ()
         self.watch: Callable[[], None] = lambda: None
         self.tell: Callable[[Note], None] = lambda note: None  # a note to all other senders
         self.round_over: Callable[[], None] = lambda: None  # the ends of a round are known: tell them now
@@ -149,6 +149,14 @@
         self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
         self._batches: dict[str, list[Batch]] = {}  # what the round sends, by instance
 
+    def observe(self, observer: Observer) -> None:
+        """Tell one more observer of everything."""
+        self.observers += (observer,)
+
+    def unobserve(self, observer: Observer) -> None:
+        """Tell it no more."""
+        self.observers = tuple(o for o in self.observers if o is not observer)
+
     # The service clients' side.
 
     def too_busy(self, message_id: str) -> Nack | None:
@@ -184,8 +192,8 @@
         message.ref = self._next_ref
         left_us = max(0, message.deadline_us - self.clock.unix_us())
         self.messages[message.id] = self._refs[message.ref] = message
-        if self.observer is not None:
-            self.observer.taken(message, left_us)
+        for observer in self.observers:
+            observer.taken(message, left_us)
         message.guard = self.after(left_us + GUARD_US, lambda: self._overdue(message))
         self._put(
             Accept(
@@ -224,8 +232,8 @@
     def _turned_away(self, message: Message | None, nack: Nack) -> Nack:
         if message is not None:
             self.figures.declined(message.cls)
-        if self.observer is not None:
-            self.observer.turned_away(message, nack)
+        for observer in self.observers:
+            observer.turned_away(message, nack)
         return nack
 
     def _retry_us(self) -> int:
@@ -289,9 +297,10 @@
 
     def _listed(self, scope: Scope, news: list[Instance], source: str) -> None:
         change = self.table.update(scope, news, source, self.clock.now_us())
-        if self.observer is not None:
+        if self.observers:
             gone = [n for n in change.gone if n not in {i.name for i in news}]
-            self.observer.listed(news, gone)
+            for observer in self.observers:
+                observer.listed(news, gone)
         self._put(change.members)
         for name in change.closed:
             for execution in list(self._unbegun.get(name, ())):
@@ -323,8 +332,8 @@
         execution.begun = True
         self.figures.forwarded(message.cls)
         self._no_longer_unbegun(execution)
-        if self.observer is not None:
-            self.observer.began(execution)
+        for observer in self.observers:
+            observer.began(execution)
         return True
 
     def settle(self, execution: Execution, verdict: Verdict | Result) -> None:
@@ -338,8 +347,8 @@
         if execution.timer is not None:
             execution.timer.cancel()
         message, now = execution.message, self.clock.now_us()
-        if self.observer is not None:
-            self.observer.settled(execution, result, wait_us)
+        for observer in self.observers:
+            observer.settled(execution, result, wait_us)
         message.out.pop(execution.leg, None)
         self._no_longer_unbegun(execution)
         self._forget(message)
@@ -562,7 +571,7 @@
         self.counts[end.ending] += 1
         self.figures.ended(message.cls, end.ending)
         self.store.end(message, end)
-        if self.observer is not None:
-            self.observer.ended(message, end)
+        for observer in self.observers:
+            observer.ended(message, end)
         if (listener := self.listeners.get(message.front)) is not None:
             listener(message, end)
--- a/rowanrack/record/recorder.py
+++ b/rowanrack/record/recorder.py
@@ -129,7 +129,7 @@
 
     def start(self) -> None:
         """Watch the exchange from now on, before it owns its first message."""
-        self.exchange.observer = self
+        self.exchange.observe(self)
         self.disk.start()
         self._held += self._opening()
         self._later()
@@ -163,7 +163,7 @@
         """Hand over what is in memory."""
         if self.disk.failed:
             self._held.clear()
-            self.exchange.observer = None
+            self.exchange.unobserve(self)
             return
         if self._lost:
             self._held.insert(0, Gap(self._clock.now_us(), self._lost))
@@ -185,7 +185,7 @@
 
     def close(self) -> None:
         """The sender ends."""
-        self.exchange.observer = None
+        self.exchange.unobserve(self)
         self.flush()
         self.disk.close()
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -234,7 +234,7 @@
     for _ in range(3):
         desk.run(SECOND // 2)
         recorder.flush()
-    assert desk.exchange.begin(execution) and desk.exchange.observer is None and not recorder._held
+    assert desk.exchange.begin(execution) and not desk.exchange.observers and not recorder._held
     desk.exchange.settle(execution, Result.OK)
     assert "m1" in desk.ends
     lines = [r.getMessage() for r in caplog.records if "recording" in r.getMessage()]
