--- a/rowanrack/channels/ports.py
+++ b/rowanrack/channels/ports.py
@@ -70,7 +70,7 @@
 class Answered(Protocol):
     """What a call to another site came to."""
 
-    def __call__(self, body: bytes | None, wait_us: int, why: str) -> None:
+    def __call__(self, body: bytes | None, wait_us: int, why: str, /) -> None:
         """The answer's bytes; or None, for how long that site wants no call (0: it did not say), and why."""
 
 
--- /dev/null
+++ b/rowanrack/channels_io/watching.py
@@ -0,0 +1,81 @@
+"""What the exchange tells its observers, as events of the channels. It only notes; nothing here waits."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol
+
+from rowanrack.channels import events as kinds
+from rowanrack.channels.events import packed
+from rowanrack.core.exchange import MAYBE_RAN, Exchange
+from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
+from rowanspindle import Result, Status
+
+OF_STATUS = {Status.LISTED: kinds.LISTED, Status.DRAINING: kinds.DRAINING, Status.REMOVED: kinds.GONE}
+OF_ENDING = {Ending.DELIVERED: kinds.DELIVERED, Ending.REFUSED: kinds.REFUSED}  # any other: FAILED
+
+
+class Noting(Protocol):
+    """Where events go: kept in memory for a moment, then written by the log's thread."""
+
+    def note(self, channel: str, kind: str, data: bytes, at_us: int, /) -> None:
+        """Note an event; `at_us` is Unix time."""
+
+
+class Watching:
+    """An `Observer` of the exchange that notes events; `ids` says whether they name messages."""
+
+    def __init__(self, exchange: Exchange, notes: Noting, ids: bool) -> None:
+        self._exchange, self._notes, self._ids = exchange, notes, ids
+        self._given: dict[str, tuple[int, Status]] = {}  # each endpoint as last noted
+        self._out: set[str] = set()  # endpoints in an outage as last noted
+
+    def _note(self, dest: int, what: str, message: Message | None = None, /, **payload: Any) -> None:
+        if message is not None and self._ids:
+            payload["message"] = message.id
+        self._notes.note(str(dest), what, packed(payload), self._exchange.clock.unix_us())
+
+    def taken(self, message: Message, left_us: int) -> None:
+        """A message is owned, just taken or found at the start."""
+        cls, tenant = message.cls, message.tenant
+        self._note(message.dest, kinds.TAKEN, message, **{"class": cls, "tenant": tenant, "left_us": left_us})
+
+    def turned_away(self, message: Message | None, nack: Nack) -> None:
+        """A message is not taken: it never was the channel's."""
+
+    def listed(self, news: list[Instance], gone: list[str]) -> None:
+        """News of instances."""
+        for i in news:
+            if self._given.get(i.name) != (i.dest, i.status):
+                self._given[i.name] = i.dest, i.status
+                self._note(i.dest, OF_STATUS[i.status], endpoint=i.name, kind=i.kind, rate=i.rate)
+        for name in [*gone, *(i.name for i in news if i.status is Status.REMOVED)]:
+            dest, status = self._given.pop(name, (0, Status.REMOVED))
+            self._out.discard(name)
+            if status is not Status.REMOVED:
+                self._note(dest, kinds.GONE, endpoint=name)
+
+    def began(self, execution: Execution) -> None:
+        """A call's first byte is about to go out."""
+        message = execution.message
+        self._note(message.dest, kinds.BEGUN, message, leg=execution.leg, endpoint=execution.instance.name)
+
+    def settled(self, execution: Execution, result: Result, wait_us: int) -> None:
+        """A call has ended."""
+        message, name = execution.message, execution.instance.name
+        if execution.begun and result is not Result.OK:
+            kind = kinds.MAY_HAVE_RUN if result in MAYBE_RAN else kinds.NEVER_RAN
+            self._note(message.dest, kind, message, leg=execution.leg, endpoint=name, result=result.value)
+        if wait_us:
+            self._note(message.dest, kinds.WAIT, endpoint=name, wait_us=wait_us)
+
+    def ended(self, message: Message, end: End) -> None:
+        """A message has ended."""
+        again = {"again_us": end.retry_us} if end.ending is Ending.REFUSED else {}
+        self._note(message.dest, OF_ENDING.get(end.ending, kinds.FAILED), message, **again)
+
+    def look(self) -> None:
+        """Note outages that the module has seen begin or end since the last look."""
+        for name, endpoint in self._exchange.forwarder.endpoints.items():
+            if (out := endpoint.out_since is not None) is not (name in self._out):
+                (self._out.add if out else self._out.discard)(name)
+                self._note(endpoint.dest, kinds.OUT if out else kinds.BACK, endpoint=name)
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from rowanrack.core.messages import Instance
+from rowanrack.core.messages import HEADER_SAFE, Instance
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.fronts.platform.discovery import ListError, parse_address, parse_list
 from rowanspindle import Settings, Status
@@ -71,6 +71,17 @@
     most_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class ChannelsConfig:
+    """Where other sites reach this sender's log, the sites, and how much is kept for how long."""
+
+    listen: tuple[str, int]
+    sites: Mapping[str, tuple[str, int]]
+    disk_bytes: int
+    keep_us: int
+    ids: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """All that a sender needs to know at its start."""
@@ -89,6 +100,7 @@
     record: RecordConfig | None = None
     instances: tuple[Instance, ...] = ()
     mgmt: tuple[str, int] | None = None  # the operators' address
+    channels: ChannelsConfig | None = None
 
     def __post_init__(self) -> None:
         for value, name in (
@@ -116,6 +128,7 @@
         "console",
         "record",
         "mgmt",
+        "channels",
     )
     changed = [key for key in fixed if getattr(old, key) != getattr(new, key)]
     for front in ("platform", "otlp"):
@@ -203,6 +216,7 @@
             consul=_consul(site),
             console=Path(site.console.socket) if site.console is not None else None,
             record=_record(site),
+            channels=_channels(site),
             instances=tuple(map(_instance, site.instance)),
             mgmt=parse_address(site.mgmt) if site.mgmt else None,
         )
@@ -253,6 +267,29 @@
     return RecordConfig(Path(site.record.folder), int(site.record.most_mb * 1_000_000))
 
 
+def _channels(site: SiteFile) -> ChannelsConfig | None:
+    if (given := site.channels) is None:
+        return None
+    if site.name in given.sites:
+        raise ValueError(f"channels.sites: {site.name} is this sender itself")
+    sites: dict[str, tuple[str, int]] = {}
+    for name, address in given.sites.items():
+        if not HEADER_SAFE.fullmatch(name) or "/" in name:
+            raise ValueError(f"channels.sites: {name!r} is no name: printable, without blanks and slashes")
+        sites[name] = _address(f"channels.sites.{name}", address)
+    listen = _address("channels.listen", given.listen)
+    return ChannelsConfig(
+        listen, sites, int(given.disk_mb * 1_000_000), int(given.keep_days * 86_400_000_000), given.ids
+    )
+
+
+def _address(key: str, text: str) -> tuple[str, int]:
+    try:
+        return parse_address(text)
+    except ListError as error:
+        raise ValueError(f"{key}: {error}") from None
+
+
 def _instance(given: InstanceTable) -> Instance:
     host, port = parse_address(given.address)
     return Instance(given.name, host, port, given.zone, given.kind, given.dest, Status.LISTED, given.rate)
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -161,6 +161,16 @@
     most_mb: Annotated[float, Meta(ge=1)] = 64.0
 
 
+class ChannelsTable(Part):
+    """The event log of each channel, and the other senders that keep one."""
+
+    listen: str  # where the others reach this sender's log
+    sites: dict[str, str] = {}  # the others' names and addresses
+    disk_mb: Annotated[float, Meta(ge=1)] = 64.0
+    keep_days: Above = 30.0
+    ids: bool = True  # whether events name messages
+
+
 class InstanceTable(Part):
     """An instance of a destination."""
 
@@ -185,6 +195,7 @@
     consul: ConsulTable | None = None
     console: ConsoleTable | None = None
     record: RecordTable | None = None
+    channels: ChannelsTable | None = None
     instance: list[InstanceTable] = []
     mgmt: str | None = None  # the operators' address, host:port
 
