Make room for a recording's block before it is written, not behind it

Seen: test_the_room_on_disk_is_bounded_and_the_oldest_goes_first failed once with 21,634 bytes of at most 20,000 on a busy machine.

Checked by two probes: (1) the disk driven step by step in one thread: right after a write 17,316 of 16,000 bytes stood there, until `_bound` ran behind it: the recorder did go over its bound, by up to one block, for a moment. (2) a look that sums sizes while the thread writes nine blocks between its halves: 25,996 bytes "seen" with 13,086 there: files counted in the first half had gone by the second. So both: the recorder was over its bound by a block, and the test looked between two steps of the thread.

Fault: `Disk._run` wrote and only then bounded. Now a block is packed first, so that its size is known, the other files are measured (one of them may grow in the other process of a hot restart), the oldest go, and then it is written. A block for which there can be no room is dropped and counted, as one that the disk did not keep up with; what went on from it is dropped too, up to the next file.

Found beside it: after a full queue the gap's record came ahead of the file's first one, and such a file could not be read at all ("it does not say how the sender was set up"). It comes behind it now.

Measured: 16,000 of 16,000 bytes are never passed in 40 blocks, looked at within each write, without the thread. Tried without each guard: room made for less than the block: 17,316 <= 16,000 fails; the gap put first: both gap tests fail with that RecordingError; what goes on from a dropped block kept: fails.

--- a/rowanrack/record/format.py
+++ b/rowanrack/record/format.py
@@ -23,6 +23,7 @@
 HEAD = struct.Struct(">20sH")
 BLOCK = struct.Struct(">Iqq")  # length of the content, Unix time and monotonic time of its writing
 SUM = 16  # bytes of a checksum
+FRAME = BLOCK.size + SUM  # bytes of a block before its content
 BLOCK_MOST = 8 << 20  # guards the reader against a length that was made up
 CLOCK_SLACK_US = 200_000  # by which the two clocks may part before that counts as a step
 
@@ -129,6 +130,11 @@
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(list[Record])
 
 
+def packed(records: list[Record]) -> bytes:
+    """The content of a block."""
+    return zlib.compress(ENCODER.encode(records), 1)
+
+
 class FileWriter:
     """Writes one file, block by block. Raises OSError."""
 
@@ -140,12 +146,15 @@
 
     def write(self, unix_us: int, at_us: int, records: list[Record]) -> None:
         """One more block; the kernel has it on return."""
-        content = zlib.compress(ENCODER.encode(records), 1)
+        self.append(unix_us, at_us, packed(records))
+
+    def append(self, unix_us: int, at_us: int, content: bytes) -> None:
+        """The same, of records that are packed."""
         head = BLOCK.pack(len(content), unix_us, at_us)
         self._sum = blake3(self._sum + head + content).digest(SUM)
         self._file.write(head + self._sum + content)
         self._file.flush()
-        self.size += len(head) + SUM + len(content)
+        self.size += FRAME + len(content)
 
     def close(self) -> None:
         """No more."""
@@ -184,10 +193,10 @@
         raise RecordingError(f"{path}: a recording of version {version}; this program reads {VERSION}")
     last, records, remarks, number = blake3(head).digest(SUM), list[Record](), list[str](), 0
     clocks: tuple[int, int] | None = None
-    while raw := file.read(BLOCK.size + SUM):
+    while raw := file.read(FRAME):
         number += 1
         at = file.tell() - len(raw)
-        whole = len(raw) == BLOCK.size + SUM
+        whole = len(raw) == FRAME
         length, unix_us, at_us = BLOCK.unpack(raw[: BLOCK.size]) if whole else (0, 0, 0)
         if length > BLOCK_MOST:
             raise RecordingError(f"{path}: block {number} at byte {at} does not match its checksum")
--- a/rowanrack/record/recorder.py
+++ b/rowanrack/record/recorder.py
@@ -1,8 +1,9 @@
 """Writing a recording beside a serving sender: never in its way, and bounded on disk.
 
 The exchange's `Observer`: each happening becomes a record in memory; once a second, or when there are many,
-they go as one block to a thread that deflates and writes them. If the disk does not keep up, blocks are
-dropped and counted; if it fails, the recording ends with one line in the log, and serving goes on.
+they go as one block to a thread that deflates and writes them. Room is made before a block is written, so
+that the bound holds at every moment. If the disk does not keep up, or a block has no room, it is dropped and
+counted; if the disk fails, the recording ends with one line in the log, and serving goes on.
 """
 
 from __future__ import annotations
@@ -11,11 +12,15 @@
 import queue
 import secrets
 import threading
+from contextlib import suppress
 from pathlib import Path
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import End, Execution, Instance, Message, Nack
+from rowanrack.net.rare_log import RareLog
 from rowanrack.record.format import (
+    FRAME,
+    HEAD,
     SUFFIX,
     Began,
     Begins,
@@ -27,10 +32,12 @@
     Settled,
     Taken,
     Turned,
+    packed,
 )
 from rowanspindle import Effect, Result, Status
 
 log = logging.getLogger(__name__)
+rare = RareLog(log)
 
 FLUSH_US = 1_000_000  # after which what is in memory is handed over
 BLOCK_RECORDS = 2_000  # or when there are so many
@@ -51,7 +58,8 @@
         self.blocks: queue.Queue[Block | None] = queue.Queue(WAITING)
         self.file: FileWriter | None = None
         self.failed = False
-        self._kept: dict[Path, int] = {}  # earlier files and their sizes, the oldest first
+        self.dropped = 0  # records for which there was no room, so far
+        self._astray = False  # there is no file that the next block could go on in
         self._thread = threading.Thread(target=self._run, name="recorder", daemon=True)
 
     def start(self) -> None:
@@ -60,8 +68,8 @@
 
     @property
     def full(self) -> bool:
-        """Whether the file is as long as one may be."""
-        return self.file is not None and self.file.size >= self.file_bytes
+        """Whether the next block has to begin a file: this one is as long as one may be, or lacks a block."""
+        return self._astray or (self.file is not None and self.file.size >= self.file_bytes)
 
     def close(self) -> None:
         """Write what is there, for a moment."""
@@ -75,12 +83,7 @@
     def _run(self) -> None:
         try:
             while (block := self.blocks.get()) is not None:
-                unix_us, at_us, records, anew = block
-                if anew or self.file is None:
-                    self._next_file()
-                assert self.file is not None
-                self.file.write(unix_us, at_us, records)
-                self._bound()
+                self._write(*block)
             if self.file is not None:
                 self.file.close()
         except OSError as error:
@@ -88,25 +91,57 @@
             where = error.filename or (self.file.path if self.file is not None else self.folder)
             log.error("the recording has ended: %s: %s", where, error.strerror or error)
 
-    def _next_file(self) -> None:
-        """Numbers go on from the highest there is: they tell the order whatever the clocks say."""
-        if self.file is not None:
+    def _write(self, unix_us: int, at_us: int, records: list[Record], anew: bool) -> None:
+        """One block, once there is room for it."""
+        content = packed(records)
+        if anew and self.file is not None:
             self.file.close()
+            self.file = None
+        elif self._astray and not anew:  # what it goes on from was dropped
+            self.dropped += counted(records)
+            return
+        kept = self._kept()
+        last = next(reversed(kept), None)
+        own = HEAD.size if self.file is None else self.file.size
+        if not self._made_room(kept, own + FRAME + len(content)):
+            # What follows needs a file of its own, which says how things stand by then.
+            self._astray = True
+            self.dropped += counted(records)
+            rare.warning("the recording has no room for a block of %d bytes", len(content))
+            return
+        if self.file is None:
+            # Numbers go on from the highest there is: they tell the order whatever the clocks say.
+            number = int(last.stem.rpartition("-")[2]) + 1 if last is not None else 1
+            self.file = FileWriter(self.folder / f"{self.sender}-{number:06d}{SUFFIX}")
+        self.file.append(unix_us, at_us, content)
+        self._astray = False
+
+    def _kept(self) -> dict[Path, int]:
+        """The other files and their sizes, the oldest first; at a hot restart one of them may still grow."""
         self.folder.mkdir(parents=True, exist_ok=True)
-        kept = files_of(self.folder, self.sender)
-        self._kept = {path: path.stat().st_size for path in kept}
-        number = int(kept[-1].stem.rpartition("-")[2]) + 1 if kept else 1
-        self.file = FileWriter(self.folder / f"{self.sender}-{number:06d}{SUFFIX}")
-        self._bound()
-
-    def _bound(self) -> None:
-        """Let the oldest files go, but never the one that is being written."""
-        assert self.file is not None
-        used = sum(self._kept.values()) + self.file.size
-        while self._kept and used > self.most_bytes:
-            oldest = next(iter(self._kept))
-            used -= self._kept.pop(oldest)
-            oldest.unlink(missing_ok=True)
+        kept = dict[Path, int]()
+        for path in files_of(self.folder, self.sender):
+            if self.file is None or path != self.file.path:
+                with suppress(FileNotFoundError):
+                    kept[path] = path.stat().st_size
+        return kept
+
+    def _made_room(self, kept: dict[Path, int], wanted: int) -> bool:
+        """Let the oldest files go until so much fits; False, and none goes, if it never does."""
+        if wanted > self.most_bytes:
+            return False
+        used = sum(kept.values())
+        for path, size in kept.items():
+            if used + wanted <= self.most_bytes:
+                break
+            path.unlink(missing_ok=True)
+            used -= size
+        return True
+
+
+def counted(records: list[Record]) -> int:
+    """How many records a gap stands for: those that a new file does not begin with in any case."""
+    return sum(r.lost if isinstance(r, Gap) else not isinstance(r, Begins | Listed) for r in records)
 
 
 def files_of(folder: Path, sender: str) -> list[Path]:
@@ -123,7 +158,7 @@
         self.name, self.exchange, self.disk = name, exchange, disk
         self.life = secrets.token_hex(8)
         self._held: list[Record] = []
-        self._lost = 0
+        self._lost = self._dropped = 0
         self._anew = True
         self._clock = exchange.clock
 
@@ -165,11 +200,14 @@
             self._held.clear()
             self.exchange.unobserve(self)
             return
-        if self._lost:
-            self._held.insert(0, Gap(self._clock.now_us(), self._lost))
+        dropped = self.disk.dropped
+        self._lost += dropped - self._dropped
+        self._dropped = dropped
         if self.disk.full and not self._anew:
             self._held[:0] = self._opening()
             self._anew = True
+        if self._lost:  # behind what a file has to begin with
+            self._held.insert(int(self._anew), Gap(self._clock.now_us(), self._lost))
         if not self._held:
             return
         try:
@@ -177,7 +215,7 @@
             self._lost, self._anew = 0, False
         except queue.Full:
             # Guards serving against a disk that does not keep up.
-            self._lost += sum(not isinstance(r, Gap | Begins | Listed) for r in self._held)
+            self._lost = counted(self._held)
             self._anew = True  # what is listed may be among it
             self._held = self._opening()
             return
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import errno
 import json
 import queue
@@ -134,7 +133,7 @@
 
     def __init__(self, path: Path) -> None:
         self.writer, self.blocks = FileWriter(path), self
-        self.failed = self.full = False
+        self.failed, self.full, self.dropped = False, False, 0
 
     def put_nowait(self, block: Any) -> None:
         unix_us, at_us, records, _ = block
@@ -186,25 +185,32 @@
 
 
 def used(folder: Path) -> int:
-    """Bytes on disk, while a thread may be at work there."""
-    sizes = 0
-    for path in folder.glob("*.rec"):
-        with contextlib.suppress(FileNotFoundError):
-            sizes += path.stat().st_size
-    return sizes
+    """Bytes on disk."""
+    return sum(path.stat().st_size for path in folder.glob("*.rec"))
 
 
-def test_the_room_on_disk_is_bounded_and_the_oldest_goes_first(
+def written_by(disk: Disk, *blocks: tuple[list[Record], bool]) -> None:
+    """Blocks that its thread would write, one after the other."""
+    for n, (held, anew) in enumerate(blocks):
+        disk._write(n, n, held, anew)
+
+
+def test_the_room_on_disk_is_bounded_at_every_moment_and_the_oldest_goes_first(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    """Room was made only once a block was written: 17,316 of 16,000 bytes stood there in between."""
+    append, looks = FileWriter.append, list[int]()
+
+    def looked_at(writer: FileWriter, *block: Any) -> None:
+        append(writer, *block)
+        looks.append(used(tmp_path))
+
+    monkeypatch.setattr(FileWriter, "append", looked_at)
     monkeypatch.setattr(recording, "FILE_LEAST", 1_000)
     disk = Disk(tmp_path, "s", 16_000)
-    disk.start()
-    for n in range(40):
-        disk.blocks.put((n, n, [BEGINS, *records(100)], disk.full))
-        assert used(tmp_path) <= 16_000 + 4_000  # one block too many at most
-    disk.blocks.put(None)
-    disk._thread.join(10)
+    for _ in range(40):
+        written_by(disk, ([BEGINS, *records(100)], disk.full))
+    assert 14_000 < max(looks) <= 16_000 and len(looks) == 40
     kept = recording.files_of(tmp_path, "s")
     numbers = [int(p.stem[2:]) for p in kept]
     assert numbers[0] > 1 and numbers == list(range(numbers[0], numbers[-1] + 1))
@@ -216,13 +222,32 @@
     assert recording.files_of(tmp_path, "s")[-1].stem == f"s-{numbers[-1] + 1:06d}"
 
 
+def test_a_block_without_room_is_dropped_and_the_next_file_counts_it(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """And nothing goes on from it: a file whose first record says nothing of the sender cannot be read."""
+    (tmp_path / "state").mkdir()
+    desk, disk = Desk(tmp_path / "state"), Disk(tmp_path / "rec", "s", 2_000)
+    recorder = Recorder("s", desk.exchange, disk)
+    recorder.start()
+    disk.close()
+    written_by(disk, ([BEGINS, *records(3)], True), (records(200), False), (records(4), False))
+    assert disk.full and disk.dropped == 204 and caplog.text.count("no room") == 1
+    recorder.flush()
+    for held, anew in ((b[2], b[3]) for b in [disk.blocks.get_nowait()] if b is not None):
+        written_by(disk, (held, anew))
+    first, second = (read(p) for p in recording.files_of(tmp_path / "rec", "s"))
+    assert len(first.records) == 4 and [r.lost for r in second.records if isinstance(r, Gap)] == [204]
+    assert not disk.full and used(tmp_path / "rec") <= 2_000
+
+
 def test_a_full_disk_ends_the_recording_with_one_line_and_serving_goes_on(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
     def fails(*_: object) -> None:
         raise OSError(errno.ENOSPC, "No space left on device")
 
-    monkeypatch.setattr(FileWriter, "write", fails)
+    monkeypatch.setattr(FileWriter, "append", fails)
     (tmp_path / "state").mkdir()
     desk = Desk(tmp_path / "state")
     disk = Disk(tmp_path / "rec", "s", 1 << 20)
@@ -271,8 +296,10 @@
     recorder.flush()
     behind = False
     desk.submit("m2")
+    now.writer.close()
+    now.writer = FileWriter(tmp_path / "b.rec")  # as a block that begins anew does
     recorder.close()
-    found = read(tmp_path / "a.rec")
+    found = read(tmp_path / "b.rec")
     assert [r.lost for r in found.records if isinstance(r, Gap)] == [before]
     assert any("were dropped" in remark for remark in found.remarks)
 
