Add a lab of real processes: a fleet of senders among stand-ins, over links that fail

What could be tried on real sockets so far was one sender in the tests' own process, or two beside a rig: no fleet, no machine that dies or hangs among others, no broken link between two senders.

rowanrack/lab starts senders as they are deployed, and hosts stand-ins for partners, discovery and clients, and relays for all links, as one process each. Each sender's links leave from a loopback address of its own, so a stand-in knows who calls. Ports stay reserved by a bound socket that does not listen (checked: a listener with SO_REUSEADDR takes such a port, and once it has gone connections are refused), so no start loses a race. An operator's file can now tell the notes' port: [peers], limits.peers and prices.peer as typed records; before, only the platform's JSON could. The tests' HTTP stand-in and client moved here, as both need them.

The new test fails where disk_full sets no limit, and where the fleet does not end its senders (both tried).

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -211,7 +211,7 @@
             state=state,
             disk_bytes=int(site.disk_mb * 1_000_000),
             sockets=site.sockets,
-            platform=_platform(site),
+            platform=_platform(site, settings),
             otlp=_otlp(site),
             consul=_consul(site),
             console=Path(site.console.socket) if site.console is not None else None,
@@ -236,11 +236,15 @@
     return PeersConfig(parse_address(listen), tuple(map(parse_address, peers)), parse_address(all_at))
 
 
-def _platform(site: SiteFile) -> PlatformConfig | None:
+def _platform(site: SiteFile, settings: Settings) -> PlatformConfig | None:
     if site.platform is None:
+        if site.peers is not None:
+            raise ValueError("peers: senders tell each other something only where there is a [platform]")
         return None
     listen, discovery = site.platform.listen, site.platform.discovery
-    return PlatformConfig(parse_address(listen), parse_address(discovery), 0, ())
+    told = site.peers
+    doc = {} if told is None else {"peer_listen": told.listen, "peers": told.peers, "peers_all": told.all_at}
+    return PlatformConfig(parse_address(listen), parse_address(discovery), 0, (), _peers(doc, settings))
 
 
 def _otlp(site: SiteFile) -> OtlpConfig | None:
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -58,6 +58,7 @@
     keepalive_us: Count | None = None
     connect_timeout_us: Count | None = None
     streams_per_conn: Count | None = None
+    peers: bool | None = None
 
 
 class Rules(Part):
@@ -88,6 +89,12 @@
     names: list[str] = []
 
 
+class Prices(Part):
+    """What is paid for."""
+
+    peer: Annotated[float, Meta(ge=0)] | None = None
+
+
 class SettingsTable(Part):
     """The module's settings, under the platform's names."""
 
@@ -98,6 +105,7 @@
     rules: Rules = msgspec.field(default_factory=Rules)
     tenants: list[Tenant] = []
     report: Report = msgspec.field(default_factory=Report)
+    prices: Prices = msgspec.field(default_factory=Prices)
     replicas_of_me: Count | None = None
     over_share_worth: Share | None = None
     weight_kind: Literal["silent", "nominal", "rough"] = "nominal"
@@ -112,6 +120,14 @@
     discovery: str
 
 
+class PeersTable(Part):
+    """Where notes from the others arrive, the addresses that they come from, and that of all of them."""
+
+    listen: str
+    peers: list[str]
+    all_at: str
+
+
 class SourceTable(Part):
     """Where one value of an OTLP request comes from."""
 
@@ -191,6 +207,7 @@
     disk_mb: Above = 16.0
     sockets: Count = 1024
     platform: PlatformTable | None = None
+    peers: PeersTable | None = None
     otlp: OtlpTable | None = None
     consul: ConsulTable | None = None
     console: ConsoleTable | None = None
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 import json
 import os
 import socket
 import sys
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from pathlib import Path
@@ -18,16 +17,16 @@
 from rowanrack.app import Sender
 from rowanrack.config import Config, OtlpConfig, PlatformConfig
 from rowanrack.core.messages import End, Execution, Instance, Message, Verdict
-from rowanrack.core.wheel import WheelTimer
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
-from rowanrack.net.http import Call, HttpCaller, HttpServed, Reply, Request
-from rowanrack.net.stream import Stream, stream_protocol
+from rowanrack.lab.stand_in import Behaviour, Client, HttpServer
+from rowanrack.lab.stand_in import after as after  # for the tests
+from rowanrack.lab.stand_in import resp as resp
+from rowanrack.net.http import Call, HttpCaller, Reply, Request
+from rowanrack.net.stream import Stream
 from rowanrack.net.turns import FairLoop
 from rowanspindle import Result, Scope, Settings, Status
 from rowanspindle.wire import parse_settings
 
-Behaviour = Callable[[Request], Awaitable[Reply | None]]
-
 SETTINGS: dict[str, Any] = {
     "grades": [
         {
@@ -92,59 +91,32 @@
     return None
 
 
-def after(delay_us: int, action: Callable[[], None]) -> WheelTimer:
-    """A timer for a caller that stands outside any sender."""
-    timer = WheelTimer(action)
-    asyncio.get_running_loop().call_later(delay_us / 1e6, lambda: timer.action and timer.action())
-    return timer
-
-
-class HttpStandIn:
+class HttpStandIn(HttpServer):
     """A server that keeps what it is asked, and answers as it is told."""
 
     def __init__(self, behave: Behaviour = answers(Reply(200, {}))) -> None:  # noqa: B008
+        super().__init__()
         self.behave, self.requests, self.times = behave, list[Request](), list[float]()
-        self.connections, self.closed, self.port = 0, asyncio.Event(), 0
-        self.news, self.tasks = asyncio.Condition(), set[asyncio.Task[None]]()
+        self.closed, self.news = asyncio.Event(), asyncio.Condition()
 
     async def __aenter__(self) -> HttpStandIn:
-        loop, accept = asyncio.get_running_loop(), lambda: stream_protocol(self._accept, 1 << 20)
-        self.server = await loop.create_server(accept, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        await self.open()
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        self.server.close()
-
-    def _accept(self, stream: Stream) -> None:
-        task = asyncio.create_task(self._serve(stream))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _serve(self, stream: Stream) -> None:
-        self.connections += 1
-        with contextlib.suppress(asyncio.CancelledError, OSError):
-            await self._talk(stream)
-
-    async def _talk(self, stream: Stream) -> None:
-        served, more = HttpServed(stream, 1 << 20), True
-        while more and (request := await served.receive()) is not None:
-            async with self.news:
-                self.requests.append(request)
-                self.times.append(asyncio.get_running_loop().time())
-                self.news.notify_all()
-            behaving = asyncio.ensure_future(self.behave(request))
-            ending = asyncio.ensure_future(stream.fill_quietly())
-            await asyncio.wait({behaving, ending}, return_when=asyncio.FIRST_COMPLETED)
-            reply = behaving.result() if behaving.done() else None
-            for task in (behaving, ending):
-                task.cancel()
-            await asyncio.wait({behaving, ending})
-            if reply is None:
-                self.closed.set()
-                stream.abort()
-                return
-            more = await served.answer(reply)
+        self.close()
+
+    def broke_off(self) -> None:
+        """A connection has been broken from here."""
+        self.closed.set()
+
+    async def answer(self, request: Request, peer: str) -> Reply | None:
+        """Keep the request, and answer."""
+        async with self.news:
+            self.requests.append(request)
+            self.times.append(asyncio.get_running_loop().time())
+            self.news.notify_all()
+        return await self.behave(request)
 
     async def asked(self, count: int) -> list[Request]:
         """The requests, once there are so many."""
@@ -219,44 +191,6 @@
 )
 
 
-def resp(*words: str | bytes) -> bytes:
-    """A command as RESP2 writes it."""
-    raw = [w.encode() if isinstance(w, str) else w for w in words]
-    parts = [f"*{len(raw)}\r\n".encode(), *(b"$%d\r\n%s\r\n" % (len(w), w) for w in raw)]
-    return b"".join(parts)
-
-
-class Client:
-    """A service client on the platform's port."""
-
-    def __init__(self, stream: Stream) -> None:
-        self.stream = stream
-
-    async def raw(self, data: bytes) -> bytes:
-        """Write bytes, and return what comes until a line is whole or the connection ends."""
-        await self.stream.send(data)
-        while b"\n" not in self.stream.inward.peek(1 << 16) and await self.stream.fill():
-            pass
-        return self.stream.inward.read(1 << 16)
-
-    async def command(self, *words: str | bytes) -> bytes:
-        """One command and its answer."""
-        return await self.raw(resp(*words))
-
-    async def submit(
-        self,
-        message_id: str,
-        cls: str = "album-update",
-        d: int = 3000,
-        dest: int = 7,
-        body: bytes = b"x",
-        key: str = "",
-    ) -> bytes:
-        """Hand a message in."""
-        keyed = f",k={key}" if key else ""
-        return await self.command("SUBMIT", "0", message_id, f"c={cls},t=a,d={d},dest={dest}{keyed}", body)
-
-
 class Rig(AsyncExitStack):
     """A sender with both fronts among stand-ins, whose folder outlasts it."""
 
