Measure how evenly a fleet's decisions spread calls: python -m benchmarks spread

Forwarders in virtual time at the endpoints of one destination, uneven callers, Poisson messages, three phases of 30 s with an endpoint joining and one leaving between them, or what all senders see at once.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import math
 import os
@@ -20,6 +21,7 @@
 
 from benchmarks.growth import measure as measure_growth
 from benchmarks.loopback import HERE, Plan, measure
+from benchmarks.spread import HAPPENINGS, herds_of, measured, spreads_of
 
 Rows = list[dict[str, Any]]
 TREES = click.option(
@@ -239,6 +241,64 @@
     finish(rows, where, plot, draw_growth)
 
 
+@main.command()
+@TREES
+@JSON
+@click.option("--seeds", default=5, show_default=True, help="Runs of each case.")
+@click.option("--senders", default="200,40", show_default=True)
+@click.option("--endpoints", default="20,6", show_default=True, help="Of one destination.")
+@click.option("--streams", default="1,8", show_default=True, help="Calls at once on a connection.")
+@click.option("--table", default=0, show_default=True, help="Connections an endpoint takes; 0: any number.")
+@click.option("--zones", default=1, show_default=True, help="Over which the endpoints are spread.")
+@click.option("--herds", is_flag=True, help="Herds in time instead, after something that all senders see.")
+def spread(
+    against: Path | None,
+    where: Path | None,
+    seeds: int,
+    senders: str,
+    endpoints: str,
+    streams: str,
+    table: int,
+    zones: int,
+    herds: bool,
+) -> None:
+    """How evenly the decisions spread calls, and for how many new connections, in virtual time."""
+    columns = {"tree": "tree", "senders": "senders", "endpoints": "endpoints", "streams": "streams"}
+    cases = itertools.product(
+        HAPPENINGS if herds else [""],
+        map(int, senders.split(",")),
+        map(int, endpoints.split(",")),
+        map(int, streams.split(",")),
+    )
+    plans = [
+        dict(zip(("happening", "senders", "endpoints", "streams"), case, strict=True))
+        | {"table": table, "zones": zones, "seed": seed + 1}
+        for case in cases
+        for seed in range(seeds)
+    ]
+    rows: Rows = []
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task("spread", total=len(plans) * len(trees(against)))
+        for name, tree in trees(against).items():
+            try:
+                for row in measured(tree, plans):
+                    rows.append({"tree": name, **row})
+                    progress.advance(task)
+            except RuntimeError as error:
+                raise SystemExit(f"benchmarks: {tree}: {error}") from None
+    if herds:
+        columns |= {"after": "happening", "in 100 ms": "in_100ms", "by chance": "chance_in_100ms"}
+        columns |= {"in 1 s": "in_1s", " by chance": "chance_in_1s", "idle s": "idle_s"}
+        columns |= {"  by chance": "chance_idle_s"}
+        show(herds_of(rows), columns, str(where) == "-")
+    else:
+        columns |= {"peak": "peak", "worst": "peak_worst", "by chance": "chance_peak", "least": "least"}
+        columns |= {" worst": "least_worst", " by chance": "chance_least", "new/call": "new"}
+        columns |= {"short/call": "short", "most open": "open"}
+        show(spreads_of(rows), columns, str(where) == "-")
+    finish(rows, where, None, lambda _rows, _where: None)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(path_type=Path))
 @click.option("--seconds", default=30.0, show_default=True)
