--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -106,8 +106,16 @@
     # What the operators' calls reach.
 
     def ready(self) -> bool:
-        """Whether this process serves: started, not in lame duck, and not leaving."""
-        return self.serving and not self.lame and not self.stopping
+        """Whether this process serves: started, not in lame duck, not leaving, and able to record."""
+        return not self.unready()
+
+    def unready(self) -> str:
+        """Why this process does not serve, in one line; empty while it does."""
+        if not self.serving or self.stopping:
+            return "leaving" if self.stopping else "starting"
+        if self.lame:
+            return "lame duck"
+        return "" if self.journal.recording() else f"the journal records nothing new: {self.journal.trouble}"
 
     def figures(self) -> str:
         """The figures in the exposition format."""
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -49,6 +49,7 @@
 GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
 LONG_AGO_US = 1 << 60
 HEARD_US = 10_000  # for which a note may wait for others
+STORE_LOOK_US = 100_000  # between looks at whether the store records again
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -66,10 +67,20 @@
 
 
 class Store(Protocol):
-    """What must outlast the process."""
+    """What must outlast the process. What it has said yes to is there in the next one, whatever happens.
+
+    Proofs and ends cannot be refused: what cannot be written of them is kept, and written in order before
+    anything new is taken or begun.
+    """
+
+    def recording(self) -> bool:
+        """Whether something new may be taken. While not, each call tries to get there: ask now and then."""
+
+    def behind(self) -> bool:
+        """Whether nothing may begin, for a proof or an end is unwritten. Each call tries to write it."""
 
     def take(self, message: Message) -> bool:
-        """Record a message; False when there is no room for it."""
+        """Record a message; False when there is no room for it, its executions and its end."""
 
     def begin(self, message: Message, leg: int) -> bool:
         """Record that an execution is about to begin; False if that cannot be done."""
@@ -78,7 +89,7 @@
         """Record the proof that an execution never ran."""
 
     def end(self, message: Message, end: End) -> None:
-        """Record the one end of a message."""
+        """Record the one end of a message, which its client may be told from now on."""
 
     def ended(self, message_id: str) -> End | None:
         """The recorded end of a message, while it is kept."""
@@ -148,6 +159,8 @@
         self._waits: Agenda[str | int] = Agenda()
         self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
         self._batches: dict[str, list[Batch]] = {}  # what the round sends, by instance
+        self._held: dict[Batch, None] = {}  # calls that wait until the store records again
+        self._looks = False  # whether a look at the store is due
 
     def observe(self, observer: Observer) -> None:
         """Tell one more observer of everything."""
@@ -180,8 +193,11 @@
             # Guards the hold against destinations that do not exist. A real one that is not listed yet can be
             # told from them by nobody, so its client is asked to come again.
             return self._turned_away(message, Nack(self._retry_us()))
-        if not self.store.take(message):
-            log.warning("no room in the journal, message %s is turned away", message.id)
+        if not self.store.recording() or not self.store.take(message):
+            if self.store.recording():
+                log.warning("no room in the journal, message %s is turned away", message.id)
+            else:
+                self._look_later()
             return self._turned_away(message, Nack(self._retry_us()))
         self.adopt(message)
         return None
@@ -454,6 +470,8 @@
                     log.exception("%s failed", action)
             self._start_batches()
         self.round_over()
+        if not self.store.recording():
+            self._look_later()
         due = self.wheel.next_at()
         if due is not None:
             self._wake_at(due)
@@ -519,10 +537,32 @@
     def _start_batches(self) -> None:
         """The calls that a round has gathered go out together with it."""
         gathered, self._batches = self._batches, {}
-        for batch in (b for batches in gathered.values() for b in batches):
+        ready = [b for batches in gathered.values() for b in batches]
+        if ready and self.store.behind():
+            # Guards the attempts that a message has: each call would be stopped at its first byte.
+            self._held.update(dict.fromkeys(ready))
+            return
+        self._start(ready)
+
+    def _start(self, batches: Iterable[Batch]) -> None:
+        for batch in batches:
             if self.side is not None and batch.waiting():
                 self.side.start(batch)
 
+    def _look_later(self) -> None:
+        """Look at the store soon, once: also a sender that is idle goes on when the disk has room again."""
+        if not self._looks:
+            self._looks = True
+            self.after(STORE_LOOK_US, self._look)
+
+    def _look(self) -> None:
+        self._looks = False
+        if not self.store.recording():
+            self._look_later()
+        if self._held and not self.frozen and not self.store.behind():
+            held, self._held = self._held, {}
+            self._start(held)
+
     def _drop(self, execution: Execution, result: Result) -> None:
         """Stop waiting for an execution; what was never begun has never run.
 
@@ -532,10 +572,13 @@
         if execution.begun:
             execution.given_up = result
         elif result in MAYBE_RAN:
-            self.settle(execution, Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT)
+            silent = result is Result.TIMEOUT and execution.batch not in self._held
+            self.settle(execution, Result.CONNECT_FAILED if silent else Result.MOOT)
         else:
             self.settle(execution, result)
         left = [e for e in execution.batch.executions if not e.settled]
+        if not left:
+            self._held.pop(execution.batch, None)
         if any(e.given_up is None for e in left):
             return
         if self.side is not None:
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -11,6 +11,7 @@
 from rowanrack.model.history import Entry, History
 from rowanrack.model.network import Network
 from rowanrack.model.partner import Place
+from rowanrack.store.memory import MemoryStore, Shelf
 from rowanspindle import Result, Settings
 from rowanspindle.notes import Note, read
 
@@ -18,36 +19,6 @@
 UNIX_US = 1_750_000_000_000_000  # Unix time at the start of a run: any will do
 
 
-class Shelf:
-    """The exchange's `Store` in memory. It outlasts the sender's process, as its real journal does."""
-
-    def __init__(self) -> None:
-        self.owed: dict[str, Message] = {}
-        self.ends: dict[str, End] = {}
-
-    def take(self, message: Message) -> bool:
-        """Record a message."""
-        self.owed[message.id] = message
-        return True
-
-    def begin(self, message: Message, leg: int) -> bool:
-        """Record that an execution is about to begin: the message itself holds it."""
-        return message.id in self.owed and leg < message.legs
-
-    def never_ran(self, message: Message, leg: int) -> None:
-        """Record the proof that an execution never ran: the message itself holds it."""
-        assert leg < message.legs
-
-    def end(self, message: Message, end: End) -> None:
-        """Record the one end of a message."""
-        self.owed.pop(message.id, None)
-        self.ends[message.id] = end
-
-    def ended(self, message_id: str) -> End | None:
-        """The recorded end of a message."""
-        return self.ends.get(message_id)
-
-
 class Sender:
     """One sender, through its lives."""
 
@@ -104,7 +75,8 @@
         self.lives += 1
         self._wake = None
         seed = chance(self.seed, "sender", self.number, self.lives).getrandbits(62)
-        self.exchange = Exchange(self.settings, seed, self, self.shelf, self.tick_us)
+        store = MemoryStore(self.shelf, self.unix_us)
+        self.exchange = Exchange(self.settings, seed, self, store, self.tick_us)
         self.calls = Calls(self)
         self.exchange.side = self.calls
         settle = self.exchange.settle
@@ -134,8 +106,7 @@
         self.exchange.tell = lambda note: self.tell(note)
         self.exchange.listeners[FRONT] = self._ended
         self.discovery.start(self, life)
-        for message in list(self.shelf.owed.values()):
-            message.out = {}
+        for message in list(store.owed.values()):
             self.exchange.adopt(message)
         self.history.add(Entry(self.engine.now, "ready", self.number))
         self.exchange.pump()
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -2,21 +2,34 @@
 
 A record is its payload's length and CRC-32, then the payload: a type byte, the message's id, and what the
 type adds. Writes go straight to the kernel, which outlasts the process; nothing is synced.
+
+A message is taken only when the disk has given room for all that may have to be said of it: its executions,
+its end, and the word that its client was told. That room lies ahead of the records (see `journal_file`),
+counts in the budget, and comes in pieces of `PIECE` bytes. On a disk that is full from elsewhere nothing
+new is taken, and what is owed goes on to its end in the room that it has.
+
+Should even that room fail, nothing begins any more; proofs, ends and told words, which have happened and
+cannot be refused, wait in memory and are written, in order, before anything else. An end is given to its
+client meanwhile, for it is owed in time: only a kill before the disk writes again, with the reserved room
+failed too, lets a message be owed again that has its end.
 """
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import logging
 import os
 import struct
 import time
 import zlib
+from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from rowanrack.core.messages import End, Ending, Message
+from rowanrack.store.journal_file import BLOCK, JournalFile, blocks
 
 log = logging.getLogger(__name__)
 
@@ -26,10 +39,10 @@
 FRAME = struct.Struct("<II")
 TIMED = 12  # bytes of an execution's number with its time
 LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
-BLOCK = 512  # bytes in which a file's size counts on the disk
-ROOM_LEAST = 128  # bytes kept free for each owed message: its end,
-ROOM_EACH = 80  # and for each execution that it may have, with the proof that it never ran
+STEP, STEP_TIME, END = 17, 8, 42  # bytes of a record beside its texts
+PIECE = 16 * 1024  # bytes in which room is asked of the disk
 MARGIN = 8 * BLOCK
+AGAIN_US = 1_000_000  # after a compaction or a take-over that failed, before the next try
 TIDY_EACH = 256  # ends between two looks for those that need not be kept any more
 TIDY_US = 1_000_000  # ends whose time is over within one such span are looked at together
 COMPACT_LEAST = 64 * 1024  # bytes of dead records before a compaction is worth its while
@@ -122,6 +135,11 @@
         fixed = ENDINGS[self.end.ending] + struct.pack("<qqq", *times)
         return ENDED + pack_text(message_id.encode(), self.front.encode()) + fixed
 
+    def parts(self, message_id: str) -> list[bytes]:
+        """The records that say all that is known of it."""
+        told = [frame(step_record(TOLD, message_id, 0))] if self.told else []
+        return [frame(self.record(message_id)), *told]
+
 
 @dataclass(slots=True)
 class Journal:
@@ -135,15 +153,28 @@
     attempts: int = 6  # executions that a message may have
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, Ended] = field(default_factory=dict)
-    size: int = 0
-    live: int = 0  # bytes that a compaction would write for owed messages
-    fd: int = -1
+    file: JournalFile | None = None
+    live: int = 0  # bytes that a compaction writes at most
+    promised: int = 0  # bytes that may still have to be written for what is known
+    _books: dict[str, tuple[int, int]] = field(default_factory=dict)  # the same two for each message
     _ended: int = 0
-    _sizes: dict[str, int] = field(default_factory=dict)  # bytes of each owed message's record
     _spans: dict[int, list[str]] = field(default_factory=dict)  # ids by the span in which their end lapses
     slot: str = SLOTS[0]
     lock_fd: int = -1
     absorbed: list[str] = field(default_factory=list)  # ends taken over from the other slot
+    _taken_over: list[Message] = field(default_factory=list)  # recorded here, while their old file is there
+    _unwritten: deque[bytes] = field(default_factory=deque)
+    _stuck: bool = False  # the last record was not written
+    trouble: str = ""  # why nothing new is taken; empty while all is well
+    _trouble_us: int = 0
+    _wanted: int = PIECE  # bytes of room that end the trouble
+    _compact_us: int = 0  # no compaction before then: the last one failed
+    _absorb_us: int = 0
+
+    @property
+    def size(self) -> int:
+        """Bytes of whole records."""
+        return self.file.size if self.file is not None else 0
 
     @property
     def path(self) -> Path:
@@ -199,123 +230,176 @@
             self.slot, self.lock_fd = self._free_slot()
             self.fresh.unlink(missing_ok=True)
             data = self.path.read_bytes() if self.path.exists() else b""
-            if data and not data.startswith(MAGIC[: len(data)]):
-                raise JournalError(f"{self.path.name}: not a journal of rowanrack")
-            end = self.replay(data)
-            if end < len(data):
-                log.warning("journal: torn tail of %d bytes dropped", len(data) - end)
-            self.fd = os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600)
-            os.ftruncate(self.fd, end)
-            os.lseek(self.fd, end, os.SEEK_SET)
-            self.size = end
+            end = self._replay(data)
+            if torn := len(data[end:].rstrip(b"\0")):
+                log.warning("journal: torn tail of %d bytes dropped", torn)
+            self.file = file = JournalFile(os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600), end)
+            os.ftruncate(file.fd, end)
             if end < len(MAGIC):
-                os.ftruncate(self.fd, 0)
-                os.lseek(self.fd, 0, os.SEEK_SET)
-                os.write(self.fd, MAGIC)
-                self.size = len(MAGIC)
-        except OSError as error:
-            raise JournalError(f"journal: {error.strerror or error}") from None
+                file.size = 0
+                file.write(MAGIC)
+        except (OSError, JournalError) as error:
+            self.close()
+            if isinstance(error, OSError):
+                raise JournalError(f"journal: {error.strerror or error}") from None
+            raise
+        self._reserve(0)
 
     def close(self) -> None:
-        """Let go of the file, and then of the slot."""
-        if self.fd >= 0:
-            os.close(self.fd)
-            self.fd = -1
+        """Write what is still unwritten, let go of the file, and then of the slot."""
+        if self.file is not None:
+            if self._unwritten and not self._flush():
+                log.error("journal: %d records were not written before the end", len(self._unwritten))
+            self.file.close()
+            self.file = None
         if self.lock_fd >= 0:
             os.close(self.lock_fd)
             self.lock_fd = -1
 
     def absorb(self) -> list[Message] | None:
-        """Take over what the other slot's process left, once it has let go; None while it holds its slot.
+        """Take over what the other slot's process left, once it has let go; None: ask again later.
 
-        What it still owed is owed here from now on, and its ends are kept here; its file goes.
+        What it still owed is owed here from now on, and its ends are kept here; its file goes. All of it is
+        recorded here first, or none: until then that file is the only one that knows.
         """
-        if (fd := self._lock(self.other)) is None:
+        if 0 < self._absorb_us - self.unix_us() <= AGAIN_US or (fd := self._lock(self.other)) is None:
             return None
-        taken: list[Message] = []
         try:
             path = self.folder / f"{self.other}.log"
             data = path.read_bytes() if path.exists() else b""
-            found = Journal(self.folder, self.budget, self.unix_us, self.keep_us, self.keep_us_of)
-            found.replay(data if data.startswith(MAGIC) else b"")
-            for message_id, message in found.owed.items():
-                if message_id not in self.owed and message_id not in self.ends:
-                    taken.append(message)
-                    self.owed[message_id] = message
-                    self._sizes[message_id] = size = len(frame(taken_record(message)))
-                    self.live += size
-                    for part in self._parts(message):
-                        self._append(part)
-            for message_id, ended in found.ends.items():
-                if message_id not in self.ends and message_id not in self.owed:
-                    self.ends[message_id] = ended
-                    self.absorbed.append(message_id)
-                    self._lapse_at(message_id, ended)
-                    self._append(frame(ended.record(message_id)))
+            self._absorb(data)
             path.unlink(missing_ok=True)
             (self.folder / f"{self.other}.new").unlink(missing_ok=True)
-        except OSError as error:
-            log.error("journal: the other process's file is not taken over: %s", error.strerror or error)
+        except (OSError, JournalError) as error:
+            if not self._absorb_us:
+                why = error.strerror or error if isinstance(error, OSError) else error
+                log.error("journal: the other process's file is not taken over yet: %s", why)
+            self._absorb_us = self.unix_us() + AGAIN_US
+            return None
         finally:
             os.close(fd)
+        self._absorb_us = 0
+        taken, self._taken_over = self._taken_over, []
         if taken:
             log.info("journal: %d messages taken over from the process before", len(taken))
         return taken
 
+    def _absorb(self, data: bytes) -> None:
+        """Record what another file holds and is not known here. Raises OSError, and has recorded none."""
+        found = Journal(self.folder, self.budget, self.unix_us, self.keep_us, self.keep_us_of, self.attempts)
+        found._replay(data)
+        owed = [m for i, m in found.owed.items() if i not in self.owed and i not in self.ends]
+        ends = {i: e for i, e in found.ends.items() if i not in self.owed and i not in self.ends}
+        parts = [p for m in owed for p in self._parts(m)] + [p for i, e in ends.items() for p in e.parts(i)]
+        if not parts:
+            return
+        record, kept = b"".join(parts), sum(found._books[m.id][0] for m in owed)
+        kept += sum(found._books[i][0] for i in ends)
+        if not self.recording() or not self._room(len(record), kept, found.promised):
+            raise OSError(self.trouble or "no room in the journal")
+        if not self._reserve(len(record) + found.promised) or not self._append(record):
+            raise OSError(self.trouble)
+        for message in owed:
+            self._taken_over.append(message)
+            self.owed[message.id] = message
+            self._book(message.id, *found._books[message.id])
+        for message_id, ended in ends.items():
+            self.ends[message_id] = ended
+            self.absorbed.append(message_id)
+            self._lapse_at(message_id, ended)
+            self._book(message_id, *found._books[message_id])
+
     @staticmethod
     def _parts(message: Message) -> list[bytes]:
         """The records that say all that is known of an owed message."""
         parts = [frame(taken_record(message))]
-        if message.legs:
-            parts.append(frame(step_record(BEGUN, message.id, message.legs - 1)))
-            if message.legs - 1 not in message.unsettled:
-                parts.append(frame(step_record(NEVER_RAN, message.id, message.legs - 1)))
+        if message.legs and message.legs - 1 not in message.unsettled:
+            parts += [frame(step_record(kind, message.id, message.legs - 1)) for kind in (BEGUN, NEVER_RAN)]
         parts += [frame(begun_record(message, leg, at)) for leg, at in sorted(message.unsettled.items())]
         return parts
 
     # What the exchange records.
 
+    def recording(self) -> bool:
+        """Whether something new may be taken; while not, asking tries whether the disk has room again."""
+        if not self.trouble:
+            return True
+        narrow = 2 * (self.size + self.promised + self._wanted) + MARGIN > self.budget
+        if self.behind() or not self._reserve(0 if narrow else self._wanted):
+            return False
+        lasted_s = (self.unix_us() - self._trouble_us) / 1_000_000
+        log.warning("journal: the disk has room again after %.1f s, messages are taken", lasted_s)
+        self.trouble, self._wanted = "", PIECE
+        return True
+
+    def behind(self) -> bool:
+        """Whether nothing may begin, for what has happened is not written; asking tries to write it."""
+        if not self._stuck:
+            return False
+        if self._unwritten:
+            return not self._flush()
+        try:
+            self._opened.probe()
+        except OSError:
+            return True
+        self._stuck = False
+        return False
+
     def take(self, message: Message) -> bool:
         """Record a taken message, if there is room for it, its executions and its end."""
+        if self.trouble and not self.recording():
+            return False
         record = frame(taken_record(message))
-        if not self._room(len(record)):
+        left = self._room_of(message)
+        kept = len(record) + 2 * (STEP + len(message.id))
+        if not self._room(len(record), kept, left) or not self._reserve(len(record) + left):
             return False
         if not self._append(record):
             return False
         self.owed[message.id] = message
         self.ends.pop(message.id, None)
-        self._sizes[message.id] = len(record)
-        self.live += len(record)
+        self._book(message.id, kept, left)
         return True
 
     def begin(self, message: Message, leg: int) -> bool:
         """Record an execution before its first byte; False if it was not written."""
-        return self._append(frame(begun_record(message, leg, self.unix_us())))
+        if self._stuck and self.behind():
+            return False
+        record = frame(begun_record(message, leg, self.unix_us()))
+        if not self._append(record):
+            return False
+        self._spent(message.id, len(record))
+        return True
 
     def never_ran(self, message: Message, leg: int) -> None:
         """Record the proof that an execution never ran."""
-        self._append(frame(step_record(NEVER_RAN, message.id, leg)))
+        record = frame(step_record(NEVER_RAN, message.id, leg))
+        self._record(record)
+        self._spent(message.id, len(record))
 
     def end(self, message: Message, end: End) -> None:
         """Record the end of a message."""
         now = self.unix_us()
         keep_us = self.keep_us_of.get(message.front, self.keep_us)
         keep, again = max(message.deadline_us, now) + keep_us, now + end.retry_us
-        if self.owed.pop(message.id, None) is not None:
-            self.live -= self._sizes.pop(message.id)
+        self.owed.pop(message.id, None)
         ended = self.ends[message.id] = Ended(end, message.front, keep, again)
         self._lapse_at(message.id, ended)
         self._ended += 1
         if self._ended % TIDY_EACH == 0:
             self._tidy()
-        self._append(frame(ended.record(message.id)))
+        record = frame(ended.record(message.id))
+        self._record(record)
+        told = STEP + len(message.id)
+        self._book(message.id, len(record) + told, ended.untold * told)
 
     def told(self, message_id: str) -> None:
         """Record that the platform has confirmed a notice."""
         if (ended := self.ends.get(message_id)) is not None and not ended.told:
             ended.told = True
             self._lapse_at(message_id, ended)
-            self._append(frame(step_record(TOLD, message_id, 0)))
+            self._record(frame(step_record(TOLD, message_id, 0)))
+            self._book(message_id, self._books.get(message_id, (0, 0))[0], 0)
 
     def ended(self, message_id: str) -> End | None:
         """The end of a message, while it is its answer."""
@@ -339,82 +423,172 @@
                     continue  # handed in anew under its old id
                 if now >= ended.keep_until_us + ended.untold * self.keep_us:
                     del self.ends[message_id]
+                    self._book(message_id, 0, 0)
                 else:
                     self._lapse_at(message_id, ended)
 
     # Room and compaction.
 
-    def _room(self, more: int) -> bool:
+    @property
+    def _opened(self) -> JournalFile:
+        if self.file is None:
+            raise OSError(errno.EBADF, "the journal is closed")
+        return self.file
+
+    def _book(self, message_id: str, kept: int, left: int) -> None:
+        """Keep account of what a message takes in a compaction, and of what may still have to be written."""
+        old_kept, old_left = self._books.pop(message_id, (0, 0))
+        self.live += kept - old_kept
+        self.promised += left - old_left
+        if kept or left:
+            self._books[message_id] = kept, left
+
+    def _spent(self, message_id: str, size: int) -> None:
+        """A step of an owed message is written, in the room promised to it."""
+        if message_id in self.owed:
+            kept, left = self._books[message_id]
+            self._book(message_id, kept + size, max(0, left - size))
+            if left < size:
+                self._reserve(0)
+
+    def _room_of(self, message: Message) -> int:
+        """Bytes that may still have to be written for an owed message."""
+        step = STEP + len(message.id)
+        end = END + len(message.id) + len(message.front.encode()) + step
+        begun = step + STEP_TIME * bool(message.key)
+        executions = max(0, self.attempts - message.legs) * (begun + step)
+        return end + executions + len(message.unsettled) * step
+
+    def _room(self, more: int, kept: int, left: int) -> bool:
         """Whether the file may grow so far and a compaction's file still fits beside it."""
-        if self._fits(more):
+        beside = self._compacted() + kept + self.promised + left + MARGIN
+        if self.size + more + self.promised + left + beside <= self.budget:
             return True
-        return self._compact() and self._fits(more)
-
-    def _fits(self, more: int) -> bool:
-        reserve = (len(self.owed) + 1) * (ROOM_LEAST + self.attempts * ROOM_EACH)
-        grown = self.size + more + reserve
-        return grown + self._compacted() + more + reserve + MARGIN <= self.budget
+        self._tidy()
+        beside = self._compacted() + kept + self.promised + left + MARGIN
+        if self._compacted() + more + self.promised + left + beside > self.budget or not self._compact():
+            return False
+        beside = self._compacted() + kept + self.promised + left + MARGIN
+        return self.size + more + self.promised + left + beside <= self.budget
 
     def _compacted(self) -> int:
-        """About what a compaction would write."""
-        return len(MAGIC) + self.live + 64 * len(self.owed) + 80 * len(self.ends)
+        """What a compaction writes at most."""
+        return len(MAGIC) + self.live
+
+    def _ahead(self, need: int) -> int:
+        """Up to where room is asked for where so much is needed: a piece more while that is in the half."""
+        return max(need, min(-(-need // PIECE) * PIECE, self.budget // 2 - MARGIN))
+
+    def _reserve(self, more: int) -> bool:
+        """Have the disk give room for what is promised and so much more."""
+        need = self.size + self.promised + more
+        if self.file is not None and need <= self.file.room:
+            return True
+        try:
+            try:
+                self._opened.reserve(self._ahead(need))
+            except OSError:
+                self._opened.reserve(need)
+        except OSError as error:
+            self._fails(error, more)
+            return False
+        return True
+
+    def _fails(self, error: OSError, wanted: int = 0) -> None:
+        """The disk has no room: say so once, until it has so much."""
+        self._wanted = max(self._wanted, wanted)
+        if not self.trouble:
+            self.trouble, self._trouble_us = error.strerror or str(error), self.unix_us()
+            log.error("journal: the disk refuses writes, nothing new is taken: %s", self.trouble)
+
+    def _record(self, record: bytes) -> None:
+        """Write what has happened, or keep it until it can be written."""
+        if not self._append(record):
+            self._unwritten.append(record)
 
     def _append(self, record: bytes) -> bool:
+        """Write a record behind all that wait; False if it is not written."""
+        if self._unwritten and not self._flush():
+            return False
         if self.size > COMPACT_LEAST + 3 * self._compacted():
             # Before the record, never behind it: what it says is known here only once it is written, and a
             # compaction in between would drop a message just taken, or an execution just begun.
             self._compact()
         try:
-            written = os.write(self.fd, record)
-            if written < len(record):
-                os.ftruncate(self.fd, self.size)
-                os.lseek(self.fd, self.size, os.SEEK_SET)
-                raise OSError("short write")
+            self._opened.write(record)
         except OSError as error:
-            log.error("journal: a record was not written: %s", error.strerror or error)
+            self._stuck = True
+            self._fails(error)
             return False
-        self.size += len(record)
+        return True
+
+    def _flush(self) -> bool:
+        """Write what waits, in order; a compaction, which says all of it, where that alone has room."""
+        try:
+            while self._unwritten:
+                self._opened.write(self._unwritten[0])
+                self._unwritten.popleft()
+        except OSError as error:
+            self._stuck = True
+            self._fails(error)
+            return self.size > 2 * self._compacted() and self._compact()
+        self._stuck = False
         return True
 
     def _compact(self) -> bool:
         """Write what is still of use into a new file, which then takes the old one's place."""
+        if 0 < self._compact_us - self.unix_us() <= AGAIN_US:
+            return False
         self._tidy()
-        parts = [MAGIC]
+        old, parts = self._opened, [MAGIC]
         for message in self.owed.values():
-            parts += self._parts(message)
+            written = self._parts(message)
+            parts += written
+            kept = sum(map(len, written)) + 2 * (STEP + len(message.id))
+            self._book(message.id, kept, self._books.get(message.id, (0, 0))[1])
         for message_id, ended in self.ends.items():
-            parts.append(frame(ended.record(message_id)))
-            if ended.told:
-                parts.append(frame(step_record(TOLD, message_id, 0)))
+            parts += ended.parts(message_id)
         data = b"".join(parts)
-        if self._blocks(self.size) + self._blocks(len(data)) > self.budget:
-            return False
         try:
+            if blocks(old.room) + blocks(self._ahead(len(data) + self.promised)) > self.budget:
+                old.trim(old.size + self.promised)
+            need = len(data) + self.promised
+            spare = self.budget - blocks(max(old.room, old.size))
+            if blocks(need) > spare:
+                raise OSError(errno.EDQUOT, "the budget has no room for a second file")
             fd = os.open(self.fresh, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
+            new = JournalFile(fd, 0)
             try:
-                if os.write(fd, data) < len(data):
-                    raise OSError("short write")
+                new.reserve(min(self._ahead(need), spare))
+                new.write(data)
                 os.rename(self.fresh, self.path)
             except OSError:
                 os.close(fd)
                 self.fresh.unlink(missing_ok=True)
                 raise
         except OSError as error:
-            log.error("journal: not compacted: %s", error.strerror or error)
+            if not self._compact_us:
+                log.error("journal: not compacted: %s", error.strerror or error)
+            self._compact_us = self.unix_us() + AGAIN_US
             return False
-        os.close(self.fd)
-        log.info("journal: compacted from %d to %d bytes", self.size, len(data))
-        self.fd, self.size = fd, len(data)
+        os.close(old.fd)
+        log.info("journal: compacted from %d to %d bytes", old.size, len(data))
+        self.file, self._compact_us = new, 0
+        self._unwritten.clear()  # what they say stands in the new file
+        self._stuck = False
         return True
 
-    @staticmethod
-    def _blocks(size: int) -> int:
-        return -(-size // BLOCK) * BLOCK
-
     # Replay.
 
     def replay(self, data: bytes) -> int:
+        """Take in all whole records, and return from where on the file is torn. Raises JournalError."""
+        end = self._replay(data)
+        return end if data[end:].strip(b"\0") else len(data)
+
+    def _replay(self, data: bytes) -> int:
         """Take in all whole records, and return the offset behind the last."""
+        if not data.startswith(MAGIC[: len(data)]):
+            raise JournalError(f"{self.path.name}: not a journal of rowanrack")
         end = min(len(data), len(MAGIC)) if data.startswith(MAGIC) else 0
         for offset, payload in records(data):
             try:
@@ -423,11 +597,14 @@
                 raise JournalError(f"journal: unreadable record before offset {offset}: {error}") from None
             end = offset
         self._spans.clear()
+        for message_id, message in self.owed.items():
+            kept = sum(map(len, self._parts(message))) + 2 * (STEP + len(message_id))
+            self._book(message_id, kept, self._room_of(message))
         for message_id, ended in self.ends.items():
             self._lapse_at(message_id, ended)
+            step = STEP + len(message_id)
+            self._book(message_id, len(frame(ended.record(message_id))) + step, ended.untold * step)
         self._tidy()
-        self._sizes = {i: len(frame(taken_record(m))) for i, m in self.owed.items()}
-        self.live = sum(self._sizes.values())
         return end
 
     def _read(self, payload: bytes) -> None:
@@ -437,6 +614,7 @@
             texts, fixed = unpack_text(payload[1:], 7 if kind == KEYED else 6)
             _, cls, tenant, front, form, body, key = texts if kind == KEYED else (*texts, b"")
             deadline_us, dest = struct.unpack("<qq", fixed)
+            self.ends.pop(message_id, None)  # it came again
             self.owed[message_id] = Message(
                 message_id,
                 cls.decode(),
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -198,6 +198,7 @@
 ) -> None:
     book = Book(tmp_path)
     book.journal.take(book.message("a"))
+    book.journal.close()
     with book.journal.path.open("ab") as file:
         file.write(damage)
     again = Book(tmp_path).journal
