--- a/rowanrack/fronts/mgmt/calls.py
+++ b/rowanrack/fronts/mgmt/calls.py
@@ -19,8 +19,8 @@
 class Operations(Protocol):
     """What the operators' calls reach in the sender."""
 
-    def ready(self) -> bool:
-        """Whether this process serves: started, and not in lame duck."""
+    def unready(self) -> str:
+        """Why this process does not serve, in one line; empty while it does."""
 
     def figures(self) -> str:
         """The figures in the exposition format."""
@@ -62,7 +62,7 @@
         return plain(405, f"{path} takes {wanted}")
     match path:
         case "/_ready":
-            return plain(200, "ready") if ops.ready() else plain(503, "not ready")
+            return plain(503, f"not ready: {why}") if (why := ops.unready()) else plain(200, "ready")
         case "/_vars":
             return Reply(200, FIGURES, ops.figures().encode())
         case "/_lameduck/on" | "/_lameduck/off":
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -32,8 +32,8 @@
     def __init__(self) -> None:
         self.is_ready, self.known, self.detached, self.lame = True, {"s-1"}, set[str](), False
 
-    def ready(self) -> bool:
-        return self.is_ready
+    def unready(self) -> str:
+        return "" if self.is_ready else "lame duck"
 
     def figures(self) -> str:
         return "svc_outstanding 0\n"
@@ -76,7 +76,8 @@
 def test_ready_turns_and_lame_duck_is_passed_on() -> None:
     ops = Ops()
     ops.is_ready = False
-    assert answer(Request("GET", "/_ready", {}, b""), ops).status == 503
+    reply = answer(Request("GET", "/_ready", {}, b""), ops)
+    assert reply.status == 503 and reply.body == b"not ready: lame duck\n"
     answer(Request("POST", "/_lameduck/on", {}, b""), ops)
     assert ops.lame
     answer(Request("POST", "/_lameduck/off", {}, b""), ops)
