Open a watch where lists are pushed, and keep one clock for its silence

Found, with the lines at fault:

- `platform_config` kept `membership_mode: pushed`, in which the module never asks (`Asking.at` NEVER): no watch was ever opened on sockets, and the list of the configuration stayed for good.
Now it asks, within 1.25 s after a failure, and waits at the start for what there is (1 s at most) before anything is sent.
- `_follow` took spoilt and cut-off answers for a busy discovery (`ValueError`: two failures): asked again 1.2 s later, with the news counting as told since they were written: known at 4.22 s, told at 3.0.
Only another status than 200 is that now; the rest is a break, and the next call goes at once.
- A new watch behind a silent one waited 10 s as well, and behind a second silence the module paused: known at 24.2 s, told at 18.
Behind a silence, and after a move, the first wait is 1 s now.
- A new address that accepted and stayed silent was held on to for 11.5 s.
One that opened 3.7 s after SIGHUP was asked 4.26 s to 5.4 s after it: failures do not count for 4 s now, not 3.
- A silent watch is given up 1 s, not 1.5 s, past its wait: 1 s, not 0.5 s, is left to open the next.
- Lower versions after a restart of discovery were read as changes to our own: an endpoint that had gone meanwhile stayed listed for ever.
The whole list is asked for now.
- An answer that did not wait was followed by the next call without a pause, as fast as both could.
- The version went on before the news were taken over: a defect there would have lost them for good.
- A time for asking of a few microseconds made the module ask without a pause; at least 0.1 s now.
- A list with a number that is none (NaN, Infinity) was taken over or logged as a defect: it is unreadable.
- The line on a watch that ended came ten times a second after a move; one in 10 s now.

Ruled out, each by a row: indented and chunked lists, trickling heads and bodies, doubled entries of an unchanged list, a move under an answer, a discovery that is down for 8 s.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -217,6 +217,8 @@
             self.consul.start()
         if self.config.instances:
             self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
+        if self.watch is not None and self.config.platform is not None and self.config.platform.pushed:
+            await self.watch.first()  # before anything is sent: it counts as told
         for message in owed:
             self.exchange.adopt(message)
         self.exchange.pump()
@@ -255,7 +257,7 @@
     def _start_platform(self, platform: PlatformConfig) -> None:
         exchange = self.exchange
         self.fronts.append((PlatformServiceClients(exchange, self._clients_most), platform.listen))
-        self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq)
+        self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq, platform.pushed)
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
         exchange.listeners[PLATFORM] = notices.ended
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -21,6 +21,9 @@
     from rowanrack.site_file import InstanceTable, SiteFile
 
 
+PUSHED_WITHIN_US = 4_000_000  # where lists are pushed: a watch that failed is asked for after a quarter of it
+
+
 class ConfigError(Exception):
     """The configuration cannot be used; the text is one clear line."""
 
@@ -43,6 +46,7 @@
     seq: int
     known: tuple[Instance, ...]
     peers: PeersConfig | None = None
+    pushed: bool = False  # whether what discovery has counts as told from the start, asked for or not
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +168,10 @@
     try:
         raw = doc["settings"]
         settings = parse_settings(json.dumps(raw))
+        # Where lists are pushed, they come on a watch here too; only the clock is another.
+        if pushed := not settings.on_request:
+            within_us = min(settings.ask_within_us, PUSHED_WITHIN_US)
+            settings = replace(settings, on_request=True, ask_within_us=within_us)
         seq, _, known = parse_list(doc["known"])
         limits = doc.get("limits", {})
         return Config(
@@ -181,6 +189,7 @@
                 seq,
                 tuple(known),
                 _peers(doc, settings),
+                pushed,
             ),
             mgmt=parse_address(mgmt) if (mgmt := env.get("ROUTER_MGMT") or doc.get("mgmt")) else None,
         )
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import logging
+import math
+from contextlib import suppress
 from typing import Any
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Instance
-from rowanrack.net.http import FAILURES, HttpLine
+from rowanrack.net.http import FAILURES, BadReplyError, HttpLine
+from rowanrack.net.rare_log import RareLog
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import Scope, Status
 
@@ -16,9 +19,11 @@
 
 STATUSES = {"SERVING": Status.LISTED, "DRAINING": Status.DRAINING, "DELETED": Status.REMOVED}
 WAIT_MS = 10_000  # for which a watch waits: a silent loss of it is noticed so much later
-GRACE_US = 1_500_000  # past that: what discovery has to tell counts as told 2 s after the wait
-MOVED_US = 3_000_000  # after a move no failure counts: news count as told 4 s after it
-AGAIN_US = 100_000  # between the tries meanwhile
+UNSURE_MS = 1_000  # for which it waits at first at a new address or after a silence, which may go on
+GRACE_US = 1_000_000  # past that: what discovery has to tell counts as told 2 s after the wait
+MOVED_US = 4_000_000  # after a move no failure counts: news count as told 4 s after it
+AGAIN_US = 100_000  # between the tries meanwhile, and behind an answer ahead of its time without news
+FIRST_US = 1_000_000  # for which a process waits for its first news where lists are pushed
 LIST_LIMIT = 4 << 20
 
 
@@ -34,6 +39,13 @@
     return host.strip("[]"), int(port)
 
 
+def rate_of(given: Any) -> float:
+    """Calls a second; JSON as Python reads it may hold numbers that are none."""
+    if not math.isfinite(rate := float(given)) or rate < 0:
+        raise ListError(f"not a rate: {given!r}")
+    return rate
+
+
 def parse_list(doc: Any) -> tuple[int, Scope, list[Instance]]:
     """The version, the scope and the entries of a list in discovery's form."""
     try:
@@ -45,23 +57,30 @@
                 str(h["class"]),
                 int(h["block"]),
                 STATUSES[h["health"]],
-                float(h.get("share", 0)),
+                rate_of(h.get("share", 0)),
             )
             for h in doc["hosts"]
         ]
         return int(doc["seq"]), Scope.FULL if doc["whole"] else Scope.DELTA, entries
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ListError(f"unreadable list: {error!r}") from None
 
 
 class DiscoveryWatch:
-    """Follows discovery's list once the module has asked, until a 503 or two breaks in a row."""
+    """Follows discovery's list once the module has asked, until a 503 or two breaks in a row.
 
-    def __init__(self, exchange: Exchange, host: str, port: int, seq: int) -> None:
-        self.exchange, self.seq = exchange, seq
+    What was written to this sender counts as told, also if it could not be read, so a break of any kind is
+    followed by the next call at once. Where lists are pushed, a process begins with what there is (`first`).
+    """
+
+    def __init__(self, exchange: Exchange, host: str, port: int, seq: int, pushed: bool = False) -> None:
+        self.exchange, self.seq, self._pushed = exchange, seq, pushed
         self._line = HttpLine(exchange.after, host, port, LIST_LIMIT)
         self._task: asyncio.Task[None] | None = None
         self._moved_at: int | None = None
+        self._unsure = self._anew = False  # whether silence is likely, and whether versions have begun anew
+        self._answered = asyncio.Event()
+        self._rare = RareLog(log)
         self.failed = 0  # tries since the move
 
     def watch(self) -> None:
@@ -69,11 +88,18 @@
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._follow())
 
+    async def first(self) -> None:
+        """Wait for what there is to know at the start, or for a failure, but not for long."""
+        self.watch()
+        with suppress(TimeoutError):
+            async with time_limit(self.exchange.after, FIRST_US):
+                await self._answered.wait()
+
     def move(self, host: str, port: int) -> None:
         """Watch at this address from now on: the list goes on from the version that was read last."""
         self.close()
         self._line = HttpLine(self.exchange.after, host, port, LIST_LIMIT)
-        self._moved_at = self.exchange.clock.now_us()
+        self._moved_at, self._unsure = self.exchange.clock.now_us(), True
         self._task = asyncio.create_task(self._follow())
 
     def close(self) -> None:
@@ -87,20 +113,22 @@
         while (
             failures < 2
         ):  # behind a break the next call comes at once: within 200 ms it continues the watch
+            failed = 1
             try:
-                self.seq, scope, entries = await self._ask()
-                self.exchange.list_instances(scope, entries)
-                failures = 0
+                await self._ask()
+                failed = 0
             except (*FAILURES, ListError) as error:
-                log.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
+                self._rare.warning("discovery: the watch ended: %s", str(error) or type(error).__name__)
+                self._unsure |= isinstance(error, TimeoutError)
                 # Discovery that answers but cannot serve is busy: the module asks again, later.
-                failures += 2 if isinstance(error, ValueError) else 1
+                failed = 2 if isinstance(error, BadReplyError) and error.status != 200 else 1
             except Exception:
                 log.exception("discovery: the watch failed")  # a defect must not end the watch unnoticed
-                failures += 1
+            failures = failures + failed if failed else 0
             if failures and self._just_moved():
                 failures, self.failed = 0, self.failed + 1
                 await pause(self.exchange.after, AGAIN_US)
+        self._answered.set()
         self.exchange.list_instances(Scope.FAILED, ())
 
     def _just_moved(self) -> bool:
@@ -108,8 +136,29 @@
         now = self.exchange.clock.now_us()
         return self._moved_at is not None and now - self._moved_at < MOVED_US
 
-    async def _ask(self) -> tuple[int, Scope, list[Instance]]:
-        async with time_limit(self.exchange.after, WAIT_MS * 1000 + GRACE_US):
-            target = f"/v1/servers?index={self.seq}&wait={WAIT_MS}"
+    async def _ask(self) -> None:
+        """One call, and what it tells. Raises one of FAILURES, or ListError."""
+        wait_ms = UNSURE_MS if self._unsure else WAIT_MS
+        if self._pushed and not self._answered.is_set():
+            wait_ms = 0
+        asked_at = self.exchange.clock.now_us()
+        async with time_limit(self.exchange.after, wait_ms * 1000 + GRACE_US):
+            target = "/v1/servers" if self._anew else f"/v1/servers?index={self.seq}&wait={wait_ms}"
             _, doc = await self._line.get_json(target)
-        return parse_list(doc)
+        seq, scope, entries = parse_list(doc)
+        news = self._take(seq, scope, entries)
+        self._unsure = False
+        self._answered.set()
+        # Guards discovery, and this core, against answers that do not wait: within 200 ms the watch goes on.
+        if not news and self.exchange.clock.now_us() - asked_at < wait_ms * 1000:
+            await pause(self.exchange.after, AGAIN_US)
+
+    def _take(self, seq: int, scope: Scope, entries: list[Instance]) -> bool:
+        """Take a list over, and only then its version; whether it held news."""
+        self._anew = scope is Scope.DELTA and seq < self.seq
+        if self._anew:  # what has changed by another count is not known: the whole list is asked for next
+            self._rare.warning("discovery: its versions have begun anew: %d after %d", seq, self.seq)
+            return False
+        self.exchange.list_instances(scope, entries)
+        last, self.seq = self.seq, seq
+        return seq > last and bool(entries)
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -79,7 +79,11 @@
 
 
 class BadReplyError(ValueError):
-    """A service answered, but not with what was asked for."""
+    """A service answered, but not with what was asked for; `status` is what it said."""
+
+    def __init__(self, text: str, status: int = 200) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 FAILURES = (OSError, TimeoutError, CallNotSentError, CallBrokenError, BadReplyError)
@@ -112,10 +116,10 @@
         """The headers and the document at a path. Raises one of FAILURES."""
         reply = await self.call(Call("GET", target))
         if reply.status != 200:
-            raise BadReplyError(f"answered {reply.status}")
+            raise BadReplyError(f"answered {reply.status}", reply.status)
         try:
             return reply.headers, json.loads(reply.body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise BadReplyError(f"no JSON: {error}") from None
 
     def close(self) -> None:
--- a/rowanspindle/asking.py
+++ b/rowanspindle/asking.py
@@ -9,6 +9,7 @@
 
 SECOND = 1_000_000
 RETRY_S = 1.0  # seconds before a failed watch is asked for again; doubles up to a quarter of ask_within
+LEAST_S = 0.1  # seconds before it in any case, however short the time for asking is
 JITTER = 0.25  # part of that by which it is spread
 
 
@@ -16,7 +17,8 @@
     """The watch on the list, as one forwarder asks for it."""
 
     def __init__(self, settings: Settings) -> None:
-        self._most_us, self._on_request = settings.ask_within_us / 4, settings.on_request
+        self._most_us = max(LEAST_S * SECOND, settings.ask_within_us / 4)
+        self._on_request = settings.on_request
         self.at, self.failures = 0 if settings.on_request else NEVER, 0
 
     def failed(self, now: int, rng: Random) -> list[str]:
