Add one site's event log: its clock, what it keeps, promises and doubles

A promise is on disk 2 s ahead of those given out. What is merged must be next in its stream by number, time and chain; a branch of a second process under one name and incarnation goes on under `life~chain`, the one with the lower chain keeping the name, so that it does not matter which came first.

--- /dev/null
+++ b/rowanrack/channels/log.py
@@ -0,0 +1,382 @@
+"""One site's log: its own events, those of others, and until when their order is settled.
+
+Runs on the log's thread; all I/O is the store's. Times are Unix microseconds. Source: docs/channels.md.
+"""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Callable, Iterable, Sequence
+from itertools import groupby
+from typing import NamedTuple
+
+import msgspec
+from blake3 import blake3
+
+from rowanrack.channels.clock import Hybrid
+from rowanrack.channels.events import CHAIN_BYTES, FLEET, START, Event, Gap, Head, Place, Stream, chained
+from rowanrack.channels.ports import LogStore, Time
+
+LEAD_US = 2_000_000  # the promise on disk is this far ahead of those given, so that few of them cost a write
+MOST_DATA_BYTES = 64 * 1024  # a payload's size
+MOST_NAME_BYTES = 255  # that of a channel's, site's, life's or kind's name
+MOST_AT_US = 1 << 62
+REPEAT_US = 600_000_000  # a line about the same site comes this seldom
+PAGE_BYTES = 1 << 20  # how much of a stream is read at a time
+
+
+class Noted(NamedTuple):
+    """Something to be written: `data` is the payload's bytes (`packed`), `seen` the events that it names."""
+
+    channel: str
+    kind: str
+    data: bytes
+    at_us: int  # when it happened
+    seen: Sequence[Place] = ()
+
+
+class Promise(msgspec.Struct, frozen=True, array_like=True):
+    """A site's word that it writes nothing with a time up to and including `at`."""
+
+    site: str
+    life: str
+    at: int
+    lives: bytes  # digest of the incarnations that it knew of by then
+
+
+class Log:
+    """A site's log over a store. Every method may raise LogError, with nothing done, not even in part."""
+
+    def __init__(
+        self,
+        store: LogStore,
+        time: Time,
+        site: str,
+        members: Iterable[str],
+        say: Callable[[str], None],
+        *,
+        keep_us: int = 7 * 86_400_000_000,
+        most_bytes: int = 1 << 40,
+        draw: Callable[[], str] = lambda: secrets.token_hex(6),
+    ) -> None:
+        """`members` are the senders of the file, with or without this one; `say` takes lines for the log.
+
+        Retention keeps events for `keep_us` and up to `most_bytes`; `draw` gives a new incarnation's name.
+        """
+        self.store, self.site, self.life = store, site, ""
+        self.members = sorted({*members, site})
+        self.talks: dict[str, object] = {}  # the exchanges that we began, by site: sync.py's
+        self._time, self._say, self._draw = time, say, draw
+        self._keep_us, self._most_bytes = keep_us, most_bytes
+        self._heads: dict[Stream, Head] = {}
+        self._clock = Hybrid(time)
+        self._on_disk = 0  # the promise on disk
+        self._told: dict[tuple[str, str], Promise] = {}  # on FLEET, by site and life
+        self._direct: dict[tuple[str, str], Promise] = {}  # on all channels that we share with that site
+        self._said: dict[str, int] = {}  # what was once called settled
+        self._doubled: set[tuple[str, str]] = set()
+        self._named: dict[tuple[str, str], int] = {}
+
+    def open(self) -> None:
+        """Open the store, and draw an incarnation if it is empty."""
+        self.store.open()
+        self._reload()
+        floor = self.store.mark("floor")
+        self._on_disk = int.from_bytes(floor or b"", "big")
+        self._clock = Hybrid(self._time, self._on_disk)
+        for head in self._heads.values():
+            self._clock.merged(_place(head))
+        life = self.store.mark("life")
+        if life is None:
+            self._reborn()
+        else:
+            self._born(life.decode())
+
+    def _reborn(self) -> None:
+        life = self._draw()
+        self.store.append([], {"life": life.encode()})
+        self._born(life)
+
+    def _born(self, life: str) -> None:
+        self.life = life
+        self._told.setdefault((self.site, life), Promise(self.site, life, 0, b""))
+
+    def _reload(self) -> None:
+        self._heads = {head.stream: head for head in self.store.heads()}
+        for stream in self._heads:
+            self._see_double(stream)
+
+    def _see_double(self, stream: Stream) -> None:
+        plain, tilde, _ = stream.life.partition("~")
+        if tilde:
+            self._doubled.add((stream.site, plain))
+
+    # Writing and merging.
+
+    def write(self, noted: Sequence[Noted]) -> list[Event]:
+        """Keep what happened here, each as the next event of its channel. Raises ValueError: too large."""
+        news: dict[Stream, Head] = {}
+        events: list[Event] = []
+        for each in noted:
+            if len(each.data) > MOST_DATA_BYTES or not _names(each.channel, each.kind):
+                raise ValueError(f"an event on {each.channel[:40]!r} is too large, or its names are")
+            stream = Stream(each.channel, self.site, self.life)
+            head = news.get(stream) or self._heads.get(stream) or Head(stream, 0, 0, 0, 0, START)
+            at, tick = self._clock.stamp(max((_place(head), *each.seen)), each.at_us)
+            bare = Event(*stream, head.number + 1, at, tick, each.kind, each.data)
+            event = msgspec.structs.replace(bare, chain=chained(head.chain, bare))
+            events.append(event)
+            news[stream] = Head(stream, head.floor, event.number, at, tick, event.chain)
+        if events:
+            self.store.append(events)
+            self._heads.update(news)
+        return events
+
+    def merge(self, events: Iterable[Event], broken: set[Stream] | None = None) -> list[Event]:
+        """Keep events of others, those that are new and next in their streams; returns those.
+
+        One that does not follow from what is here (number, time or chain) is left, with all behind it in
+        its stream; its stream is added to `broken` unless it only came too early or again.
+        """
+        fresh: list[Event] = []
+        news: dict[Stream, Head] = {}
+        for key, run in groupby(events, lambda event: (event.channel, event.site, event.life)):
+            stream = Stream(*key)
+            head = news.get(stream) or self._heads.get(stream)
+            if head is None:
+                if not _names(*key, *stream) or "" in key:
+                    continue
+                head = Head(stream, 0, 0, 0, 0, START)
+            floor, number, at, tick, chain = head[1:]
+            trusted = number == floor > 0 and chain == START  # what stood in front was taken by retention
+            for event in run:
+                if event.number <= number:
+                    continue
+                if event.number > number + 1:
+                    break
+                if (
+                    not (at, tick) < (event.at, event.tick)
+                    or event.at >= MOST_AT_US
+                    or event.tick >= MOST_AT_US
+                    or len(event.data) > MOST_DATA_BYTES
+                    or len(event.kind) > MOST_NAME_BYTES
+                    or (event.chain != chained(chain, event) and not trusted)
+                    or len(event.chain) != CHAIN_BYTES
+                ):
+                    if broken is not None:
+                        broken.add(stream)
+                    break
+                number, at, tick, chain, trusted = event.number, event.at, event.tick, event.chain, False
+                fresh.append(event)
+            if number > head.number:
+                news[stream] = Head(stream, floor, number, at, tick, chain)
+        if fresh:
+            self.store.append(fresh)
+            self._heads.update(news)
+            for head in news.values():
+                self._see_double(head.stream)
+                self._follow(head)
+        return fresh
+
+    def _follow(self, head: Head) -> None:
+        if self._clock.merged(_place(head)) or head.stream.site == self.site:
+            return
+        ahead = (head.at - self._clock.wall()) // 1_000_000
+        self._name(
+            "ahead",
+            head.stream.site,
+            f"the clock of {head.stream.site} is {ahead} s ahead of ours: "
+            "its events are kept, our clock does not follow it",
+        )
+
+    def _name(self, what: str, site: str, line: str) -> None:
+        now = self._time.now_us()
+        if now >= self._named.get((what, site), now):
+            self._named[(what, site)] = now + REPEAT_US
+            self._say(line)
+
+    def skip(self, gap: Gap) -> None:
+        """Another dropped a stream's events that are not here: mark that they never will be."""
+        head = self._heads.get(gap.stream)
+        number = head.number if head else 0
+        if not number < gap.last < MOST_AT_US or not _names(*gap.stream):
+            return
+        self.store.skip(gap._replace(first=number + 1))
+        old = head or Head(gap.stream, 0, 0, 0, 0, START)
+        self._heads[gap.stream] = old._replace(floor=gap.last, number=gap.last, chain=START)
+        self._name(
+            f"gap {gap.stream}",
+            gap.stream.site,
+            f"channel {gap.stream.channel}: events {number + 1} to "
+            f"{gap.last} of {gap.stream.site}/{gap.stream.life} are not to be had any more: {gap.why}",
+        )
+
+    def fork(self, events: Sequence[Event]) -> int:
+        """Compare a run of one stream with ours, where the two may differ: two processes under one name.
+
+        Of two branches the one whose first differing event has the lower chain keeps the incarnation. If it
+        is theirs, ours goes on under `life~chain`, and theirs takes its place. Returns the number up to which
+        both are the same afterwards (0: nothing could be compared); ours stays where it has the lower chain.
+        """
+        if not events:
+            return 0
+        stream = events[0].stream
+        head = self._heads.get(stream)
+        if head is None or any(event.stream != stream for event in events):
+            return 0
+        ours = {event.number: event for event in self._all(stream, events[0].number - 1, events[-1].number)}
+        same = 0
+        for position, event in enumerate(events):
+            mine = ours.get(event.number)
+            if mine is not None and mine.chain == event.chain:
+                same = event.number
+                continue
+            if mine is None:
+                return same
+            before = self._chain_at(head, event.number - 1)
+            if before is None or event.chain != chained(before, event) or event.chain > mine.chain:
+                return same
+            return self._give_way(head, mine, events[position:])
+        return same
+
+    def _chain_at(self, head: Head, number: int) -> bytes | None:
+        if number == 0:
+            return START
+        found = self.store.after(head.stream, number - 1, 1)
+        return found[0].chain if found and found[0].number == number else None
+
+    def _give_way(self, head: Head, mine: Event, theirs: Sequence[Event]) -> int:
+        stream = head.stream
+        kept = self._all(stream, head.floor, head.number)
+        ours = [event for event in kept if event.number >= mine.number]
+        branch = Stream(stream.channel, stream.site, f"{stream.life}~{mine.chain.hex()}")
+        chain, renamed = START, []
+        for number, event in enumerate(ours, 1):
+            bare = msgspec.structs.replace(event, life=branch.life, number=number)
+            chain = chained(chain, bare)
+            renamed.append(msgspec.structs.replace(bare, chain=chain))
+        self.merge(renamed)
+        begin = [event for event in kept if event.number < mine.number]
+        self.store.drop(stream.channel, stream)
+        del self._heads[stream]
+        if head.floor:
+            self.store.skip(Gap(stream, 1, head.floor, "taken by retention"))
+            self._heads[stream] = Head(stream, head.floor, head.floor, 0, 0, START)
+        self.merge([*begin, *theirs])
+        self._see_double(branch)
+        self._name(
+            "double",
+            stream.site,
+            f"two processes wrote as {stream.site}/{stream.life}: on channel "
+            f"{stream.channel} the second is kept as {branch.life} from number {mine.number} on",
+        )
+        if (stream.site, stream.life) == (self.site, self.life):
+            self._reborn()
+        return self._heads[stream].number
+
+    def _all(self, stream: Stream, after: int, last: int) -> list[Event]:
+        found: list[Event] = []
+        while after < last:
+            page = self.store.after(stream, after, PAGE_BYTES)
+            if not page:
+                break
+            found += page
+            after = page[-1].number
+        return [event for event in found if event.number <= last]
+
+    # What is here.
+
+    def head(self, stream: Stream) -> Head | None:
+        """How far a stream goes here."""
+        return self._heads.get(stream)
+
+    def heads(self, wanted: Callable[[Stream], bool] | None = None) -> list[Head]:
+        """How far the wanted streams go (None: all)."""
+        return [head for stream, head in self._heads.items() if wanted is None or wanted(stream)]
+
+    def read(self, channel: str, since: Place | None, until_us: int, limit: int) -> list[Event]:
+        """A channel's events in its order, behind a place, up to and including a time."""
+        return self.store.ordered(channel, since, until_us, limit)
+
+    def gaps(self, channel: str) -> list[Gap]:
+        """What of a channel is not here and never will be."""
+        return self.store.gaps(channel)
+
+    def tidy(self, now: int) -> int:
+        """Retention as of a Unix time; FLEET is spared. Returns how many events went."""
+        gone = self.store.prune(now - self._keep_us, self._most_bytes, [FLEET])
+        if gone:
+            self._reload()
+        return gone
+
+    def drop(self, channel: str) -> None:
+        """Forget a channel that is kept elsewhere; our own events stay until retention takes them."""
+        for stream in [stream for stream in self._heads if stream.channel == channel]:
+            if stream.site != self.site:
+                self.store.drop(channel, stream)
+                del self._heads[stream]
+
+    # Until when it is settled.
+
+    def promise(self) -> Promise:
+        """Our own promise as of now; it is on disk first, so that it outlasts a kill and a clock set back."""
+        at = self._clock.promise()
+        if at > self._on_disk:
+            self.store.append([], {"floor": (at + LEAD_US).to_bytes(8, "big")})
+            self._on_disk = at + LEAD_US
+        mine = Promise(self.site, self.life, at, self.lives())
+        self._told[(self.site, self.life)] = mine
+        return mine
+
+    def lives(self) -> bytes:
+        """Digest of all incarnations that we know of: equal where the same are known."""
+        return blake3(msgspec.msgpack.encode(sorted(self._told))).digest(length=8)
+
+    def promises(self) -> dict[str, Promise]:
+        """The latest promise of each site that we know, our own as of now, for FLEET."""
+        self.promise()
+        return {each.site: each for each in sorted(self._told.values(), key=lambda each: each.at)}
+
+    def told(self) -> list[Promise]:
+        """Our promise as of now and all others that we hold, each with its incarnation."""
+        self.promise()
+        return list(self._told.values())
+
+    def heard(self, peer: str, promises: Iterable[Promise]) -> None:
+        """Promises that a site held, after we have all that it had then."""
+        for each in promises:
+            key = (each.site, each.life)
+            if each.site not in self.members or not 0 <= each.at < MOST_AT_US:
+                continue
+            if each.site == self.site:
+                self._clock.held_to(min(each.at, self._clock.wall()))
+                self._told.setdefault(key, each)
+                continue
+            for table in (self._told, self._direct) if each.site == peer else (self._told,):
+                if key not in table or table[key].at < each.at:
+                    table[key] = each
+
+    def settled_until(self, channel: str) -> tuple[int, list[str]]:
+        """Up to when nothing more comes on a channel kept here (0: not known), and who holds it back.
+
+        A promise counts once all that its site had is here, and once that site knew of all incarnations that
+        we know of. What was called settled once stays so.
+        """
+        mine = self.promise()
+        table = self._told if channel == FLEET else self._direct
+        best = dict.fromkeys(self.members, 0)
+        best[self.site] = mine.at
+        for (site, life), each in table.items():
+            if site != self.site and each.lives == mine.lives and (site, life) not in self._doubled:
+                best[site] = max(best.get(site, 0), each.at)
+        least = min(best.values())
+        said = self._said[channel] = max(self._said.get(channel, 0), least)
+        return said, [site for site, at in best.items() if at == least and site != self.site]
+
+
+def _place(head: Head) -> Place:
+    return Place(head.at, head.tick, head.stream.site, head.stream.life, head.number)
+
+
+def _names(*names: str) -> bool:
+    return all(0 < len(name) <= MOST_NAME_BYTES for name in names)
