Say who keeps which channel since when, alike at every site and with nothing dropped too soon

Need: the log's channels are kept by some sites only, and layouts change. Checked before: that a keeper which stays one from layout to layout may count as whole without a word. It may not: a layout that comes late can displace the one by which it dropped the shard, and it would then pass off nothing as the whole. So each keeper confirms each layout's shard by a KEPT event that names the layout's event (two may bear one version), and a confirmation counts until a settled layout without that site lies behind.

--- /dev/null
+++ b/rowanrack/channels/layout.py
@@ -0,0 +1,287 @@
+"""Who keeps which channel since when: layouts, their shards, and the moves between two of them.
+
+Every answer follows from the set of events seen and the time handed in, never from the order in which they
+came, so that all sites agree. No I/O. Source: docs/channels.md.
+"""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right, insort
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from functools import lru_cache
+from typing import Annotated, Any, NamedTuple
+
+import msgspec
+from blake3 import blake3
+from msgspec import Meta
+
+from rowanrack.channels.events import FLEET, KEPT, LAYOUT, Event, Place
+
+SHARDS, KEEPERS = 64, 2  # of the layout that holds before any is announced
+SHARDS_MOST, KEEPERS_MOST, SITES_MOST = 4096, 16, 4096
+PAST_US = 60_000_000  # by which a layout may begin before it was announced: as far as clocks may differ
+AHEAD_US = 366 * 86_400_000_000  # and by which it may be announced ahead
+REFUSED_MOST = 100  # refused events that are named; more are only counted
+NOWHERE = Place(-1, -1, "", "", 0)  # of the first layout, which no event announced
+
+
+class Announced(msgspec.Struct):
+    """The payload of a LAYOUT event; fields of a newer version are passed over."""
+
+    version: Annotated[int, Meta(ge=1)]
+    since_us: Annotated[int, Meta(ge=0)] = msgspec.field(name="from")
+    shards: Annotated[int, Meta(ge=1, le=SHARDS_MOST)]
+    keepers: Annotated[int, Meta(ge=1, le=KEEPERS_MOST)]
+    sites: Annotated[
+        list[tuple[Annotated[str, Meta(min_length=1)], Annotated[float, Meta(gt=0)]]],
+        Meta(min_length=1, max_length=SITES_MOST),
+    ]
+
+
+class Confirmed(msgspec.Struct):
+    """The payload of a KEPT event. `layout` is the id of the layout's event: two may bear one version."""
+
+    version: Annotated[int, Meta(ge=0)]
+    shard: Annotated[int, Meta(ge=0, lt=SHARDS_MOST)]
+    layout: str
+
+
+@lru_cache(maxsize=65_536)
+def _lot(site: str, shard: int) -> float:
+    """A number above 0 and below 1 for a site and a shard: what a weight of 1 scores by."""
+    digest = blake3(f"{shard}/{site}".encode()).digest(length=8)
+    return ((int.from_bytes(digest, "big") >> 12) + 0.5) / 2**52
+
+
+@lru_cache(maxsize=65_536)
+def _hashed(channel: str) -> int:
+    return int.from_bytes(blake3(channel.encode()).digest(length=8), "big")
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """Who keeps what from `since_us` (Unix microseconds) until the next layout begins."""
+
+    since_us: int
+    place: Place  # of the event that announced it
+    version: int
+    shards: int
+    copies: int  # keepers of each shard, if there are that many sites
+    sites: tuple[tuple[str, float], ...]
+    _known: dict[int, tuple[str, ...]] = field(default_factory=dict, compare=False, repr=False)
+
+    @property
+    def id(self) -> str:
+        """The id of the event that announced it; empty for the first."""
+        return f"{self.place.site}/{self.place.life}/{self.place.number}" if self.version else ""
+
+    def shard(self, channel: str) -> int:
+        """The shard of a channel."""
+        return _hashed(channel) % self.shards
+
+    def keepers(self, shard: int) -> tuple[str, ...]:
+        """The sites that keep a shard, the first choice first: weighted rendezvous hashing."""
+        if (known := self._known.get(shard)) is None:
+            scores = sorted((w / math.log(_lot(site, shard)), site) for site, w in self.sites)
+            known = self._known[shard] = tuple(site for _, site in scores[: self.copies])
+        return known
+
+    def document(self) -> dict[str, Any]:
+        """The payload of the event that announces it."""
+        sites = [list(site) for site in self.sites]
+        return {"version": self.version, "from": self.since_us, "shards": self.shards,
+                "keepers": self.copies, "sites": sites}  # fmt: skip
+
+
+class Move(NamedTuple):
+    """A shard that a site is to have, and to confirm by a KEPT event once it has it whole."""
+
+    version: int
+    shard: int
+    layout: str  # the id of the layout's event
+
+    def payload(self) -> dict[str, Any]:
+        """The payload of the KEPT event."""
+        return self._asdict()
+
+
+class Keeper(NamedTuple):
+    """A site that can be asked for a channel."""
+
+    site: str
+    whole: bool  # it has confirmed, or kept the shard from the start
+    instead_of: tuple[str, ...] = ()  # keepers of then whose place it took
+
+
+def _read(event: Event) -> Layout:
+    """The layout that an event announces. Raises ValueError, or an error of msgspec, for a damaged one."""
+    found = msgspec.msgpack.decode(event.data, type=Announced)
+    if not event.at - PAST_US <= found.since_us <= event.at + AHEAD_US:
+        raise ValueError("`from` lies in the past or too far ahead of its announcement")
+    if len(dict(found.sites)) < len(found.sites):
+        raise ValueError("`sites` names one twice")
+    if not all(math.isfinite(weight) for _, weight in found.sites):
+        raise ValueError("`sites` has a weight that is no finite number")
+    sites = tuple(sorted(found.sites))
+    return Layout(found.since_us, event.place, found.version, found.shards, found.keepers, sites)
+
+
+class Layouts:
+    """All layouts that were announced, and who has confirmed what. `sites` are those of the operator's file.
+
+    The order is by the time from which a layout is valid, then by its event's place: of two that begin at
+    one time, announced by sites cut apart, the later place holds, and the other stays in the history.
+    """
+
+    def __init__(self, sites: Sequence[str]) -> None:
+        self.sites = frozenset(sites)
+        first = Layout(0, NOWHERE, 0, SHARDS, KEEPERS, tuple((site, 1.0) for site in sorted(self.sites)))
+        self._history = [first]
+        self._valid = [first]  # those that hold at some time
+        self._starts = [0]
+        self._kept: set[tuple[str, str, int]] = set()  # who confirmed which shard of which layout's event
+        self._refused: dict[str, str] = {}
+        self.refused_count = 0
+        self._now_us = 0
+        self._now = 0  # the place in `_valid` of the layout that holds now
+        self._held: dict[tuple[int, ...], dict[str, bool]] = {}
+        self._counts: tuple[int, ...] = (SHARDS,)
+
+    @property
+    def refused(self) -> list[tuple[str, str]]:
+        """Events that were passed over for what they hold: id and why, the first of them."""
+        return list(self._refused.items())
+
+    def saw(self, event: Event) -> None:
+        """Take in an event of `fleet`, in any order and any number of times; others are passed over."""
+        if event.channel != FLEET or event.kind not in (LAYOUT, KEPT):
+            return
+        try:
+            if event.kind == LAYOUT:
+                self._add(_read(event))
+            else:
+                kept = msgspec.msgpack.decode(event.data, type=Confirmed)
+                self._kept.add((event.site, kept.layout, kept.shard))
+        except (ValueError, msgspec.MsgspecError, RecursionError) as bad:
+            if event.id not in self._refused:
+                self.refused_count += 1
+                if len(self._refused) < REFUSED_MOST:
+                    self._refused[event.id] = f"{event.kind}: {bad}"
+            return
+        self._held.clear()
+
+    def _add(self, layout: Layout) -> None:
+        place = bisect_right(self._history, _order(layout), key=_order)
+        if _order(self._history[place - 1]) == _order(layout):
+            return
+        insort(self._history, layout, key=_order)
+        self._valid = list({each.since_us: each for each in self._history}.values())
+        self._starts = [each.since_us for each in self._valid]
+        self._counts = tuple(sorted({each.shards for each in self._history}))
+        self._now = max(0, bisect_right(self._starts, self._now_us) - 1)
+
+    def passed(self, now_us: int) -> None:
+        """It is that time (Unix microseconds) by the site's clock: what `wants` and the moves go by."""
+        self._now_us = now_us
+        if (now := max(0, bisect_right(self._starts, now_us) - 1)) != self._now:
+            self._now = now
+            self._held.clear()
+
+    def at(self, us: int) -> Layout:
+        """The layout that is valid at a time."""
+        return self._valid[max(0, bisect_right(self._starts, us) - 1)]
+
+    def history(self) -> list[Layout]:
+        """All layouts in their order, those that another one displaced among them."""
+        return list(self._history)
+
+    def _settled(self, layout: Layout, shard: int) -> bool:
+        """Whether each keeper by a layout has confirmed a shard. Once so, it stays so."""
+        keepers = layout.keepers(shard)
+        return not layout.version or all((site, layout.id, shard) in self._kept for site in keepers)
+
+    def _whole(self, site: str, channel: str) -> bool:
+        """Whether a site has a channel whole: it confirmed, and cannot have dropped it since.
+
+        It can once a later layout without it is settled, even one that another displaced meanwhile.
+        """
+        for layout in reversed(self._history):
+            shard = layout.shard(channel)
+            if site in layout.keepers(shard):
+                if not layout.version or (site, layout.id, shard) in self._kept:
+                    return True
+            elif layout.since_us <= self._now_us and self._settled(layout, shard):
+                return False
+        return False
+
+    def _holders(self, channel: str) -> dict[str, bool]:
+        """Who is to hold a channel now, and whether it has it whole.
+
+        Keepers by the layout that holds now and by those to come; while one of now has not confirmed, those
+        by the layout before as well, and so on back.
+        """
+        hashed = _hashed(channel)
+        key = tuple(hashed % count for count in self._counts)
+        if (held := self._held.get(key)) is None:
+            sites = {s for layout in self._valid[self._now :] for s in layout.keepers(layout.shard(channel))}
+            for layout in reversed(self._valid[: self._now + 1]):
+                shard = layout.shard(channel)
+                sites.update(layout.keepers(shard))
+                if self._settled(layout, shard):
+                    break
+            held = self._held[key] = {site: self._whole(site, channel) for site in sites}
+        return held
+
+    def wants(self, site: str, channel: str, origin: str) -> bool:
+        """Whether a site is to have what an origin wrote on a channel: a `Scope` for `sync`."""
+        return channel == FLEET or site == origin or site in self._holders(channel)
+
+    def may_drop(self, site: str, channel: str) -> bool:
+        """Whether a site may forget what others wrote on a channel: its new keepers all have it whole."""
+        return channel != FLEET and site not in self._holders(channel)
+
+    def moves(self, site: str) -> list[Move]:
+        """The shards that a site keeps now, or will by a layout to come, and has not confirmed.
+
+        One that it kept before is among them: it confirms that at once, by which old keepers may drop it.
+        """
+        return [
+            Move(layout.version, shard, layout.id)
+            for layout in self._valid[self._now :]
+            for shard in range(layout.shards if layout.version else 0)
+            if site in layout.keepers(shard) and (site, layout.id, shard) not in self._kept
+        ]
+
+    def keepers(self, channel: str, at_us: int) -> list[Keeper]:
+        """Whom to ask for a channel as of a time, in that order: those that have it whole, then the others.
+
+        Keepers of then come before those that took over, by the layouts that followed. Sites that are gone
+        from the operator's file, or may have dropped the channel, are left out. Every site keeps `fleet`.
+        """
+        start = max(0, bisect_right(self._starts, at_us) - 1)
+        layout = self._valid[start]
+        then = layout.keepers(layout.shard(channel))
+        if channel == FLEET:
+            return [Keeper(s, True) for s in dict.fromkeys((*then, *sorted(self.sites))) if s in self.sites]
+        held = self._holders(channel)
+        there = sum(site in self.sites for site in held)
+        found: dict[str, Keeper] = {}
+        for sites in self._onward(channel, start):
+            for site in sites:
+                if site in self.sites and site in held and site not in found:
+                    gone = () if site in then else tuple(s for s in then if s not in sites)
+                    found[site] = Keeper(site, held[site], gone)
+            if len(found) == there:
+                break
+        return sorted(found.values(), key=lambda keeper: not keeper.whole)
+
+    def _onward(self, channel: str, start: int) -> Iterator[tuple[str, ...]]:
+        """The keepers by each layout from one on, then those by the ones before it, backwards."""
+        for index in [*range(start, len(self._valid)), *range(start - 1, -1, -1)]:
+            yield self._valid[index].keepers(self._valid[index].shard(channel))
+
+
+def _order(layout: Layout) -> tuple[int, Place]:
+    return layout.since_us, layout.place
