Model limits that are lowered for all: 200 senders, and what each believes of them

The model had no such event: `allows P %` lowers the limits of partners for a while, `listed within P %` makes the list rough.

Checked gate by gate. While limits are low the senders' paces sum to 1.3 to 5 times the limit (mean pace 1.6 times the limit at 26 s): PACE_FALL is too gentle where each sender sees few refusals, and 0.8 x the list's rate is where it begins. Afterwards 88% of what is held waits for the pace, 10% for a backoff, 2% for a window, nothing for slots or an outage: `Gate.crowd` takes 185 to 200 senders to have work where 34 to 190 have, so the paces of those that do sum to 0.15 to 0.5 of the limit, and each answer lifts a pace by 2.4% at one answer in some seconds. Connect failures: none.

Nothing in the decisions is changed yet.

--- a/rowanrack/model/partner.py
+++ b/rowanrack/model/partner.py
@@ -67,10 +67,13 @@
 
     def __init__(self, figures: Figures) -> None:
         self.figures = figures
-        self.most = max(2.0, figures.rate * BURST_S)
-        self.tokens, self.filled_at = self.most, 0
+        self.tokens, self.filled_at = self.most(), 0
         self.span, self.count = -1, 0
 
+    def most(self) -> float:
+        """Calls that may come at once."""
+        return max(2.0, self.figures.rate * BURST_S)
+
     def take(self, now: int) -> int:
         """0 if a call is within the limit, else the time in microseconds until there is room again."""
         figures = self.figures
@@ -84,13 +87,13 @@
             within = self.count < allowed
             self.count += within or figures.counts_refused
             return 0 if within else (span + 1) * figures.window_us - now
-        self.tokens = min(self.most, self.tokens + figures.rate * (now - self.filled_at) / SECOND)
+        self.tokens = min(self.most(), self.tokens + figures.rate * (now - self.filled_at) / SECOND)
         self.filled_at = now
         if self.tokens >= 1:
             self.tokens -= 1
             return 0
         if figures.counts_refused:
-            self.tokens = max(-self.most, self.tokens - 1)
+            self.tokens = max(-self.most(), self.tokens - 1)
         return math.ceil((1 - self.tokens) / figures.rate * SECOND)
 
 
--- a/rowanrack/model/scenario.py
+++ b/rowanrack/model/scenario.py
@@ -49,6 +49,7 @@
         | "runs-on" percent -> runs_on
         | "weight" NUMBER -> weight
         | "listed" rate -> listed
+        | "listed" "within" percent -> rough
 traffic: "traffic" rate flow*
 ?flow: "load" percent -> load | "zipf" NUMBER -> zipf | "clumps" percent "of" span -> clumps
 client: "clients" "again" INT "after" span ("heed" percent)?
@@ -56,6 +57,7 @@
 ?what: who state -> strikes
      | who "slow" NUMBER -> slows
      | who "draws" percent -> draws
+     | who "allows" percent -> allows
      | "burst" NUMBER -> burst
      | "sender" INT "draws" percent -> hot_sender
      | "sender" INT "dies" -> dies
@@ -134,6 +136,7 @@
     runs_on: float = 1.0
     weight: float = 1.0
     listed: float = 0.0  # calls a second that the list tells; 0: the limit, or the capacity without one
+    rough: float = 0.0  # part of that by which the list may be wrong, up or down
 
 
 class Event(msgspec.Struct, frozen=True):
@@ -160,6 +163,8 @@
                 return f"{who} {self.size:g} times as slow"
             case "draws":
                 return f"{self.size:.0%} of the traffic for {who}"
+            case "allows":
+                return f"{who} at {self.size:.0%} of the limit"
             case "burst":
                 return f"{self.size:g} times the traffic"
             case "hot sender":
@@ -349,6 +354,12 @@
         """Fields."""
         return {"listed": parts[0]}
 
+    def rough(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields of a kind. Raises ValueError."""
+        if parts[0] >= 1:
+            raise ValueError("listed within: must be below 100 %")
+        return {"rough": parts[0]}
+
     def recorded(self, parts: list[Any]) -> dict[str, Any]:
         """Fields."""
         return {"recorded": tuple(str(p)[1:-1] for p in parts)}
@@ -423,6 +434,12 @@
         """Fields of an event."""
         return {"what": "draws", "partners": parts[0], "size": parts[1]}
 
+    def allows(self, parts: list[Any]) -> dict[str, Any]:
+        """Fields of an event. Raises ValueError."""
+        if parts[1] <= 0:
+            raise ValueError("allows: must be above 0 %")
+        return {"what": "allows", "partners": parts[0], "size": parts[1]}
+
     def burst(self, parts: list[Any]) -> dict[str, Any]:
         """Fields of an event."""
         return {"what": "burst", "size": number(parts[0])}
--- a/rowanrack/model/world.py
+++ b/rowanrack/model/world.py
@@ -116,9 +116,12 @@
             place = Place(f"p{dest}-{number + 1}", zone, partner)
             partner.places.append(place)
             self.places[place.name] = place
+        told = self.told_rate(partner)
+        if kind.rough:
+            told *= 1 + kind.rough * (2 * chance(self.seed, "listed", dest).random() - 1)
         for place in partner.places:
             self.discovery.listed[place.name] = Instance(
-                place.name, "model", 1, place.zone, kind.name, dest, Status.LISTED, self.told_rate(partner)
+                place.name, "model", 1, place.zone, kind.name, dest, Status.LISTED, told
             )
 
     def _settings(self) -> Settings:
@@ -145,7 +148,7 @@
             peers=scenario.notes_us[1] > 0,
             peer_price=0.01,
             refused_price=scenario.refused_price,
-            weights_exact=not any(kind.listed for kind in scenario.kinds),
+            weights_exact=not any(kind.listed or kind.rough for kind in scenario.kinds),
             try_limit=scenario.tries,
             on_request=True,
             over_share_worth=0.05,
@@ -241,6 +244,16 @@
                         place.slow /= event.size
 
                 return quick
+            case "allows":
+                figures = [p.figures for p in dict.fromkeys(place.partner for place in places)]
+                for figure in figures:
+                    figure.rate *= event.size
+
+                def whole() -> None:
+                    for figure in figures:
+                        figure.rate /= event.size
+
+                return whole
             case "sender dies":
                 sender = self.senders[event.number - 1]
                 if sender.alive:
