--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -223,7 +223,9 @@
     """What makes a keeper to which every connection leads."""
 
     def make(*plan: Part, **given: Any) -> Keeper:
-        made = Keeper(tmp_path, *plan, **given)
+        folder = tmp_path / str(len(list(tmp_path.iterdir())))
+        folder.mkdir()
+        made = Keeper(folder, *plan, **given)
         monkeypatch.setattr(Stream, "connect", made.connect)
         return made
 
