--- a/rowanrack/store/log_memory.py
+++ b/rowanrack/store/log_memory.py
@@ -10,11 +10,11 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
-from rowanrack.channels.events import START, Event, Gap, Head, Place, Stream
+from rowanrack.channels.events import CHAIN_BYTES, START, Event, Gap, Head, Place, Stream
 from rowanrack.channels.ports import LogError, LogFullError
 
 MOST = (1 << 63) - 1  # the highest number, time and tick that a store keeps
-EACH = 100  # bytes that an event counts beside its payload
+EACH = 64  # bytes that an event counts beside its texts and its payload
 RETENTION = "retention"
 
 
@@ -27,6 +27,12 @@
     events: list[Event] = field(default_factory=list)
 
 
+def weight(event: Event) -> int:
+    """At least as many bytes as an event takes as msgpack."""
+    texts = (event.channel, event.site, event.life, event.kind)
+    return EACH + sum(len(text.encode()) for text in texts) + len(event.data)
+
+
 def advanced(head: Head | None, event: Event) -> Head:
     """A stream's head behind its next event. Raises ValueError if it is not next, or cannot be kept."""
     floor, number = (head.floor, head.number) if head is not None else (0, 0)
@@ -34,6 +40,8 @@
         raise ValueError(f"event {event.id} of {event.channel}: the next of its stream is {number + 1}")
     if not (-MOST <= event.at <= MOST and 0 <= event.tick <= MOST and event.number <= MOST):
         raise ValueError(f"event {event.id} of {event.channel}: its time does not fit into 64 bits")
+    if len(event.chain) != CHAIN_BYTES:
+        raise ValueError(f"event {event.id} of {event.channel}: its chain is not {CHAIN_BYTES} bytes")
     for text in (event.channel, event.site, event.life, event.kind):
         text.encode()  # UnicodeEncodeError is a ValueError
     return Head(event.stream, floor, event.number, event.at, event.tick, event.chain)
@@ -90,7 +98,7 @@
         heads: dict[Stream, Head] = {}
         for event in events:
             heads[event.stream] = advanced(heads.get(event.stream) or self._head(event.stream), event)
-        more = sum(EACH + len(event.data) for event in events)
+        more = sum(map(weight, events))
         if self._size + more > self.most_bytes:
             raise LogFullError(f"event log: no room for {len(events)} events in {self.most_bytes} bytes")
         for stream, head in heads.items():
@@ -111,11 +119,11 @@
         return [known.head for _, known in sorted(self._streams.items())]
 
     def after(self, stream: Stream, number: int, most_bytes: int) -> list[Event]:
-        """A stream's events behind a number, in order; `most_bytes` counts their payloads."""
+        """A stream's events behind a number, in order, up to so many bytes as they are sent."""
         found: list[Event] = []
         events = self._streams[stream].events if stream in self._streams else []
         for event in events[bisect_right(events, number, key=lambda event: event.number) :]:
-            most_bytes -= len(event.data)
+            most_bytes -= weight(event)
             if found and most_bytes < 0:
                 break
             found.append(event)
@@ -147,7 +155,7 @@
 
         def along(known: Known) -> Iterator[tuple[int, Stream, int, int]]:
             for event in known.events:
-                yield event.at, event.stream, event.number, EACH + len(event.data)
+                yield event.at, event.stream, event.number, weight(event)
 
         streams = [known for stream, known in self._streams.items() if stream.channel not in spared]
         for at, stream, number, takes in heapq.merge(*map(along, streams)):
@@ -169,7 +177,7 @@
         del self._events[event.channel][event.place]
         places = self._places[event.channel]
         del places[bisect_left(places, event.place)]
-        self._size -= EACH + len(event.data)
+        self._size -= weight(event)
 
     def drop(self, channel: str, stream: Stream | None = None) -> None:
         """Forget a channel, or one stream of it, gaps included."""
