--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -50,6 +50,9 @@
 LONG_AGO_US = 1 << 60
 HEARD_US = 10_000  # for which a note may wait for others
 STORE_LOOK_US = 100_000  # between looks at whether the store records again
+# An execution that the store did not record. The wait guards the attempts that a message has: without it each
+# round would send it, and stop it, anew.
+UNRECORDED = Verdict(Result.MOOT, wait_us=500_000)
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -159,7 +162,6 @@
         self._waits: Agenda[str | int] = Agenda()
         self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
         self._batches: dict[str, list[Batch]] = {}  # what the round sends, by instance
-        self._held: dict[Batch, None] = {}  # calls that wait until the store records again
         self._looks = False  # whether a look at the store is due
 
     def observe(self, observer: Observer) -> None:
@@ -342,7 +344,7 @@
         barred = barred or self._key_lapsed(message)
         # Guards against a second effect after a restart: what the store does not know must not begin.
         if barred or not self.store.begin(message, execution.leg):
-            self.settle(execution, Result.MOOT)
+            self.settle(execution, Result.MOOT if barred else UNRECORDED)
             return False
         message.unsettled[execution.leg] = self.clock.unix_us()
         execution.begun = True
@@ -539,13 +541,9 @@
         gathered, self._batches = self._batches, {}
         ready = [b for batches in gathered.values() for b in batches]
         if ready and self.store.behind():
-            # Guards the attempts that a message has: each call would be stopped at its first byte.
-            self._held.update(dict.fromkeys(ready))
-            return
-        self._start(ready)
-
-    def _start(self, batches: Iterable[Batch]) -> None:
-        for batch in batches:
+            for execution in [e for b in ready for e in b.waiting()]:
+                self.settle(execution, UNRECORDED)
+        for batch in ready:
             if self.side is not None and batch.waiting():
                 self.side.start(batch)
 
@@ -559,9 +557,6 @@
         self._looks = False
         if not self.store.recording():
             self._look_later()
-        if self._held and not self.frozen and not self.store.behind():
-            held, self._held = self._held, {}
-            self._start(held)
 
     def _drop(self, execution: Execution, result: Result) -> None:
         """Stop waiting for an execution; what was never begun has never run.
@@ -572,13 +567,10 @@
         if execution.begun:
             execution.given_up = result
         elif result in MAYBE_RAN:
-            silent = result is Result.TIMEOUT and execution.batch not in self._held
-            self.settle(execution, Result.CONNECT_FAILED if silent else Result.MOOT)
+            self.settle(execution, Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT)
         else:
             self.settle(execution, result)
         left = [e for e in execution.batch.executions if not e.settled]
-        if not left:
-            self._held.pop(execution.batch, None)
         if any(e.given_up is None for e in left):
             return
         if self.side is not None:
