Hold every source of the name table to one contract, and drop calls for a place that has moved

Seen failing on the code as it was, and mended:

- An endpoint that moved to another destination or address under a call that waited for its connection: the call went there all the same (`Exchange.begin` asks for the name alone).
Another destination's endpoint voids a message.
`Change.closed` held only what drains or is gone; now what has moved too, so that such calls are dropped as never run, and idle connections to the old address closed at once.
- Of two sources that name one endpoint, the one that left it out took it away from the other (`NameTable.update` knew names by source, but one entry for each).
Entries are kept by name and source now; the exchange's own copy of what was given is gone, and bans stand beside the entries that they change.
- Consul: an answer that did not wait, or went up and down, was followed at once without end; a pause of 0.5 s now.
A line for each failure and each entry left out, without bound; one in 10 s now.
A port out of range, or a rate that is no number, is an entry left out.
- A bad file at SIGHUP is handled by `Sender.load_again`, which the suite calls as the signal does.

Ruled out: a damaged, cut-off, overlong, endless, slow or silent answer, a refusal, a restart with lower versions and a bad file of six kinds leave the list as it was with any of the three.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -296,6 +296,15 @@
         self.exchange.listeners[OTLP] = server.ended
         self.forms[OTLP] = OtlpForm()
 
+    def load_again(self, load: Callable[[], Config]) -> None:
+        """Take the configuration over as it is by now, or leave the old one in force if it cannot be used."""
+        try:
+            self.reload(load())
+        except ConfigError as error:
+            log.error("reload: the old configuration stays: %s", error)
+        except Exception:
+            log.exception("reload: failed")  # a defect here must not end the sender
+
     def reload(self, new: Config) -> None:
         """Take over what a reload may change (see `needs_restart`); messages and calls go on unharmed."""
         old = self.config
@@ -388,12 +397,7 @@
         if not started:
             asked = True  # done once the parts are there
             return
-        try:
-            sender.reload(load())
-        except ConfigError as error:
-            log.error("reload: the old configuration stays: %s", error)
-        except Exception:
-            log.exception("reload: failed")  # a defect here must not end the sender
+        sender.load_again(load)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote
@@ -15,6 +16,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Instance
 from rowanrack.net.http import FAILURES, HttpLine
+from rowanrack.net.rare_log import RareLog
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import Scope, Status
 
@@ -54,19 +56,24 @@
     """One entry of a health query."""
     service, node = item["Service"], item["Node"]
     meta = service.get("Meta") or {}
+    port, rate = int(service["Port"]), float(meta["rate"])
+    if not 0 < port < 65536:
+        raise ValueError(f"port: {port}")
+    if not math.isfinite(rate) or rate < 0:
+        raise ValueError(f"rate: {rate}")
     return Instance(
         name=f"{node['Node']}/{service['ID']}",
         host=str(service.get("Address") or node["Address"]),
-        port=int(service["Port"]),
+        port=port,
         zone=str(meta.get("zone") or node.get("Datacenter", "")),
         kind=str(meta["kind"]),
         dest=int(meta["dest"]),
         status=status_of(item.get("Checks") or []),
-        rate=float(meta["rate"]),
+        rate=rate,
     )
 
 
-def read_instances(doc: Any) -> list[Instance]:
+def read_instances(doc: Any, lines: RareLog | logging.Logger = log) -> list[Instance]:
     """The entries of a health query; one without its meta is logged and left out."""
     if not isinstance(doc, list):
         raise ConsulError("not a list of instances")
@@ -74,8 +81,8 @@
     for item in doc:
         try:
             listed.append(read_instance(item))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("consul: an instance is left out, bad or missing %s", error)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+            lines.warning("consul: an instance is left out, bad or missing %s", error)
     return listed
 
 
@@ -89,6 +96,10 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._catalogue: asyncio.Task[None] | None = None
         self._named = services
+        self._rare, self._rare_out = (
+            RareLog(log),
+            RareLog(log),
+        )  # of answers, and of entries that are left out
 
     def start(self) -> None:
         """Begin to follow."""
@@ -120,7 +131,7 @@
 
     def _lister(self, name: str) -> Callable[[Any], None]:
         def take(doc: Any) -> None:
-            self.exchange.list_instances(Scope.FULL, read_instances(doc), f"consul {name}")
+            self.exchange.list_instances(Scope.FULL, read_instances(doc, self._rare_out), f"consul {name}")
 
         return take
 
@@ -129,16 +140,21 @@
         line, index, retry_us = HttpLine(self.exchange.after, *self.address, LIST_LIMIT), 0, RETRY_LEAST_US
         try:
             while True:
+                last, asked_at = index, self.exchange.clock.now_us()
                 try:
                     index, doc = await self._ask(line, path, index)
                     if index:
                         take(doc)
                 except (*FAILURES, ConsulError) as error:
-                    log.warning("consul: %s: %s", what, str(error) or type(error).__name__)
+                    self._rare.warning("consul: %s: %s", what, str(error) or type(error).__name__)
                 except Exception:
                     log.exception("consul: %s", what)  # a defect must not end the watch
                 else:
                     retry_us = RETRY_LEAST_US
+                    # Guards the agent, and this core, against answers that do not wait, or go up and down.
+                    early = self.exchange.clock.now_us() - asked_at < WAIT_S * 1_000_000
+                    if early and index in (0, last):
+                        await pause(self.exchange.after, RETRY_LEAST_US)
                     continue
                 index = 0
                 await pause(self.exchange.after, retry_us)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -13,7 +13,7 @@
 
 from rowanrack.core.figures import Figures
 from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Verdict
-from rowanrack.core.name_table import NameTable
+from rowanrack.core.name_table import Change, NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.governor import Governor
 from rowanspindle import (
@@ -121,7 +121,7 @@
         """A message is not taken; without it when it was not read that far."""
 
     def listed(self, news: list[Instance], gone: list[str]) -> None:
-        """News of instances, and the names of those that a whole list no longer holds."""
+        """News of instances, and the names of those that are gone."""
 
     def began(self, execution: Execution) -> None:
         """A call's first byte is about to go out."""
@@ -151,8 +151,7 @@
         self.governor = Governor(clock.now_us())
         self.listeners: dict[str, Callable[[Message, End], None]] = {}
         self.figures = Figures()
-        self.bans: set[str] = set()  # detached by hand: nothing new goes there, whatever the lists say
-        self._given: dict[str, tuple[str, Instance]] = {}  # each instance as its source last listed it
+        self.bans = self.table.bans  # nothing new goes there, whatever the lists say
         self._refs: dict[int, Message] = {}
         self._next_ref = 0
         self._events: list[Event] = []
@@ -261,27 +260,11 @@
 
     def list_instances(self, scope: Scope, instances: Iterable[Instance], source: str = "") -> None:
         """News from a source of the name table. A detached instance is listed as draining."""
-        news = list(instances)
-        for instance in news:
-            if instance.status is Status.REMOVED:
-                self._given.pop(instance.name, None)
-            else:
-                self._given[instance.name] = source, instance
-        if scope is Scope.FULL:
-            named = {i.name for i in news}
-            for name in [n for n, (s, _) in self._given.items() if s == source and n not in named]:
-                del self._given[name]
-        news = [self._banned(i) for i in news]
-        self._listed(scope, news, source)
-
-    def _banned(self, instance: Instance) -> Instance:
-        if instance.name in self.bans and instance.status is Status.LISTED:
-            return replace(instance, status=Status.DRAINING)
-        return instance
+        self._listed(self.table.update(scope, instances, source, self.clock.now_us()))
 
     def detach(self, name: str) -> bool:
         """Send nothing new to an instance until it is attached again; False if no list names it."""
-        if name not in self._given and name not in self.bans:
+        if self.table.given(name) is None and name not in self.bans:
             return False
         self.ban(name)
         return True
@@ -291,18 +274,17 @@
         if name in self.bans:
             return
         self.bans.add(name)
-        if (given := self._given.get(name)) is not None:
-            self._listed(Scope.DELTA, [self._banned(given[1])], given[0])
+        if (given := self.table.given(name)) is not None:
+            self._listed(self.table.show([given], self.clock.now_us()))
 
     def attach(self, name: str) -> bool:
         """Lift a ban; the instance comes back cold, as a new one. False if it was not detached."""
         if name not in self.bans:
             return False
         self.bans.discard(name)
-        if (given := self._given.get(name)) is not None:
-            source, instance = given
-            self._listed(Scope.DELTA, [replace(instance, status=Status.REMOVED)], source)
-            self._listed(Scope.DELTA, [instance], source)
+        if (given := self.table.given(name)) is not None:
+            for instance in (replace(given, status=Status.REMOVED), given):
+                self._listed(self.table.show([instance], self.clock.now_us()))
         return True
 
     @property
@@ -313,16 +295,14 @@
         out = {name for name, e in endpoints if e.out_since is not None and name in listed}
         return len(out | (self.bans & listed))
 
-    def _listed(self, scope: Scope, news: list[Instance], source: str) -> None:
-        change = self.table.update(scope, news, source, self.clock.now_us())
-        if self.observers:
-            gone = [n for n in change.gone if n not in {i.name for i in news}]
-            for observer in self.observers:
-                observer.listed(news, gone)
+    def _listed(self, change: Change) -> None:
+        left = [i for i in change.news if i.status is not Status.REMOVED]
+        for observer in self.observers:
+            observer.listed(left, list(change.gone))
         self._put(change.members)
         for name in change.closed:
             for execution in list(self._unbegun.get(name, ())):
-                # A call still waiting for its connection must not go to what drains or is gone.
+                # A call still waiting for its connection must not go to what drains, is gone or has moved.
                 self._drop(execution, Result.MOOT)
             if self.side is not None:
                 self.side.close_idle(name)
--- a/rowanrack/core/name_table.py
+++ b/rowanrack/core/name_table.py
@@ -16,18 +16,23 @@
     """What news has changed: the same for the module, and the names that want no new calls, or are gone."""
 
     members: Members
-    closed: tuple[str, ...] = ()  # draining or gone
+    news: tuple[Instance, ...] = ()  # as they are there now, those that are gone among them
+    closed: tuple[str, ...] = ()  # draining, gone, or moved to another destination or address
     gone: tuple[str, ...] = ()
 
 
 class NameTable:
     """Instances by name. A whole list replaces only the entries of the source that it comes from.
 
-    News costs what it holds, and a question one look-up, however many instances there are.
+    Of sources that name the same instance the last news hold; what one leaves out stays as another lists it.
+    A detached instance is there as draining. News costs what it holds, and a question one look-up, however
+    many instances there are.
     """
 
     def __init__(self) -> None:
+        self.bans: set[str] = set()  # detached by hand
         self._instances: dict[str, Instance] = {}
+        self._given: dict[str, dict[str, Instance]] = {}  # by name and source, the last behind
         self._sources: dict[str, set[str]] = {}
         self._counts: dict[int, int] = {}  # instances of each destination that has any
         self._emptied: dict[int, int] = {}  # when a destination lost its last one; the earliest comes first
@@ -39,22 +44,48 @@
         news, named = list(instances), self._sources.setdefault(source, set())
         if scope is Scope.FULL:
             missing = named - {i.name for i in news}
-            news += [replace(i, status=Status.REMOVED) for n in sorted(missing) if (i := self.get(n))]
+            news += [replace(self._given[n][source], status=Status.REMOVED) for n in sorted(missing)]
             scope = Scope.DELTA
-        gone: list[str] = []
+        shown = []
         for instance in news:
+            given = self._given.setdefault(instance.name, {})
+            given.pop(source, None)
+            if instance.status is not Status.REMOVED:
+                given[source] = instance
+                named.add(instance.name)
+            else:
+                named.discard(instance.name)
+            shown.append(self.given(instance.name) or instance)
+            if not given:
+                del self._given[instance.name]
+        return self.show(shown, now_us, scope)
+
+    def given(self, name: str) -> Instance | None:
+        """An instance as its last source lists it, detached or not."""
+        given = self._given.get(name)
+        return given[next(reversed(given))] if given else None
+
+    def show(self, news: Iterable[Instance], now_us: int, scope: Scope = Scope.DELTA) -> Change:
+        """Let these be there from now on, whatever is given."""
+        shown, closed, gone = [self._banned(i) for i in news], list[str](), list[str]()
+        for instance in shown:
             if (old := self._instances.get(instance.name)) is not None:
                 self._count(old.dest, -1, now_us)
             if instance.status is Status.REMOVED:
                 self._instances.pop(instance.name, None)
-                named.discard(instance.name)
                 gone.append(instance.name)
             else:
                 self._instances[instance.name] = instance
-                named.add(instance.name)
                 self._count(instance.dest, 1, now_us)
-        closed = tuple(i.name for i in news if i.status is not Status.LISTED)
-        return Change(Members(scope, tuple(i.member() for i in news)), closed, tuple(gone))
+            if instance.status is not Status.LISTED or (old is not None and _place(old) != _place(instance)):
+                closed.append(instance.name)
+        members = Members(scope, tuple(i.member() for i in shown))
+        return Change(members, tuple(shown), tuple(closed), tuple(gone))
+
+    def _banned(self, instance: Instance) -> Instance:
+        if instance.name in self.bans and instance.status is Status.LISTED:
+            return replace(instance, status=Status.DRAINING)
+        return instance
 
     def _count(self, dest: int, more: int, now_us: int) -> None:
         self._emptied.pop(dest, None)
@@ -88,3 +119,8 @@
     def names(self) -> set[str]:
         """All that are there."""
         return set(self._instances)
+
+
+def _place(instance: Instance) -> tuple[int, str, int]:
+    """What a call that waits for its connection rests on."""
+    return instance.dest, instance.host, instance.port
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 
 import pytest
 
@@ -36,10 +36,31 @@
 OLD, NEW = 1, 2  # discovery's ports
 
 
+async def pass_time(desk: Desk, until: int, look: Callable[[], None] = lambda: None) -> None:
+    """Let a desk's time pass up to there, from one thing that is due to the next."""
+    while True:
+        desk.exchange.pump()
+        for _ in range(25):
+            await asyncio.sleep(0)
+        look()
+        due = desk.exchange._due_us  # of the wheel or of news that wait
+        if due is None or due > until:
+            break
+        desk.now = max(desk.now, due)
+    desk.now = until
+
+
+class Caught(Protocol):
+    """Who hears what is sent on a `Wire`."""
+
+    def called(self, wire: Wire, text: str) -> None:
+        """A call was written whole."""
+
+
 class Wire:
     """The sender's end of a connection, as a `Stream`."""
 
-    def __init__(self, keeper: Keeper, port: int) -> None:
+    def __init__(self, keeper: Caught, port: int) -> None:
         self.keeper, self.port, self.inward = keeper, port, RingBuffer(96 * 1024)
         self.ended = self.unread = False
         self._more = asyncio.Event()
@@ -134,19 +155,12 @@
         self.at(wait_ms / 1000, over)
 
     async def run(self, until_s: float) -> None:
-        """Let time pass up to there, from one thing that is due to the next."""
-        until = self.began + round(until_s * SECOND)
-        while True:
-            self.exchange.pump()
-            for _ in range(25):
-                await asyncio.sleep(0)
-            if self.known_s is None and not self.exchange.table.listed("i0"):
-                self.known_s = self.now_s
-            due = self.exchange._due_us  # of the wheel or of news that wait
-            if due is None or due > until:
-                break
-            self.desk.now = max(self.desk.now, due)
-        self.desk.now = until
+        """Let time pass up to there."""
+        await pass_time(self.desk, self.began + round(until_s * SECOND), self._look)
+
+    def _look(self) -> None:
+        if self.known_s is None and not self.exchange.table.listed("i0"):
+            self.known_s = self.now_s
 
     @property
     def times(self) -> list[float]:
