Add the exchange of two sites' logs, and whom a site meets when

An exchange compares digests by group of channels, then heads in pages where they differ, then sends what each lacks in bodies of at most 512 KiB; a body's events are kept in one piece. A promise counts once all that its site had is here and once that site knew of every incarnation that we know of.

--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -342,8 +342,8 @@
         self.promise()
         return list(self._told.values())
 
-    def heard(self, peer: str, promises: Iterable[Promise]) -> None:
-        """Promises that a site held, after we have all that it had then."""
+    def heard(self, peer: str, promises: Iterable[Promise], direct: bool = True) -> None:
+        """Promises that a site held, after we have all that it had then; `direct`: off FLEET too."""
         for each in promises:
             key = (each.site, each.life)
             if each.site not in self.members or not 0 <= each.at < MOST_AT_US:
@@ -352,7 +352,7 @@
                 self._clock.held_to(min(each.at, self._clock.wall()))
                 self._told.setdefault(key, each)
                 continue
-            for table in (self._told, self._direct) if each.site == peer else (self._told,):
+            for table in (self._told, self._direct) if direct and each.site == peer else (self._told,):
                 if key not in table or table[key].at < each.at:
                     table[key] = each
 
--- /dev/null
+++ b/rowanrack/channels/sync.py
@@ -0,0 +1,452 @@
+"""An exchange of two sites: what each lacks, in bounded bodies; and whom a site meets when.
+
+One site begins with `offer`; the other's `answer` keeps nothing between two bodies; the first goes on with
+`take` until both have all. Digests by group of channels come first, then heads in pages of the groups that
+differ, then events. An exchange that was cut goes on where it ended with the next offer: each body's events
+are kept in one piece or not at all. Source: docs/channels.md. No I/O.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+from functools import lru_cache
+from itertools import groupby
+from typing import NamedTuple, Protocol, TypeVar
+
+import msgspec
+from blake3 import blake3
+
+from rowanrack.channels.events import FLEET, START, Event, Gap, Stream
+from rowanrack.channels.log import Log, Promise
+
+VERSION = 1
+MOST_BODY_BYTES = 512 * 1024  # a request's or an answer's size
+EVENT_BYTES = 224 * 1024  # of these, what events take
+HEAD_BYTES = 96 * 1024  # and the heads of a page, or what is wanted
+PIECE_BYTES = 16 * 1024  # payloads read at once: small ones take more room for the rest
+EACH = 64  # bytes that an event or a head takes beside its names and payload, at most
+GROUPS = 64
+
+
+class SyncError(ValueError):
+    """A body that is none of ours; the text is one plain line."""
+
+
+class Scope(Protocol):
+    """Who keeps what."""
+
+    def wants(self, site: str, channel: str, origin: str) -> bool:
+        """Whether a site keeps what `origin` wrote on a channel. Every site wants all of FLEET."""
+
+
+class Far(NamedTuple):
+    """A stream at the other site: where it begins there, how far it goes, and its chain there."""
+
+    stream: Stream
+    floor: int
+    number: int
+    chain: bytes
+
+
+class Request(msgspec.Struct, array_like=True):
+    """What the site that began sends."""
+
+    version: int
+    site: str
+    digests: dict[int, int] | None = None  # by group: the first request has them
+    group: int | None = None  # the page of heads that is asked for: this group's, behind a stream
+    behind: Stream | None = None
+    wants: list[tuple[Stream, int]] = []  # events of a stream behind a number
+    gaps: list[Gap] = []
+    events: list[Event] = []
+    forked: list[Event] = []  # of streams where the two differ: the first few behind what both have
+    promises: list[Promise] = []  # they count if the digests are equal, or the exchange is over
+    over: bool = False
+
+
+class Reply(msgspec.Struct, array_like=True):
+    """What the other one answers."""
+
+    version: int
+    site: str
+    groups: list[int] = []  # those whose digests differ, to a first request
+    heads: list[Far] = []
+    last: Stream | None = None  # the page ends there; None: with its group
+    gaps: list[Gap] = []
+    events: list[Event] = []
+    promises: list[Promise] = []
+
+
+@dataclass(slots=True)
+class Talk:
+    """An exchange that we began: what is left of it."""
+
+    peer: str
+    mine: list[Promise]  # as of its begin
+    groups: list[int] | None = None  # those still to be compared, the current one first; None: not known yet
+    behind: Stream | None = None  # the current page begins behind this stream
+    theirs: list[Promise] = field(default_factory=list)
+    layout: bool = False  # both had the same on FLEET at its begin, so both agree on who keeps what
+    wanted: list[tuple[Stream, int]] = field(default_factory=list)
+    given: dict[Stream, int] = field(default_factory=dict)  # how far they were when we gave
+    forks: dict[Stream, int] = field(default_factory=dict)  # streams that differ, compared up to a number
+    forked: set[Stream] = field(default_factory=set)  # those that were compared
+    bad: set[Stream] = field(default_factory=set)  # nothing more comes of these in this exchange
+
+
+def offer(log: Log, peer: str, scope: Scope) -> bytes:
+    """The request that begins an exchange; an earlier one with this site is given up."""
+    mine = log.told()
+    log.talks[peer] = Talk(peer, mine)
+    return _encoded(Request(VERSION, log.site, _digests(log, peer, scope), promises=mine))
+
+
+def answer(log: Log, body: bytes, scope: Scope) -> bytes:
+    """The answer to a request. Raises SyncError: it is none; LogError: the store failed, nothing was kept."""
+    asked = _decoded(body, Request)
+    reply = Reply(VERSION, log.site)
+    for gap in asked.gaps:
+        _skip(log, gap)
+    log.merge(event for event in asked.events if _shared(log, asked.site, scope, event.stream))
+    for run in _runs(asked.forked):
+        if _shared(log, asked.site, scope, run[0].stream):
+            log.fork(run)
+    if asked.digests is not None:
+        ours = _digests(log, asked.site, scope)
+        both = sorted(ours.keys() | asked.digests.keys())
+        reply.groups = [group for group in both if ours.get(group) != asked.digests.get(group)]
+        reply.promises = log.told()
+        if not reply.groups:
+            log.heard(asked.site, asked.promises)
+        else:
+            asked.group = reply.groups[0]
+    elif asked.over:
+        log.heard(asked.site, asked.promises, direct=False)
+    room = EVENT_BYTES
+    for stream, behind in asked.wants:
+        if room <= 0:
+            break
+        room -= _serve(log, stream, behind, room, reply.gaps, reply.events)
+    if asked.group is not None:
+        reply.heads, reply.last = _page(log, asked.site, scope, asked.group, asked.behind)
+    return _encoded(reply)
+
+
+def take(log: Log, body: bytes, scope: Scope) -> bytes | None:
+    """The next request after an answer; None: the exchange is over. Raises as `answer` does.
+
+    What a site says that it has and then does not give, or gives broken, is not asked for again in this
+    exchange, and its promises do not count then.
+    """
+    reply = _decoded(body, Reply)
+    talk = log.talks.get(reply.site)
+    if not isinstance(talk, Talk):
+        return None
+    if talk.groups is None:
+        talk.groups, talk.theirs = [g for g in dict.fromkeys(reply.groups) if 0 <= g < GROUPS], reply.promises
+        talk.layout = 0 not in talk.groups
+    if reply.last is not None and talk.behind is not None and reply.last <= talk.behind:
+        reply.last = None  # a page that goes back would have no end
+    _keep(log, talk, reply)
+    request = Request(VERSION, log.site)
+    if talk.groups:
+        _compare(log, talk, scope, reply, request)
+        if not (request.wants or request.events or request.forked or request.gaps):
+            talk.behind = reply.last
+            if reply.last is None:
+                talk.groups.pop(0)
+                if not talk.groups and not talk.bad:
+                    request.promises, request.over = talk.mine, True
+                    return _encoded(request)
+        if talk.groups:
+            request.group, request.behind = talk.groups[0], talk.behind
+            talk.wanted = request.wants
+            return _encoded(request)
+    if not talk.bad:
+        log.heard(talk.peer, talk.theirs, direct=talk.layout)
+    del log.talks[talk.peer]
+    return None
+
+
+def refused(log: Log, peer: str) -> list[str]:
+    """The streams of the exchange under way that the other site could not give or take as it said."""
+    talk = log.talks.get(peer)
+    return [f"{s.channel} {s.site}/{s.life}" for s in sorted(talk.bad)] if isinstance(talk, Talk) else []
+
+
+def _keep(log: Log, talk: Talk, reply: Reply) -> None:
+    """Keep what came of what was wanted, and note what did not."""
+    wanted = dict(talk.wanted)
+    for gap in reply.gaps:
+        if gap.stream in wanted and gap.stream not in talk.forks:
+            _skip(log, gap)
+    broken: set[Stream] = set()
+    plain = (e for e in reply.events if e.stream in wanted and e.stream not in talk.forks)
+    log.merge(plain, broken)
+    runs = {run[0].stream: run for run in _runs(reply.events) if run[0].stream in talk.forks}
+    moved = False
+    for stream, behind in wanted.items():
+        if stream in talk.forks:
+            same = log.fork(runs.get(stream, []))
+            if same > behind:
+                moved = True
+                talk.forks[stream] = same
+            if same <= behind or same < runs[stream][-1].number or same == _number(log, stream):
+                del talk.forks[stream]  # compared: ours stays and is given, or theirs goes on as usual
+                if same < _number(log, stream):
+                    talk.given[stream] = -1 - same
+        elif _number(log, stream) > behind:
+            moved = True
+        elif stream in broken and stream not in talk.forked and (head := log.head(stream)) is not None:
+            talk.forks[stream], moved = head.floor, True
+            talk.forked.add(stream)
+    if wanted and not moved:
+        talk.bad.update(wanted)
+
+
+def _compare(log: Log, talk: Talk, scope: Scope, reply: Reply, request: Request) -> None:
+    """What to ask for and to give, by a page of the other's heads."""
+    far = {each.stream: each for each in reply.heads}
+    assert talk.groups
+    here = _streams(log, talk.peer, scope, talk.groups[0], talk.behind, reply.last)
+    room, want_room = EVENT_BYTES, HEAD_BYTES
+    for stream in [*here, *(s for s in far if log.head(s) is None and _shared(log, talk.peer, scope, s))]:
+        if stream in talk.bad or not (room > 0 or want_room > 0):
+            continue
+        theirs, number = far.get(stream) or Far(stream, 0, 0, b""), _number(log, stream)
+        chain = _chain(log, stream)  # START where retention took what stood in front: not known
+        differs = theirs.number == number and START not in (chain, theirs.chain) and chain != theirs.chain
+        fork = stream in talk.forks
+        differs |= theirs.number < number and talk.given.get(stream) == theirs.number  # they did not take it
+        if differs and not fork and stream not in talk.forked:
+            head = log.head(stream)
+            talk.forks[stream], fork = head.floor if head else 0, True
+            talk.forked.add(stream)
+        if (pushed := talk.given.get(stream, 0)) < 0:
+            _serve(log, stream, -1 - pushed, 1, [], request.forked)
+            talk.bad.add(stream)
+        elif fork or theirs.number > number:
+            if want_room > 0:
+                request.wants.append((stream, talk.forks[stream] if fork else number))
+                want_room -= EACH + sum(map(len, stream))
+        elif theirs.number < number:
+            if differs:
+                talk.bad.add(stream)
+            elif room > 0:
+                talk.given[stream] = theirs.number
+                room -= _serve(log, stream, theirs.number, room, request.gaps, request.events)
+        elif differs:
+            talk.bad.add(stream)
+
+
+def _serve(log: Log, stream: Stream, behind: int, room: int, gaps: list[Gap], events: list[Event]) -> int:
+    """Add a stream's events behind a number, up to some bytes but at least one; returns what they take."""
+    head = log.head(stream)
+    if head is None:
+        return EACH
+    if behind < head.floor:
+        gaps.append(Gap(stream, behind + 1, head.floor, f"{log.site} keeps them no more"))
+        behind = head.floor
+    used = EACH + sum(map(len, stream))
+    while behind < head.number and (page := log.store.after(stream, behind, PIECE_BYTES)):
+        for event in page:
+            used += EACH + sum(map(len, stream)) + len(event.kind) + len(event.data)
+            if used > room and events:
+                return used
+            events.append(event)
+        behind = page[-1].number
+    return used
+
+
+def _skip(log: Log, gap: Gap) -> None:
+    if gap.first <= _number(log, gap.stream) + 1:
+        log.skip(gap)
+
+
+def _number(log: Log, stream: Stream) -> int:
+    head = log.head(stream)
+    return head.number if head is not None else 0
+
+
+def _chain(log: Log, stream: Stream) -> bytes:
+    head = log.head(stream)
+    return head.chain if head is not None else b""
+
+
+def _runs(events: Iterable[Event]) -> Iterator[list[Event]]:
+    for _, run in groupby(events, lambda event: event.stream):
+        yield list(run)
+
+
+def _shared(log: Log, peer: str, scope: Scope, stream: Stream) -> bool:
+    """Whether both sites hold a stream: each wants it, or wrote it."""
+    channel, origin = stream.channel, stream.site
+    return channel == FLEET or (
+        (origin == peer or scope.wants(peer, channel, origin))
+        and (origin == log.site or scope.wants(log.site, channel, origin))
+    )
+
+
+@lru_cache(1 << 16)
+def _group(channel: str) -> int:
+    return 0 if channel == FLEET else 1 + blake3(channel.encode()).digest(length=1)[0] % (GROUPS - 1)
+
+
+@lru_cache(1 << 16)
+def _digest(stream: Stream, number: int, chain: bytes) -> int:
+    return int.from_bytes(blake3(msgspec.msgpack.encode((stream, number, chain))).digest(length=7), "big")
+
+
+def _digests(log: Log, peer: str, scope: Scope) -> dict[int, int]:
+    found: dict[int, int] = {}
+    for head in log.heads(lambda stream: _shared(log, peer, scope, stream)):
+        group = _group(head.stream.channel)
+        found[group] = found.get(group, 0) ^ _digest(head.stream, head.number, head.chain)
+    return found
+
+
+def _streams(
+    log: Log, peer: str, scope: Scope, group: int, behind: Stream | None, last: Stream | None = None
+) -> list[Stream]:
+    """The streams of a group that both hold, in order, behind one and up to another."""
+    return sorted(
+        stream
+        for stream in (head.stream for head in log.heads())
+        if _group(stream.channel) == group
+        and (behind is None or stream > behind)
+        and (last is None or stream <= last)
+        and _shared(log, peer, scope, stream)
+    )
+
+
+def _page(
+    log: Log, peer: str, scope: Scope, group: int, behind: Stream | None
+) -> tuple[list[Far], Stream | None]:
+    page: list[Far] = []
+    room = HEAD_BYTES
+    for stream in _streams(log, peer, scope, group, behind):
+        if room <= 0:
+            return page, page[-1].stream
+        room -= EACH + sum(map(len, stream))
+        head = log.head(stream)
+        assert head is not None
+        page.append(Far(stream, head.floor, head.number, head.chain))
+    return page, None
+
+
+def _encoded(body: Request | Reply) -> bytes:
+    return msgspec.msgpack.encode(body)
+
+
+Body = TypeVar("Body", Request, Reply)
+
+
+def _decoded(body: bytes, kind: type[Body]) -> Body:
+    if len(body) > MOST_BODY_BYTES:
+        raise SyncError(f"a body of {len(body)} bytes: the most is {MOST_BODY_BYTES}")
+    try:
+        found = msgspec.msgpack.decode(body, type=kind)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise SyncError(f"a body that is none of an exchange: {error}") from None
+    if found.version != VERSION:
+        raise SyncError(f"a body of version {found.version}: ours is {VERSION}")
+    return found
+
+
+NEAR_US = 1_000_000  # a neighbour is met this often, with fewer than MANY sites
+MANY = 100  # with more, as much more seldom
+REST_US = 250_000  # the others that need us are met at this pace, one after the other, none more often than:
+REST_LEAST_US = 2_000_000
+AGAIN_US, MOST_AGAIN_US = 1_000_000, 60_000_000  # behind failures: doubled each time, up to a most
+MOST_AT_ONCE = 4
+FAILING = 3  # failures on end until the next site along the ring stands in
+
+
+class Meetings:
+    """Whom a site begins an exchange with, and when. Times are microseconds of the steady clock.
+
+    For FLEET these are neighbours on a ring in the order of the names' digests, at distances 1, 2, 4, ...:
+    about log2(n) sites, and what one wrote is everywhere after about log2(n) meetings. A neighbour that
+    fails is tried further, and the next one stands in. The others that need what we hold (`needs`) are met
+    at one pace, however many they are.
+    """
+
+    def __init__(self, site: str, sites: Sequence[str], seed: int) -> None:
+        """`sites` are those of the file, with or without this one."""
+        self._site, self._random = site, random.Random(f"{seed} {site}")
+        ring = sorted({*sites, site}, key=lambda name: (blake3(name.encode()).digest(), name))
+        start = ring.index(site)
+        self._ring = ring[start + 1 :] + ring[:start]
+        self._fails = dict.fromkeys(self._ring, 0)
+        self._needs: list[str] = []
+        self._busy: set[str] = set()
+        self._next: dict[str, int] = {}
+        self._near = self._neighbours()
+
+    def _neighbours(self) -> list[str]:
+        found: dict[str, None] = {}
+        step = 1
+        while step <= len(self._ring):
+            for name in self._ring[step - 1 :]:
+                found[name] = None
+                if self._fails[name] < FAILING:
+                    break
+            step *= 2
+        return list(found)
+
+    def needs(self, sites: Iterable[str]) -> None:
+        """The sites that want something that we hold beside FLEET, or hold something that we want."""
+        self._needs = [site for site in sites if site in self._fails]
+
+    def due(self, now_us: int) -> list[str]:
+        """Whom to meet now: the longest due first, at most as many as may be under way at once."""
+        due = sorted((at, name) for name, at in self._times(now_us).items() if at <= now_us)
+        return [name for _, name in due][: max(MOST_AT_ONCE - len(self._busy), 0)]
+
+    def next_at(self, now_us: int = 0) -> int | None:
+        """When someone is due next; None: not before an exchange under way has ended."""
+        times = self._times(now_us)
+        return min(times.values()) if times and len(self._busy) < MOST_AT_ONCE else None
+
+    def _times(self, now_us: int) -> dict[str, int]:
+        for name in dict.fromkeys((*self._near, *self._needs)):
+            if name not in self._next:  # spread the first ones
+                self._next[name] = now_us + self._random.randrange(self._pause(name))
+        return {n: self._next[n] for n in (*self._near, *self._needs) if n not in self._busy}
+
+    def _pause(self, site: str) -> int:
+        rest = max(REST_LEAST_US, REST_US * len(self._needs))
+        near = NEAR_US * max(MANY, len(self._ring)) // MANY
+        return (
+            min(near, rest)
+            if site in self._near and site in self._needs
+            else (near if site in self._near else rest)
+        )
+
+    def began(self, site: str, now_us: int, wait_us: int = 0) -> None:
+        """An exchange with this site begins."""
+        self._busy.add(site)
+
+    def ended(self, site: str, now_us: int, wait_us: int = 0) -> None:
+        """It is over, and went well; the site may want no call for a while."""
+        self._over(site, now_us, max(wait_us, self._jittered(self._pause(site))), 0)
+
+    def failed(self, site: str, now_us: int, wait_us: int = 0) -> None:
+        """It failed, or showed the site to say what is not so; it is left alone for longer each time."""
+        fails = self._fails.get(site, 0) + 1
+        again = min(AGAIN_US << min(fails, 10), MOST_AGAIN_US)
+        self._over(site, now_us, max(wait_us, self._jittered(again)), fails)
+
+    def _over(self, site: str, now_us: int, pause_us: int, fails: int) -> None:
+        self._busy.discard(site)
+        if site in self._fails:
+            self._next[site] = now_us + pause_us
+            if (self._fails[site] < FAILING) != (fails < FAILING):
+                self._fails[site] = fails
+                self._near = self._neighbours()
+            self._fails[site] = fails
+
+    def _jittered(self, pause_us: int) -> int:
+        return int(pause_us * self._random.uniform(0.75, 1.25))
--- a/tests/test_channels_log.py
+++ b/tests/test_channels_log.py
@@ -35,9 +35,11 @@
         return self.now
 
 
-def log(site: str, time: Hands, store: MemoryLog | None = None, life: str = "x") -> tuple[Log, list[str]]:
+def log(
+    site: str, time: Hands, store: MemoryLog | None = None, life: str = "x", members: str = "abc"
+) -> tuple[Log, list[str]]:
     said: list[str] = []
-    made = Log(store or MemoryLog(), time, site, ["a", "b", "c"], said.append, draw=lambda: life)
+    made = Log(store or MemoryLog(), time, site, members, said.append, draw=lambda: life)
     made.open()
     return made, said
 
@@ -77,8 +79,10 @@
     here, _ = log("a", time, store)
     promised = here.promise().at
     assert promised >= time.now
-    store.close()
     time.off = -HOUR
+    assert note(here).at > promised
+    promised = here.promise().at
+    store.close()
     again, _ = log("a", time, store)
     assert again.life == "x" and note(again).at > promised
     assert again.promise().at > promised
--- /dev/null
+++ b/tests/test_channels_sync.py
@@ -0,0 +1,369 @@
+"""An exchange of two sites, what a bad one cannot do, whom a site meets, and many against a plain model."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrack.channels import sync
+from rowanrack.channels.events import FLEET, Event, Gap, Stream, packed
+from rowanrack.channels.log import Log, Noted
+from rowanrack.channels.sync import MOST_BODY_BYTES, Meetings, Reply, Request, SyncError, answer, offer, take
+from rowanrack.store.log_memory import MemoryLog
+from tests.test_channels_log import HOUR, Hands, S, branches, log, note
+
+END = 1 << 62
+
+
+class All:
+    """Every site keeps everything."""
+
+    def wants(self, site: str, channel: str, origin: str) -> bool:
+        return True
+
+
+ALL = All()
+
+
+def meet(one: Log, two: Log, bodies: int = 400, scope: sync.Scope = ALL) -> int:
+    """An exchange that `one` begins; the number of requests. Cut off after so many bodies."""
+    request: bytes | None = offer(one, two.site, scope)
+    for count in range(bodies):
+        if request is None:
+            return count
+        reply = answer(two, request, scope)
+        assert max(len(request), len(reply)) <= MOST_BODY_BYTES
+        request = take(one, reply, scope)
+    assert bodies < 400, "the exchange has no end"
+    return bodies
+
+
+def same(*logs: Log) -> bool:
+    channels = sorted({head.stream.channel for each in logs for head in each.heads()})
+    bytes_ = [[msgspec.msgpack.encode(each.read(c, None, END, 1 << 30)) for c in channels] for each in logs]
+    return all(each == bytes_[0] for each in bytes_)
+
+
+def three(time: Hands | None = None) -> list[Log]:
+    time = time or Hands()
+    return [log(site, time, life=site)[0] for site in "abc"]
+
+
+def test_two_cut_apart_that_both_wrote_come_to_the_same_bytes_any_way_round() -> None:
+    for order in ("ab bc ab", "ba cb ac", "cb ab ac bc"):
+        logs = dict(zip("abc", three(), strict=True))
+        for n in range(9):
+            note(logs["abc"[n % 3]], "12" if n % 2 else FLEET, n=n)
+        for pair in order.split():
+            meet(logs[pair[0]], logs[pair[1]])
+        assert same(*logs.values())
+        before = [each.read(FLEET, None, END, 99) for each in logs.values()]
+        assert meet(logs["a"], logs["b"]) == 1, "nothing to do: one request"
+        assert before == [each.read(FLEET, None, END, 99) for each in logs.values()]
+
+
+def test_a_kind_from_a_newer_version_is_passed_on_with_its_bytes() -> None:
+    a, b, c = three()
+    data = b"\x82\xa1z\xcd\x00\x01\xa1a\xc4\x01\xff"  # a map not as we would write it
+    a.write([Noted(FLEET, "of-tomorrow", data, 5)])
+    meet(a, b)
+    meet(c, b)
+    assert [(event.kind, event.data) for event in c.read(FLEET, None, END, 9)] == [("of-tomorrow", data)]
+
+
+def test_a_link_cut_in_the_middle_goes_on_where_it_ended() -> None:
+    a, b, _ = three()
+    a.write([Noted("7", "k", packed({"x": "y" * 1000}), n) for n in range(3000)])
+    requests = [meet(b, a, bodies=cut) for cut in (3, 4)]
+    assert sum(requests) == 7 and 0 < (had := len(b.read("7", None, END, 9999))) < 3000
+    left = meet(b, a)
+    assert same(a, b) and left < 3000 / had * 7
+    c = three()[2]
+    note(c, "8")
+    assert meet(a, c) > 3 and same(a, c), "the other way round, by giving"
+
+
+def test_large_vectors_go_in_pages_and_only_where_they_differ() -> None:
+    a, b, c = three()
+    for life in range(2000):
+        a.life = f"{life:0200}"  # heads of 600 KiB, more than a body takes
+        a.write([Noted(str(life % 9), "k", b"\x80", 1), Noted(FLEET, "k", b"\x80", 1)])
+    a.write([Noted("8", "k", b"\x80", 1)] * 9000)
+    assert meet(b, a) > 9
+    c.merge(event for channel in (FLEET, *"012345678") for event in a.read(channel, None, END, 1 << 20))
+    assert meet(c, a) == 1 and same(a, b, c)
+    note(a, "5")
+    page = answer(a, offer(b, "a", ALL), ALL)
+    assert len(msgspec.msgpack.decode(page, type=Reply).groups) == 1
+
+
+def test_one_away_past_retention_has_the_gap_marked() -> None:
+    a, b, c = three(time := Hands())
+    for n in range(3):
+        note(a, "7", n=n)
+    time.now += 24 * 8 * HOUR
+    last = note(a, "7", n=3)
+    assert a.tidy(time.now) == 3
+    meet(b, a)
+    meet(c, b)
+    for each in (b, c):
+        assert each.read("7", None, END, 9) == [last]
+        assert [(gap.first, gap.last) for gap in each.gaps("7")] == [(1, 3)]
+    assert meet(c, a) == 1 and note(a, "7").number == 5
+
+
+def test_two_under_one_name_are_kept_alike_by_any_meeting() -> None:
+    for turn in (1, -1):
+        for pair in ("ac", "ca"):
+            logs = {site: log(site, Hands())[0] for site in "ac"}
+            for site, branch in zip("ac", branches()[::turn], strict=True):
+                logs[site].merge(branch)
+            for _ in range(2):
+                meet(logs[pair[0]], logs[pair[1]])
+            assert same(*logs.values()) and len(logs["a"].read(FLEET, None, END, 99)) == 7
+
+
+def changed(**change: Any) -> Callable[[Reply], None]:
+    def change_it(reply: Reply) -> None:
+        for name, value in change.items():
+            setattr(reply, name, value(getattr(reply, name)))
+
+    return change_it
+
+
+LIES: dict[str, Callable[[Reply], None]] = {
+    "numbers it has not": changed(heads=lambda heads: [far._replace(number=99) for far in heads]),
+    "another chain": changed(heads=lambda heads: [far._replace(chain=b"12345678") for far in heads]),
+    "no events": changed(events=lambda events: []),
+    "events behind a hole": changed(events=lambda events: events[1:]),
+    "damaged": changed(events=lambda events: [msgspec.structs.replace(e, data=b"\x80") for e in events]),
+    "not taken": changed(heads=lambda heads: [far for far in heads if far.stream.site != "b"]),
+    "pages without end": changed(last=lambda last: Stream("0", "", "")),
+    "groups without end": changed(groups=lambda groups: [*groups, *range(-5, 200)]),
+    "events not asked for": changed(events=lambda e: [*e, note(log("c", Hands())[0], "66")]),
+    "gaps not asked for": changed(gaps=lambda gaps: [Gap(Stream("66", "c", "c"), 1, 9, "so")]),
+}
+
+
+@pytest.mark.parametrize("lie", LIES.values(), ids=LIES.keys())
+def test_a_lie_has_an_end_and_nothing_of_it_is_kept(lie: Callable[[Reply], None]) -> None:
+    a, b, _ = three()
+    true = [note(a, n=n, x="y") for n in range(3)] + [note(a, "7")]
+    note(b, n=9)
+    request: bytes | None = offer(b, "a", ALL)
+    for _ in range(200):
+        if request is None:
+            break
+        reply = msgspec.msgpack.decode(answer(a, request, ALL), type=Reply)
+        lie(reply)
+        request = take(b, msgspec.msgpack.encode(reply), ALL)
+    assert request is None, "it goes on for ever"
+    kept = [e for c in (FLEET, "7", "66") for e in b.read(c, None, END, 99) if e.site != "b"]
+    assert all(event in true for event in kept) and not b.gaps("66")
+    meet(b, a)
+    assert same(a, b)
+
+
+def test_a_promise_counts_only_once_all_of_it_is_here() -> None:
+    a, c = (log(site, time, life=site, members="ac")[0] for time in [Hands()] for site in "ac")
+    for _ in range(2):
+        meet(a, c)
+    event = note(c)
+    reply = msgspec.msgpack.decode(answer(c, offer(a, "c", ALL), ALL), type=Reply)
+    request = take(a, msgspec.msgpack.encode(reply), ALL)
+    assert request is not None and a.settled_until(FLEET)[0] < event.at, "only its head is here"
+    reply.groups, reply.promises = [], []
+    assert take(a, msgspec.msgpack.encode(reply), ALL) is None
+    assert a.settled_until(FLEET)[0] < event.at, "it did not give what it said to have"
+    answer(a, offer(c, "a", ALL), ALL)
+    assert a.settled_until(FLEET)[0] < event.at, "nor is it here by its asking"
+    meet(a, c)
+    assert a.settled_until(FLEET)[0] >= event.at
+
+
+def test_a_new_incarnation_promises_nothing_for_what_the_lost_one_wrote() -> None:
+    a, b, c = (log(site, time, life=site)[0] for time in [Hands()] for site in "abc")
+    times = {each.site: each._time for each in (a, b, c)}
+    slow = Hands(off=-30 * S)
+    a = log("a", slow, life="a")[0]
+    for _ in range(3):
+        for one, two in ((a, b), (b, c), (c, a)):
+            meet(one, two)
+    late = note(a)
+    assert c.settled_until(FLEET)[0] < late.at < times["b"].unix_us()
+    meet(a, b)  # the lost one's last event is at b alone
+    again = log("a", Hands(), life="again")[0]
+    meet(c, again)
+    assert c.settled_until(FLEET)[0] < late.at, "b's promise was made before it had the event"
+    for _ in range(3):
+        for one, two in ((again, b), (b, c), (c, again)):
+            meet(one, two)
+    assert c.read(FLEET, None, END, 9) == [late] and c.settled_until(FLEET)[0] >= late.at
+
+
+def test_who_holds_the_order_back_is_named() -> None:
+    a, b, _c = three(time := Hands())
+    meet(a, b)
+    meet(a, b)
+    assert a.settled_until(FLEET) == (0, ["c"])
+    assert Log(MemoryLog(), time, "a", [], print).members == ["a"]
+
+
+@pytest.mark.parametrize("body", [b"", b"\x90", b"\x92\x02\xa1b", b"\xc1" * 9, b"\x91" * 5000])
+def test_a_body_that_is_none_is_named(body: bytes) -> None:
+    a = three()[0]
+    offer(a, "b", ALL)
+    large = [Event(FLEET, "b", "b", 1, 1, 0, "k", bytes(MOST_BODY_BYTES))]
+    for read, kind in ((answer, Request(1, "b", events=large)), (take, Reply(1, "b", events=large))):
+        with pytest.raises(SyncError, match="a body"):
+            read(a, body, ALL)
+        with pytest.raises(SyncError, match=r"a body of \d+ bytes"):
+            read(a, msgspec.msgpack.encode(kind), ALL)
+
+
+class Own:
+    """`k` keeps all; others keep FLEET and what they wrote."""
+
+    def wants(self, site: str, channel: str, origin: str) -> bool:
+        return site == "a" or channel == FLEET
+
+
+def test_what_another_does_not_keep_is_not_sent_to_it() -> None:
+    a, b, c = three()
+    for each in (b, c):
+        note(each, "7")
+        note(each)
+        meet(each, a, scope=Own())
+    meet(b, a, scope=Own())
+    assert [len(each.read("7", None, END, 9)) for each in (a, b, c)] == [2, 1, 1]
+    assert len(b.read(FLEET, None, END, 9)) == 2
+    note(c, "7")
+    reply = msgspec.msgpack.encode(Request(1, "c", events=c.read("7", None, END, 9)))
+    answer(a, reply, Own())
+    assert len(a.read("7", None, END, 9)) == 3, "a keeper takes it"
+    answer(b, reply, Own())
+    assert len(b.read("7", None, END, 9)) == 1
+
+
+def test_a_site_meets_few_and_leaves_alone_who_fails() -> None:
+    sites = [f"s{n}" for n in range(200)]
+    meetings = Meetings("s0", sites, 1)
+    now, met, failing = 0, dict.fromkeys(sites, 0), ""
+    assert len(meetings.due(0)) <= 1
+    while now < 60 * S:
+        now = max(now, meetings.next_at(now) or 0)
+        for site in meetings.due(now):
+            failing = failing or site
+            meetings.began(site, now)
+            met[site] += 1
+            (meetings.failed if site == failing else meetings.ended)(site, now)
+    assert sum(count > 0 for count in met.values()) == 9, "8 neighbours, and one that stands in"
+    assert met[failing] <= 7 and 200 < sum(met.values()) < 300
+    one = Meetings("a", "ab", 1)
+    for over, least in ((one.ended, S // 2), (one.failed, S)):
+        over("b", 0)
+        assert least < (one.next_at() or 0) < 3 * S
+        over("b", 0, 500 * S)
+        assert one.next_at() == 500 * S, "as it told us"
+    for site in sites[:50]:
+        meetings.began(site, now)
+    assert meetings.due(now + HOUR) == [] and meetings.next_at() is None
+
+
+SITES = "abcd"
+STEP = st.tuples(
+    st.sampled_from(["write", "write", "meet", "meet", "cut", "clock", "time", "kill", "lose", "settle"]),
+    st.integers(0, 3),
+    st.integers(0, 3),
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=250)
+@given(st.lists(STEP, min_size=12, max_size=60), st.integers(0, 1 << 30))
+def test_many_sites_against_a_plain_model(steps: list[tuple[str, int, int]], seed: int) -> None:
+    rng = random.Random(seed)
+    times = {site: Hands() for site in SITES}
+    stores = {site: MemoryLog() for site in SITES}
+    wrote: list[Event] = []
+    caused: list[tuple[Event, Event]] = []  # cause, effect
+    settled: dict[tuple[str, str], int] = {}
+    lives = iter(range(1000))
+
+    def opened(site: str) -> Log:
+        made = Log(
+            stores[site], times[site], site, SITES, lambda line: None, draw=lambda: f"{next(lives):03}"
+        )
+        made.open()
+        return made
+
+    logs = {site: opened(site) for site in SITES}
+
+    def fresh(site: str, channel: str) -> None:
+        for key, until in settled.items():
+            assert key != (site, channel) or all(
+                e in seen[key] for e in logs[site].read(channel, None, until, 999)
+            ), f"an event came to {site} before what was settled"
+
+    seen: dict[tuple[str, str], list[Event]] = {}
+    for what, first, second in steps:
+        site, other = SITES[first], SITES[second]
+        here = logs[site]
+        for each in times.values():
+            each.now += rng.randrange(S)
+        if what == "write":
+            channel = rng.choice([FLEET, "7"])
+            known = here.read(channel, None, END, 999)
+            event = note(here, channel, n=len(wrote))
+            wrote.append(event)
+            caused += [(e, event) for e in known if e.at <= times[site].unix_us() + 60 * S]
+        elif what in ("meet", "cut") and site != other:
+            meet(here, logs[other], 400 if what == "meet" else rng.randrange(4))
+        elif what == "clock":
+            off = rng.choice([-HOUR, 0, 30 * S, 5 * HOUR])
+            for each in [times[site]] if first == second else times.values():
+                each.off = off
+        elif what == "time":
+            for each in times.values():
+                each.now += 100 * S
+        elif what == "kill":
+            stores[site].close()
+            logs[site] = opened(site)
+        elif what == "lose" and times[site].off >= 0:
+            stores[site] = MemoryLog()
+            logs[site] = opened(site)
+        elif what == "settle":
+            for channel in (FLEET, "7"):
+                until, _ = here.settled_until(channel)
+                settled[(site, channel)] = until
+                seen[(site, channel)] = here.read(channel, None, until, 999)
+        for channel in (FLEET, "7"):
+            if what == "lose":
+                settled.pop((site, channel), None)
+            fresh(site, channel)
+            fresh(other, channel)
+    for _ in range(2):
+        for one in SITES:
+            for two in SITES:
+                if one != two:
+                    meet(logs[one], logs[two])
+    assert same(*logs.values())
+    for channel in (FLEET, "7"):
+        everywhere = logs["a"].read(channel, None, END, 9999)
+        held = set(everywhere)
+        assert len(held) == len(everywhere) and held <= set(wrote)
+        numbers: dict[Stream, int] = {}
+        for event in everywhere:
+            numbers[event.stream] = numbers.get(event.stream, 0) + 1
+            assert event.number == numbers[event.stream], "numbers without gaps, in order"
+        if not any(what == "lose" for what, _, _ in steps):
+            assert held == {event for event in wrote if event.channel == channel}
+    assert all(cause.place < effect.place for cause, effect in caused)
+    for site, here in logs.items():
+        fresh(site, FLEET)
+        assert here.settled_until(FLEET)[0] > 0, "with all that met, the order is settled"
