--- a/rowanrack/channels/layout.py
+++ b/rowanrack/channels/layout.py
@@ -238,6 +238,10 @@
         """Whether a site is to have what an origin wrote on a channel: a `Scope` for `sync`."""
         return channel == FLEET or site == origin or site in self._holders(channel)
 
+    def whole(self, site: str, channel: str) -> bool:
+        """Whether a site has a channel whole, and is to hold it."""
+        return channel == FLEET or self._holders(channel).get(site, False)
+
     def may_drop(self, site: str, channel: str) -> bool:
         """Whether a site may forget what others wrote on a channel: its new keepers all have it whole."""
         return channel != FLEET and site not in self._holders(channel)
--- /dev/null
+++ b/tests/test_reads.py
@@ -0,0 +1,306 @@
+"""Reads of the past in virtual time: whom they ask, what they never do, and that a part is called a part."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Callable, Sequence
+from heapq import heappop, heappush
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rowanrack.channels import past, reads
+from rowanrack.channels.events import FLEET, Event, Gap, Place, Stream, packed
+from rowanrack.channels.layout import Keeper, Layouts
+from rowanrack.channels.reads import Answer, Ask, Done, PartAsked, Query, Read, Router, Wait, give, parse
+
+MS = 1000
+Reply = tuple[int, bytes | tuple[str, int]]  # after how long; a body, or why it failed and the told wait
+Behaviour = Callable[[Ask, int], Reply]
+START = 10_000_000
+
+
+class Logged:
+    """A site's log in memory."""
+
+    def __init__(self, site: str, events: list[Event], gapped: Sequence[Gap] = (), until: int = 99) -> None:
+        self.site, self.events, self.gapped, self.settled = site, events, gapped, until
+
+    def read(self, channel: str, since: Place | None, until_us: int, limit: int) -> list[Event]:
+        found = (e for e in self.events if e.channel == channel and e.at <= until_us)
+        return sorted((e for e in found if since is None or e.place > since), key=lambda e: e.place)[:limit]
+
+    def gaps(self, channel: str) -> list[Gap]:
+        return [g for g in self.gapped if g.stream.channel == channel]
+
+    def settled_until(self, channel: str) -> tuple[int, list[str]]:
+        return self.settled, ["late"]
+
+
+def event(at: int, kind: str, data: Any, channel: str = "7", site: str = "a") -> Event:
+    return Event(channel, site, "1", at, at, 0, kind, data if isinstance(data, bytes) else packed(data))
+
+
+EVENTS = [event(n, "taken", {"message": n}) for n in range(1, 9)]
+
+
+def good(delay: int, whole: bool = True, seen: bool = True) -> Behaviour:
+    layouts = Layouts(["a", "b"] if whole else ["x", "y"])
+    return lambda ask, _: (delay, msgspec.msgpack.encode(
+        give(Logged(ask.keeper, EVENTS if seen else []), layouts, ask.part)))  # fmt: skip
+
+
+def bad(delay: int, wait: int = 0) -> Behaviour:
+    return lambda ask, _: (delay, ("refused", wait))
+
+
+def turns(*each: Behaviour) -> Behaviour:
+    return lambda ask, turn: each[turn % len(each)](ask, turn)
+
+
+SILENT: Behaviour = lambda ask, _: (10**9, ("never", 0))  # noqa: E731
+
+
+class Play:
+    """Reads of one router against sites that behave as told; each ask is held against the guards."""
+
+    def __init__(self, sites: dict[str, Behaviour], asked: list[tuple[int, Query]]) -> None:
+        self.router, self.sites = Router(reads.Settings("me")), {"me": good(1, False, seen=False)} | sites
+        self.out: Counter[tuple[str, PartAsked]] = Counter()
+        self.shut: Counter[str] = Counter()  # until when each site told to wait
+        self.asks: list[tuple[int, str]] = []
+        self.most: Counter[str] = Counter()  # asks out at once
+        self.done: dict[Read, tuple[int, Answer]] = {}
+        self.told: Counter[str] = Counter()
+        self.heap: list[tuple[int, int, Callable[[int], None]]] = []
+        for at, query in asked:
+            self.at(START + at, lambda now, query=query: self.begin(query, now))  # type: ignore[misc]
+        while self.heap:
+            now, _, do = heappop(self.heap)
+            do(now)
+        assert len(self.done) == len(asked) and not self.out.total()
+
+    def at(self, at: int, do: Callable[[int], None]) -> None:
+        self.told["events"] += 1
+        heappush(self.heap, (at, self.told["events"], do))
+
+    def begin(self, query: Query, now: int) -> None:
+        read = self.router.read(query, Layouts(["a", "b"]), now, 100)
+        self.pump(read, now)
+
+    def pump(self, read: Read, now: int) -> None:
+        if read in self.done:
+            return
+        for action in read.next(now):
+            match action:
+                case Ask():
+                    self.ask(action, now)
+                case Wait():
+                    assert action.until_us > now
+                    self.at(action.until_us, lambda at: self.pump(read, at))
+                case Done():
+                    assert now <= read.deadline, "a read is over by its deadline"
+                    self.done[read] = now, action.answer
+
+    def ask(self, ask: Ask, now: int) -> None:
+        key = ask.keeper, ask.part
+        self.out[key] += 1
+        assert self.out[key] == 1, "the same part is never out twice to one keeper"
+        assert now >= self.shut[ask.keeper], "a told wait is heeded"
+        self.asks.append((now - START, ask.keeper))
+        out = sum(n for (keeper, _), n in self.out.items() if keeper == ask.keeper)
+        self.most[ask.keeper] = max(self.most[ask.keeper], out)
+        delay, reply = self.sites[ask.keeper](ask, self.told[ask.keeper])
+        self.told[ask.keeper] += 1
+        if delay > ask.timeout_us:
+            delay, reply = ask.timeout_us, ("no answer", 0)
+        self.at(now + delay, lambda at: self.end(ask, reply, at))
+
+    def end(self, ask: Ask, reply: bytes | tuple[str, int], now: int) -> None:
+        self.out[ask.keeper, ask.part] -= 1
+        if isinstance(reply, bytes):
+            stirred = self.router.answered(ask, reply, now)
+        else:
+            self.shut[ask.keeper] = max(self.shut[ask.keeper], now + reply[1])
+            stirred = self.router.failed(ask, *reply, now)
+        for read in stirred:
+            self.pump(read, now)
+
+    def to(self, keeper: str) -> list[int]:
+        return [at for at, name in self.asks if name == keeper]
+
+
+def several(count: int, gap: int = 0) -> list[tuple[int, Query]]:
+    return [(n * gap, Query("7", 50, 0, 1 + n)) for n in range(count)]
+
+
+WORLDS = st.sampled_from([good(5 * MS), good(900 * MS), good(5 * MS, False), bad(2 * MS), bad(MS, 300 * MS),
+                          bad(MS, 10**7), bad(500 * MS, 10**7), SILENT,
+                          turns(good(9 * MS), good(9 * MS), bad(MS))])  # fmt: skip
+
+
+@settings(max_examples=60, deadline=None)
+@given(WORLDS, WORLDS, st.lists(st.tuples(st.integers(0, 3_000_000), st.integers(0, 3)), max_size=40))
+def test_no_guard_gives_way_whatever_comes(a: Behaviour, b: Behaviour, at: list[tuple[int, int]]) -> None:
+    play = Play({"a": a, "b": b}, [(when, Query("7", 50, n, 9)) for when, n in at])
+    assert len(play.to("a") + play.to("b")) <= len(at) * 1.2 + 10 + 0.5 * 6
+    for _, answer in play.done.values():
+        assert answer.status in (200, 503) and (answer.status == 200 or answer.retry_after_s >= 1)
+
+
+def test_a_keeper_that_tells_a_wait_gets_nothing_until_then_and_the_other_all() -> None:
+    play = Play({"a": bad(MS, 500 * MS), "b": good(5 * MS)}, several(40, 20 * MS))
+    assert len(play.to("a")) <= 3 and {answer.status for _, answer in play.done.values()} == {200}
+
+
+def test_a_silent_keeper_costs_one_silence_then_the_other_is_asked_first() -> None:
+    play = Play({"a": SILENT, "b": good(5 * MS)}, several(20, 100 * MS))
+    took = [end + 2_000_000 - read.deadline for read, (end, _) in play.done.items()]
+    assert max(took) <= 410 * MS and sorted(took)[10] <= 5 * MS and len(play.to("a")) <= 7
+
+
+def test_a_keeper_that_fails_a_third_is_asked_less_and_every_read_is_answered_whole() -> None:
+    play = Play({"a": turns(good(5 * MS), bad(MS), good(5 * MS)), "b": good(5 * MS)}, several(90, 10 * MS))
+    given = [(len(a.document["events"]), read.part.limit) for read, (_, a) in play.done.items()]
+    assert all(count == min(8, limit) for count, limit in given) and len(play.to("a")) < len(play.to("b")) / 3
+
+
+def test_both_gone_ends_each_read_in_time_and_a_storm_stays_within_its_budget() -> None:
+    for wait, least, most in ((1, 225, 200 * 1.2 + 10 + 0.5 * 3), (0, 4, 30)):
+        play = Play({"a": bad(MS, wait), "b": bad(MS, wait)}, several(200, 5 * MS))
+        assert least <= len(play.to("a") + play.to("b")) <= most
+        assert all(answer.status == 503 and "a: " in answer.text for _, answer in play.done.values())
+    assert len(Play({"a": bad(MS, 1), "b": bad(MS, 1)}, several(1)).asks) == 2 * reads.TRIES + 1
+
+
+def test_a_whole_keeper_is_asked_before_others_and_silence_counts_at_once() -> None:
+    router = Router(reads.Settings("me"))
+    keepers = [Keeper("a", False), Keeper("b", True)]
+    read = Read(router, PartAsked("7", 0, 50, 9), keepers, 0, START)
+    (ask, wait) = read.next(START)
+    assert isinstance(ask, Ask) and ask.keeper == "b" and isinstance(wait, Wait)
+    assert [a.keeper for a in read.next(wait.until_us) if isinstance(a, Ask)] == ["a", "me"]
+    assert router.known("b").failures and router.known("b").window.size < 4
+
+
+def test_a_window_is_cut_by_errors_and_rises_with_answers() -> None:
+    first = Play({"a": bad(9 * MS), "b": SILENT}, several(30))
+    assert first.most["a"] == 4 and first.router.known("a").window.size < 3
+    grown = Play({"a": good(9 * MS), "b": good(9 * MS)}, several(100))
+    assert 4 < grown.most["a"] <= 32 and {a.status for _, a in grown.done.values()} == {200}
+
+
+def test_reads_of_the_same_part_share_one_ask() -> None:
+    play = Play({"a": good(50 * MS), "b": good(50 * MS)}, [(n * MS, Query("7", 50)) for n in range(30)])
+    assert len(play.asks) == 1 and all(a.status == 200 for _, a in play.done.values())
+
+
+def test_a_damaged_answer_is_a_failure_and_another_keeper_is_asked() -> None:
+    wrong = [("b", "7", 200), ("a", "8", 200), ("a", "7", 3)]
+    others = [good(1)(Ask(s, PartAsked(channel, 0, 50, limit), 1), 0)[1] for s, channel, limit in wrong]
+    for body in (b"", b"\xc1", b"\x91\x01", *others):
+        behaviour: Behaviour = lambda ask, _, body=body: (MS, body)  # type: ignore[misc]  # noqa: E731
+        play = Play({"a": behaviour, "b": good(MS)}, [(0, Query("7", 50))])
+        ((_, answer),) = play.done.values()
+        assert answer.document["answered_by"] == "b" and play.router.known("a").failures
+
+
+def answer_of(log: Logged, query: Query, whole: bool = True) -> Answer:
+    """The answer where a log's site is asked; the others are silent."""
+    layouts = Layouts(["a", "b"] if whole else ["x", "y"])
+    reply = lambda ask, _: (MS, msgspec.msgpack.encode(give(log, layouts, ask.part)))  # noqa: E731
+    sites = {"a": bad(MS, 10**7), "b": bad(MS, 10**7)} | {log.site: reply}
+    ((_, answer),) = Play(sites, [(0, query)]).done.values()
+    return answer
+
+
+GAPS = [Gap(Stream("7", "c", "1"), 1, 4, "retention")]
+PART_CASES: list[tuple[Logged, Query, bool, str]] = [
+    (Logged("a", EVENTS), Query("7", 50), True, ""),
+    (Logged("a", EVENTS), Query("7", 50, 0, 3), True, "5 earlier events: limit 3"),
+    (Logged("a", EVENTS, GAPS), Query("7", 50), True, "events 1 to 4 of c/1: retention"),
+    (Logged("a", EVENTS, until=40), Query("7", 50), True, "events from 41 to 50: not heard from: late"),
+    (Logged("a", EVENTS), Query("7", 50), False, "a has not confirmed"),
+    (Logged("me", EVENTS), Query("7", 50), False, "what others wrote: me is no keeper"),
+    (Logged("me", EVENTS), Query("7", 50), False, "what b keeps: refused"),
+    (Logged("a", EVENTS), Query("7", 50, 4), True, "events before 4"),
+    (Logged("a", [*EVENTS, event(9, "lost", {"count": 3})]), Query("7", 50), True, "3 events in the state"),
+    (Logged("a", [*EVENTS, event(9, "wait", b"\xc1")]), Query("7", 50), True, "1 events in the state"),
+]
+
+
+@pytest.mark.parametrize(("log", "query", "whole", "gone"), PART_CASES)
+def test_a_part_is_never_passed_off_as_the_whole(log: Logged, query: Query, whole: bool, gone: str) -> None:
+    document = json.loads(answer_of(log, query, whole).body())
+    told = [f"{each['what']}: {each['why']}" for each in document["missing"]]
+    assert document["complete"] is (gone == "") is (not told) and gone in "; ".join(told)
+    assert document["events"][-1]["id"] == f"a/1/{len(log.events)}" and document["state"]["counts"]["taken"]
+
+
+def test_too_many_events_to_walk_are_named(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("rowanrack.channels.reads.WALK_MOST", 4)
+    monkeypatch.setattr("rowanrack.channels.reads.PAGE", 2)
+    more = [event(1, "out", {"endpoint": "z"}), event(3, "detached", {"endpoint": "z"}, FLEET)]
+    document = answer_of(Logged("a", [*EVENTS[1:], *more]), Query("7", 50)).document
+    assert document["state"]["detached"] == ["z"]
+    assert document["missing"] == [{"what": "events from 4 to 50", "why": "more than 4 events; use from"}]
+
+
+def test_never_seen_is_said_only_by_a_keeper_that_is_whole_and_503_tells_when_to_come_again() -> None:
+    assert answer_of(Logged("a", []), Query("7", 50)).status == 404
+    unsure = answer_of(Logged("a", []), Query("7", 50), False)
+    assert unsure.status == 503 and "a: saw nothing" in unsure.text
+    gone = answer_of(Logged("me", []), Query("7", 50))
+    assert gone.status == 503 and gone.retry_after_s == 10 and gone.body().startswith(b"nobody can answer")
+
+
+QUERIES = {
+    "7": Query("7"), "fleet?at=5": Query(FLEET, 5), "7?at=9&from=3&limit=1000": Query("7", 9, 3, 1000),
+    "": "no channel", "07": "no channel", "x/y": "no channel", "7?at=-5": "negative", "7?at=": "at is not",
+    "7?at=1.5": "at is not a time", "7?at=1_0": "at is not", "7?at=%D9%A1": "at is not", "7?at": "no NAME",
+    "7?at=" + "9" * 20: "at is not", "7?limit=0": "1 to 1000", "7?limit=1001": "1 to 1000",
+    "7?limit=x": "limit is not", "7?at=1&at=2": "twice", "7?" + "a=1&" * 50: "no NAME", "7?to=1": "unknown",
+    "7?at=3&from=4": "later",
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(("target", "found"), QUERIES.items())
+def test_a_query_is_read_or_refused_with_a_line(target: str, found: Query | str) -> None:
+    if isinstance(found, Query):
+        assert parse("/_channels/" + target) == found
+    else:
+        with pytest.raises(ValueError, match=found):
+            parse("/_channels/" + target)
+
+
+def test_a_partner_as_of_then() -> None:
+    told: list[tuple[int, str, dict[str, Any]]] = [
+        (1, "listed", {"endpoint": "z", "kind": "lab", "rate": 2.5}), (2, "listed", {"endpoint": "b"}),
+        (3, "draining", {"endpoint": "z"}), (4, "gone", {"endpoint": "b"}), (5, "taken", {"message": 8}),
+        (6, "taken", {"message": 3}), (7, "taken", {}), (8, "delivered", {"message": 8}), (9, "refused", {}),
+        (10, "wait", {"endpoint": "z", "wait_us": 90}), (11, "wait", {"endpoint": "b", "wait_us": 2}),
+        (12, "out", {"endpoint": "z"}), (13, "out", {"endpoint": "c"}), (14, "back", {"endpoint": "c"}),
+        (15, "news", {"x": 1}), (16, "listed", {"endpoint": 5}), (17, "lost", {"count": 2}),
+        (99, "taken", {}),
+    ]  # fmt: skip
+    fleet = [event(1, "detached", {"endpoint": "z"}, FLEET), event(2, "detached", {"endpoint": "c"}, FLEET),
+             event(3, "attached", {"endpoint": "c", "undoes": [["a", "1", 2]]}, FLEET),
+             event(4, "detached", {"endpoint": "elsewhere"}, FLEET)]  # fmt: skip
+    fold = past.Past("7", 50)
+    for each in [*(event(*each) for each in told), *fleet]:
+        fold.saw(each)
+    state = fold.state()
+    counts = {"back": 1, "delivered": 1, "draining": 1, "gone": 1, "listed": 3, "lost": 1}
+    counts |= {"news": 1, "out": 2, "refused": 1, "taken": 3, "wait": 2}
+    assert list(state["counts"]) == sorted(counts) and list(state["endpoints"]) == ["b", "z"]
+    assert state == {
+        "endpoints": {"b": {"state": "gone", "kind": None, "rate": None, "since": 4},
+                      "z": {"state": "draining", "kind": "lab", "rate": 2.5, "since": 3}},
+        "detached": ["z"], "waits": {"z": 100}, "outages": {"z": 12},
+        "owed": {"count": 1, "messages": [{"sender": "a", "message": 3, "taken": 6}]},
+        "counts": counts, "lost": 2, "damaged": 1,
+    }  # fmt: skip
