Join the channels' log to the sender: one order at every site, detaches that hold, reads of the past

Need: an ordered log of each partner that merges when sites reconnect, an operator's detach that holds at all sites, and reads by the layout valid then. `[channels]` starts it (rowanrack/channels_io/part.py): a thread that owns the SQLite log, a port for other sites, meetings, retention, `GET /_channels/NAME?at=` and `POST /_layout`. Seen with eight real senders, each with its cause and mended here: - a read was called complete with 9 of 24 messages in it: a promise was given up to now while events noted earlier still waited for their 200 ms, which were then stamped behind it. A promise now leaves what waits its time (`Log.waits_since`). - a channel never settled: a sender that had written nothing on it never met its keepers, and endpoints listed before the log began were not noted. Keepers meet all senders now. - a channel nobody had seen was 404 from a keeper that had heard of nobody yet; it is 503 then. A sender without `[channels]` imports nothing of it (tests/test_benchmarks.py).

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from rowanrack.config import (
+    ChannelsConfig,
     Config,
     ConfigError,
     OtlpConfig,
@@ -39,6 +40,7 @@
 from rowanspindle import Scope
 
 if TYPE_CHECKING:
+    from rowanrack.channels_io.part import ChannelPart
     from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
     from rowanrack.record.recorder import Recorder
 
@@ -101,6 +103,7 @@
         self.unkept: dict[str, bool] = {}  # changes that hold and are not on disk: True for a ban
         self.mgmt: ManagementServer | None = None
         self.peers: PeerPort | None = None
+        self.channels: ChannelPart | None = None
         self.serving = self.lame = self.stopping = False
 
     # What the operators' calls reach.
@@ -142,6 +145,8 @@
         if not (self.exchange.detach if banned else self.exchange.attach)(name):
             return False
         log.info("mgmt: %s is %s", name, "detached" if banned else "attached again")
+        if self.channels is not None:
+            self.channels.change(name, banned)
         self.unkept[name] = banned
         if why := self._keep_bans():
             log.error("mgmt: detached endpoints are not written, and kept in memory until they are: %s", why)
@@ -157,6 +162,21 @@
         self.unkept.clear()
         return ""
 
+    def _fleet_bans(self, named: set[str], detached: set[str]) -> None:
+        """Take over what the fleet's operators have detached and attached: all endpoints that they named."""
+        for name in sorted(named):
+            if (banned := name in detached) is (name in self.exchange.bans):
+                continue
+            (self.exchange.ban if banned else self.exchange.attach)(name)
+            self.unkept[name] = banned
+            log.info("channels: %s is %s by an operator", name, "detached" if banned else "attached again")
+        if self.unkept and (why := self._keep_bans()):
+            log.error("channels: detached endpoints are not written yet: %s", why)
+
+    def log_of_channels(self) -> ChannelPart | None:
+        """The channels' log; None without one."""
+        return self.channels
+
     def lameduck(self, on: bool) -> None:
         """Begin or end a drain of the clients: the health answer turns, connections end between requests."""
         if on != self.lame:
@@ -238,6 +258,8 @@
             asyncio.ensure_future(self._take_over()),
             asyncio.ensure_future(self._watch_bans()),
         ]
+        if self.config.channels is not None:
+            await self._start_channels(self.config.channels)
         self.serving = True
         if self.config.console is not None:
             self.console = ConsoleServer(self.config.name, self.exchange)
@@ -279,6 +301,14 @@
             return
         self.peers, exchange.tell = port, port.tell
 
+    async def _start_channels(self, channels: ChannelsConfig) -> None:
+        from rowanrack.channels_io.part import ChannelPart  # sqlite3, msgspec, blake3: only where it is used
+
+        config, bans = self.config, self._fleet_bans
+        part = ChannelPart(channels, config.name, config.state, self.exchange, config.seed, bans)
+        await part.start()
+        self.channels = part
+
     def _start_recorder(self, record: RecordConfig) -> None:
         from rowanrack.record.recorder import recorder  # msgspec, blake3: only where they are used
 
@@ -349,6 +379,8 @@
             if gone >= BEGIN_US:
                 self.exchange.freeze()
             await pause(self.exchange.after, LOOK_US)
+        if self.channels is not None:
+            await self.channels.end()
         told = self.notices is None or not self.notices.pending
         clients = sum(len(front.streams) for front, _ in self.fronts)
         log.info(
@@ -378,6 +410,8 @@
             self.console.close()
         if self.peers is not None:
             self.peers.close()
+        if self.channels is not None:
+            self.channels.close()
         self.pool.close()
         for source in (self.watch, self.consul, self.notices):
             if source is not None:
--- a/rowanrack/channels/clock.py
+++ b/rowanrack/channels/clock.py
@@ -51,9 +51,16 @@
         self._at, self._tick = place.at, place.tick
         return True
 
-    def promise(self) -> int:
-        """A time that every later stamp lies behind (at > promise). Each promise is later than the last."""
-        self._promised = max(self._promised + 1, self._time.unix_us())
+    def promise(self, before_us: int | None = None) -> int:
+        """A time that every later stamp lies behind (at > promise). Each promise is later than the last.
+
+        But what happened at `before_us` is noted and still to be stamped: the promise leaves it its time.
+        """
+        now = self._time.unix_us()
+        if before_us is None:
+            self._promised = max(self._promised + 1, now)
+        else:
+            self._promised = max(self._promised, min(now, before_us - 1))
         return self._promised
 
     def held_to(self, promised_us: int) -> None:
--- a/rowanrack/channels/layout.py
+++ b/rowanrack/channels/layout.py
@@ -234,6 +234,10 @@
             held = self._held[key] = {site: self._whole(site, channel) for site in sites}
         return held
 
+    def holders(self, channel: str) -> frozenset[str]:
+        """The sites that are to hold a channel now: keepers, those to come, those that may not drop it."""
+        return frozenset(self._holders(channel))
+
     def wants(self, site: str, channel: str, origin: str) -> bool:
         """Whether a site is to have what an origin wrote on a channel: a `Scope` for `sync`."""
         return channel == FLEET or site == origin or site in self._holders(channel)
@@ -258,6 +262,24 @@
             if site in layout.keepers(shard) and (site, layout.id, shard) not in self._kept
         ]
 
+    def sources(self, move: Move) -> list[frozenset[str]]:
+        """Whom a site must have met, for a shard to be whole there: one of each set, or be one itself."""
+        places = [n for n, layout in enumerate(self._history) if layout.id == move.layout]
+        return self._sources(places[0] - 1, move.shard, self._history[places[0]].shards) if places else []
+
+    def _sources(self, place: int, shard: int, shards: int) -> list[frozenset[str]]:
+        """Who had a shard whole by the layout at that place; where shards were cut otherwise, all of them."""
+        layout = self._history[place]
+        found: list[frozenset[str]] = []
+        for each in (shard,) if layout.shards == shards else range(layout.shards):
+            keepers = layout.keepers(each)
+            whole = {s for s in keepers if not layout.version or (s, layout.id, each) in self._kept}
+            if whole:
+                found.append(frozenset(whole))
+            else:
+                found += self._sources(place - 1, each, layout.shards)
+        return found
+
     def keepers(self, channel: str, at_us: int) -> list[Keeper]:
         """Whom to ask for a channel as of a time, in that order: those that have it whole, then the others.
 
--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -65,6 +65,8 @@
         """
         self.store, self.site, self.life = store, site, ""
         self.members = sorted({*members, site})
+        # When the first happened that is noted and still to be written (Unix time); None: nothing is.
+        self.waits_since: Callable[[], int | None] = lambda: None
         self.talks: dict[str, object] = {}  # the exchanges that we began, by site: sync.py's
         self._time, self._say, self._draw = time, say, draw
         self._keep_us, self._most_bytes = keep_us, most_bytes
@@ -320,7 +322,7 @@
 
     def promise(self) -> Promise:
         """Our own promise as of now; it is on disk first, so that it outlasts a kill and a clock set back."""
-        at = self._clock.promise()
+        at = self._clock.promise(self.waits_since())
         if at > self._on_disk:
             self.store.append([], {"floor": (at + LEAD_US).to_bytes(8, "big")})
             self._on_disk = at + LEAD_US
--- a/rowanrack/channels/reads.py
+++ b/rowanrack/channels/reads.py
@@ -164,7 +164,9 @@
     if channel != FLEET:
         fleet_until, _ = _walk(log, FLEET, 0, until_us, past, None)
         fleet_settled, fleet_held = log.settled_until(FLEET)
-        walked_until, settled = min(walked_until, fleet_until), min(settled, fleet_settled)
+        walked_until = min(walked_until, fleet_until)
+        # Who wrote on it would have met us: where nothing was, what is known of the fleet will do.
+        settled = min(settled, fleet_settled) if seen else fleet_settled
         held_by = sorted({*held_by, *fleet_held})
     return PartGiven(channel, log.site, layouts.whole(log.site, channel), seen, settled, held_by,
                      count, walked_until, list(last), gaps, past.state())  # fmt: skip
@@ -438,7 +440,7 @@
     def _answer(self, now_us: int) -> Answer:
         """What may be said with what was given."""
         best = max(self.given.values(), key=_worth, default=None)
-        if best is not None and not best.seen and best.whole:
+        if best is not None and not best.seen and best.whole and best.settled_until:
             return Answer(404, text=f"channel {self.part.channel} was never seen")
         if best is None or not best.seen:
             waits = [self.router.known(k.site).opens_at - now_us for k in self.keepers]
--- /dev/null
+++ b/rowanrack/channels/site.py
@@ -0,0 +1,183 @@
+"""One site's log with all that is read out of it: detaches, layouts, and what it owes other sites.
+
+It runs on the log's thread. Events of `fleet` that are new here are gathered for the loop's side, which keeps
+its own detaches and layouts by them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+
+import msgspec
+
+from rowanrack.channels import reads, sync
+from rowanrack.channels.bans import Detaches
+from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, KEPT, Event, Stream, packed
+from rowanrack.channels.layout import Layouts, Move
+from rowanrack.channels.log import Log, Noted
+from rowanrack.channels.ports import LogStore, Time
+
+FOREVER_US = 1 << 62
+SYNC, READ = b"S", b"R"  # the first byte of a call between sites: an exchange, or a part of a read
+TIDY_PART = 0.8  # of the room on disk, to which retention goes back: what is written meanwhile fits
+
+
+class Fleet:
+    """What the events of `fleet` come to: layouts, and which endpoints are detached."""
+
+    def __init__(self, members: Sequence[str]) -> None:
+        self.layouts, self.detaches = Layouts(members), Detaches()
+        self.named: set[str] = set()  # endpoints that were ever detached or attached
+
+    def saw(self, event: Event) -> None:
+        """Take an event in; one that cannot be read counts for nothing, and is kept all the same."""
+        if event.channel != FLEET:
+            return
+        self.layouts.saw(event)
+        if event.kind in (DETACHED, ATTACHED):
+            with suppress(ValueError, msgspec.MsgspecError):
+                self.detaches.saw(event)
+                self.named.add(str(event.payload()["endpoint"]))
+
+
+class Telling(Log):
+    """A log that tells of every event that is new to it, whichever way it came."""
+
+    tell: Callable[[Sequence[Event]], None]
+
+    def write(self, noted: Sequence[Noted]) -> list[Event]:
+        """See `Log`."""
+        written = super().write(noted)
+        self.tell(written)
+        return written
+
+    def merge(self, events: Iterable[Event], broken: set[Stream] | None = None) -> list[Event]:
+        """See `Log`."""
+        fresh = super().merge(events, broken)
+        self.tell(fresh)
+        return fresh
+
+
+class Site:
+    """A site's side of everything that its log takes part in. Times are Unix microseconds."""
+
+    def __init__(
+        self,
+        store: LogStore,
+        time: Time,
+        name: str,
+        others: Sequence[str],
+        say: Callable[[str], None],
+        keep_us: int,
+        most_bytes: int,
+    ) -> None:
+        self.name, self._time, self._store = name, time, store
+        members = [name, *others]
+        self.log = Telling(
+            store, time, name, members, say, keep_us=keep_us, most_bytes=int(most_bytes * TIDY_PART)
+        )
+        self.log.tell = self._saw
+        self.fleet = Fleet(members)
+        self._news: list[Event] = []
+        self._asked: dict[str, list[Move]] = {}  # by site: what its exchange, under way, counts for
+        self._met: dict[Move, set[str]] = {}  # the sites met whole since a shard was to come here
+
+    @property
+    def layouts(self) -> Layouts:
+        """Who keeps what, as known here."""
+        return self.fleet.layouts
+
+    def open(self) -> None:
+        """Open the log and take in what it holds of the fleet. Raises LogError."""
+        self.log.open()
+        self._saw(self.log.read(FLEET, None, FOREVER_US, FOREVER_US))
+
+    def close(self) -> None:
+        """Let go of the store."""
+        self._store.close()
+
+    def news(self) -> list[Event]:
+        """Events of `fleet` that are new here since the last question."""
+        news, self._news = self._news, []
+        return news
+
+    def _saw(self, events: Sequence[Event]) -> None:
+        for event in events:
+            if event.channel == FLEET:
+                self.fleet.saw(event)
+                self._news.append(event)
+
+    def write(self, noted: Sequence[Noted]) -> list[Event]:
+        """Write what happened here. Raises LogError."""
+        return self.log.write(noted)
+
+    def needs(self) -> list[str]:
+        """Whom to meet beside the neighbours: who is to hold what is here, and, for what is held here, all.
+
+        A keeper knows until when a channel is settled only from each sender itself, one that wrote nothing
+        there among them.
+        """
+        self.layouts.passed(self._time.unix_us())
+        found: set[str] = set()
+        for channel in {head.stream.channel for head in self.log.heads()} - {FLEET}:
+            holders = self.layouts.holders(channel)
+            found.update(self.log.members if self.name in holders else holders)
+        return sorted(found - {self.name})
+
+    # Exchanges, and reads of others.
+
+    def offer(self, peer: str) -> bytes:
+        """Begin an exchange with a site: the request for it."""
+        self.layouts.passed(self._time.unix_us())
+        self._confirm()
+        self._asked[peer] = self.layouts.moves(self.name)
+        return SYNC + sync.offer(self.log, peer, self.layouts)
+
+    def take(self, peer: str, answer: bytes) -> bytes | None:
+        """What a site answered; the next request, or None when both have all. Raises ValueError, LogError."""
+        talk = self.log.talks.get(peer)
+        more = sync.take(self.log, answer, self.layouts)
+        if more is not None:
+            return SYNC + more
+        for move in self._asked.pop(peer, ()) if isinstance(talk, sync.Talk) and not talk.bad else ():
+            self._met.setdefault(move, {self.name}).add(peer)
+        self._confirm()
+        return None
+
+    def _confirm(self) -> None:
+        """Say which shards are whole here by now, so that those who kept them before may drop them."""
+        whole: list[Noted] = []
+        for move in self.layouts.moves(self.name):
+            met = self._met.get(move, {self.name})
+            if all(met & sources for sources in self.layouts.sources(move)):
+                whole.append(Noted(FLEET, KEPT, packed(move.payload()), self._time.unix_us()))
+                self._met.pop(move, None)
+        if whole:
+            self.write(whole)
+
+    def answer(self, body: bytes) -> bytes:
+        """The answer to another site's call. Raises ValueError for one that cannot be read, LogError."""
+        what, rest = body[:1], body[1:]
+        self.layouts.passed(self._time.unix_us())
+        if what == SYNC:
+            return sync.answer(self.log, rest, self.layouts)
+        if what == READ:
+            try:
+                return self.give(msgspec.msgpack.decode(rest, type=reads.PartAsked))
+            except msgspec.MsgspecError as bad:
+                raise ValueError(f"no read: {bad}") from None
+        raise ValueError("no call that is known here")
+
+    def give(self, asked: reads.PartAsked) -> bytes:
+        """This site's part of a read."""
+        self.layouts.passed(self._time.unix_us())
+        return msgspec.msgpack.encode(reads.give(self.log, self.layouts, asked))
+
+    def tidy(self) -> int:
+        """Retention; how many events went. What other sites are to keep by now goes as well."""
+        self.layouts.passed(self._time.unix_us())
+        for channel in {head.stream.channel for head in self.log.heads()}:
+            if self.layouts.may_drop(self.name, channel):
+                self.log.drop(channel)
+        return self.log.tidy(self._time.unix_us())
--- a/rowanrack/channels_io/links.py
+++ b/rowanrack/channels_io/links.py
@@ -64,7 +64,8 @@
                 caller = await self._caller(site, timeout_us)
                 reply = await caller.call(Call("POST", PATH, TYPE, body))
         except FAILURES as error:
-            end(None, 0, str(error) or type(error).__name__)
+            late = isinstance(error, TimeoutError)
+            end(None, 0, "no answer in time" if late else str(error) or type(error).__name__)
             return
         finally:
             if caller is not None and not (caller.reusable and self._keep(site, caller)):
--- a/rowanrack/channels_io/watching.py
+++ b/rowanrack/channels_io/watching.py
@@ -29,6 +29,11 @@
         self._given: dict[str, tuple[int, Status]] = {}  # each endpoint as last noted
         self._out: set[str] = set()  # endpoints in an outage as last noted
 
+    def start(self) -> None:
+        """Watch from now on; what is listed already is noted."""
+        self._exchange.observe(self)
+        self.listed(self._exchange.table.instances(), [])
+
     def _note(self, dest: int, what: str, message: Message | None = None, /, **payload: Any) -> None:
         if message is not None and self._ids:
             payload["message"] = message.id
--- a/rowanrack/channels_io/writer.py
+++ b/rowanrack/channels_io/writer.py
@@ -76,6 +76,14 @@
         """How many are not kept yet."""
         return len(self._waiting) + len(self._out or ())
 
+    def oldest_us(self) -> int | None:
+        """When the first of them happened, Unix time; also asked by the log's thread. None without any."""
+        times = [missing.first_us for missing in list(self.missing.values())]
+        for noted in (self._out, self._waiting):
+            with contextlib.suppress(IndexError, TypeError):
+                times.append(noted[0].at_us)  # type: ignore[index]
+        return min(times, default=None)
+
     @property
     def busy(self) -> bool:
         """Whether a batch is handed over."""
--- a/rowanrack/fronts/mgmt/calls.py
+++ b/rowanrack/fronts/mgmt/calls.py
@@ -9,6 +9,7 @@
 
 TEXT = {"Content-Type": "text/plain; charset=utf-8", "Connection": "close"}
 FIGURES = {"Content-Type": "text/plain; version=0.0.4; charset=utf-8", "Connection": "close"}
+CHANNELS, LAYOUT = "/_channels/", "/_layout"
 NAME_MOST = 256  # characters of an endpoint's id
 
 
@@ -16,9 +17,22 @@
     """A change holds but could not be written; the text says why. It is lost if the process ends now."""
 
 
+class Past(Protocol):
+    """The channels' log, where the operator's file has one."""
+
+    async def past(self, target: str) -> Reply:
+        """The answer to a read of a channel."""
+
+    async def announce(self, body: bytes) -> Reply:
+        """Announce a layout."""
+
+
 class Operations(Protocol):
     """What the operators' calls reach in the sender."""
 
+    def log_of_channels(self) -> Past | None:
+        """The channels' log; None without one."""
+
     def unready(self) -> str:
         """Why this process does not serve, in one line; empty while it does."""
 
@@ -52,6 +66,18 @@
     return name
 
 
+async def answer_in_time(request: Request, ops: Operations) -> Reply:
+    """The reply to one operator's call, also where other sites have to be asked for it."""
+    path = request.target.partition("?")[0]
+    if path != LAYOUT and not path.startswith(CHANNELS):
+        return answer(request, ops)
+    if (past := ops.log_of_channels()) is None:
+        return plain(404, "this sender keeps no channels: its file has no [channels]")
+    if request.method != (wanted := "POST" if path == LAYOUT else "GET"):
+        return plain(405, f"{path[:64]} takes {wanted}")
+    return await (past.announce(request.body) if path == LAYOUT else past.past(request.target))
+
+
 def answer(request: Request, ops: Operations) -> Reply:
     """The reply to one operator's call."""
     path = request.target.partition("?")[0]
--- a/rowanrack/fronts/mgmt/server.py
+++ b/rowanrack/fronts/mgmt/server.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.fronts.mgmt.calls import Operations, answer, plain
+from rowanrack.fronts.mgmt.calls import Operations, answer_in_time, plain
 from rowanrack.net.http import TOO_SLOW, HttpError, HttpServed
 from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
 
 CALLERS_MOST = 64  # connections of operators at once; silent ones make room for the newest
-BODY_MOST = 4096
+BODY_MOST = 64 * 1024  # a layout of hundreds of sites
 OWED_US = 900_000  # for a whole call; a caller that holds its connection longer hears 408
 
 
@@ -35,5 +35,5 @@
         if request is None:
             return
         self.mark(stream, State.BUSY)
-        await served.answer(answer(request, self.ops))
+        await served.answer(await answer_in_time(request, self.ops))
         self.mark(stream, State.IDLE)  # a caller, no stranger: it is not held back under load
--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -260,10 +260,10 @@
         self.fleet.note("up", self.name, "hang")
 
     def disk_full(self) -> None:
-        """From now on no file of it grows: a write past what the largest of them has fails."""
+        """From now on no file of it grows: a write past the end of its journal, or of its log, fails."""
         self.fleet.note("fault", self.name, "disk")
-        largest = max((f.stat().st_size for f in self.state.iterdir()), default=0)
-        self._file_limit(largest)
+        sizes = (f.stat().st_size for f in self.state.iterdir() if f.suffix in (".log", ".db"))
+        self._file_limit(min((size for size in sizes if size), default=0))
 
     def disk_room(self) -> None:
         """There is room again."""
--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -294,7 +294,7 @@
         )
 
     async def _loaded(self) -> None:
-        self.load_again(cast(Any, lambda: operator_config(self.path)))
+        cast(Any, self).load_again(lambda: operator_config(self.path))
         await self.passes(0.01)
 
     async def says(self, *entries: Entry) -> None:
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -79,7 +79,8 @@
 def test_serving_imports_no_tool() -> None:
     """A sender may have 32 MB in all."""
     tools = ("numpy", "matplotlib", "hdrh", "lark", "msgspec", "hypothesis", "blake3", "structlog")
-    parts = ("benchmarks", "rowanrack.model", "rowanrack.record")
+    logs = ("sqlite3", "sortedcontainers", "rowanrack.channels", "rowanrack.channels_io")
+    parts = ("benchmarks", "rowanrack.model", "rowanrack.record", "rowanrack.lab", *logs)
     code = "import sys, rowanrack.cli, rowanrack.app; print([m for m in sys.argv[1:] if m in sys.modules])"
     ran = run("-c", code, *tools, *parts)
     assert ran.stdout.strip() == "[]", ran.stderr
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -17,7 +17,7 @@
 
 from rowanrack.core.figures import Figures
 from rowanrack.core.messages import End, Ending, Message
-from rowanrack.fronts.mgmt.calls import answer
+from rowanrack.fronts.mgmt.calls import answer, answer_in_time
 from rowanrack.net.http import Request
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal, JournalError
@@ -35,6 +35,9 @@
     def unready(self) -> str:
         return "" if self.is_ready else "lame duck"
 
+    def log_of_channels(self) -> None:
+        return None
+
     def figures(self) -> str:
         return "svc_outstanding 0\n"
 
@@ -67,10 +70,12 @@
         ("POST", "/_endpoints/attach", b'{"name":"s-1"}', 404),
         ("POST", "/_lameduck/on", b"", 200),
         ("POST", "/_lameduck/off", b"", 200),
+        ("GET", "/_channels/7?at=1", b"", 404),
+        ("POST", "/_layout", b"{}", 404),
     ],
 )
 def test_each_call_has_its_answer(method: str, target: str, body: bytes, status: int) -> None:
-    assert answer(Request(method, target, {}, body), Ops()).status == status
+    assert asyncio.run(answer_in_time(Request(method, target, {}, body), Ops())).status == status
 
 
 def test_ready_turns_and_lame_duck_is_passed_on() -> None:
