Judge real fleets by their books: checker, plans from a seed, scenarios, and a command

A fleet of real processes could be started and hurt, but nothing said whether what it did then was right.

The stand-ins keep books, and rowanrack/lab/checker.py reads nothing else: one end in time for what was taken, no double of what must not run twice, told waits and drains kept, no more calls to an endpoint that is back than it bears, no call behind an end or without an owner; what a sender could not know is held against nobody. Plans come from the seed alone (same bytes under two hash seeds). Scenarios are typed records; a mistake is one line with file, line and key, by the operator's file's own reader. python -m rowanrack.lab plays one: 0 kept, 1 broken, 2 bad input, 3 not played to its end; SIGTERM ends all that it started.

--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -25,6 +25,7 @@
 from rowanrack.lab.partners import Figures
 from rowanrack.lab.plan import Arrival
 from rowanrack.lab.role import ROOT, Role
+from rowanrack.lab.scenario import GRADES, Grade
 from rowanrack.lab.stand_in import after, reserve, sender_address
 from rowanrack.net.http import Call, HttpCaller
 from rowanrack.net.stream import Stream
@@ -34,41 +35,36 @@
 MGMT_S = 10.0
 HOST = "127.0.0.1"
 
+GRADE = """
+[[settings.grades]]
+name = "{grade.name}"
+slo_us = {slo_us}
+deadline_us = {deadline_us}
+worth = 1.0
+late_worth = {grade.late_worth}
+effect = "{grade.effect}"
+"""
+
 SETTINGS = """
 [settings]
 kinds = ["lab"]
 weight_kind = "nominal"
 resolution_us = 5000
 replicas_of_me = {senders}
-
-[[settings.grades]]
-name = "album-update"
-slo_us = 2_500_000
-deadline_us = 8_000_000
-worth = 1.0
-late_worth = 0.3
-effect = "retryable"
-
-[[settings.grades]]
-name = "print-order"
-slo_us = 2_500_000
-deadline_us = 8_000_000
-worth = 1.0
-late_worth = 0.5
-effect = "fragile"
-
+{grades}
 [settings.extra]
-slots = 16
+slots = {slots}
 batch_by_kind = [1]
 kind_apart = [false]
 
 [settings.limits]
-most_held = 200
+most_held = {held}
 try_limit = 6
 connect_timeout_us = 1_000_000
 keepalive_us = 10_000_000
 max_retry_after_us = 3_000_000
-{limits}
+peers = {notes}
+
 [settings.rules]
 cold_share = 0.2
 ramp_time_us = 6_000_000
@@ -77,6 +73,17 @@
 """
 
 
+def settings(
+    senders: int, grades: Sequence[Grade] = GRADES, slots: int = 16, held: int = 200, notes: bool = False
+) -> str:
+    """The settings that all senders of a fleet have, as TOML."""
+    text = "".join(
+        GRADE.format(grade=g, slo_us=1000 * g.slo_ms, deadline_us=1000 * g.deadline_ms) for g in grades
+    )
+    on = "true" if notes else "false"
+    return SETTINGS.format(senders=senders, grades=text, slots=slots, held=held, notes=on)
+
+
 @dataclass(frozen=True)
 class Partner:
     """A destination and its endpoints, named NAME-0 and on."""
@@ -105,17 +112,17 @@
 
     async def cut(self) -> None:
         """New connections are refused and open ones reset, datagrams are dropped, both ways."""
-        self.fleet.note("fault", self.who, "cut")
+        self.fleet.note("fault", self.who, "link")
         await self.fleet.relays.ask("cut", names=self.names, cut=True)
 
     async def heal(self) -> None:
         """As at first: no fault."""
         await self.fleet.relays.ask("cut", names=self.names, cut=False)
-        self.fleet.note("over", self.who, "cut")
+        self.fleet.note("over", self.who, "link")
 
     async def set(self, way: str = "both", **faults: float | bool) -> None:
         """Set some faults of `there`, `back` or `both` ways; the others stay."""
-        self.fleet.note("fault", self.who, ",".join(faults))
+        self.fleet.note("fault", self.who, "link")
         await self.fleet.relays.ask("set", names=self.names, way=way, faults=faults)
 
 
@@ -314,6 +321,7 @@
 
     `extra(fleet, sender)` is text for the end of a sender's TOML file. `mesh` names ports of the senders' own
     for which there is a TCP link for each ordered pair; `notes` gives them UDP links for notes, and [peers].
+    `told` takes the place of the settings that `settings(senders)` gives.
     """
 
     def __init__(
@@ -322,7 +330,7 @@
         senders: int = 8,
         partners: Sequence[Partner] = (),
         *,
-        settings: str = SETTINGS,
+        told: str = "",
         extra: Callable[[Fleet, Sender], str] = lambda fleet, sender: "",
         mesh: Sequence[str] = (),
         notes: bool = False,
@@ -333,7 +341,7 @@
     ) -> None:
         super().__init__()
         self.folder, self.partners = folder.resolve(), tuple(partners)
-        self.settings, self.extra = settings, extra
+        self.settings, self.extra = told or settings(senders, notes=notes), extra
         self.mesh, self.notes, self.clocks, self.wave = tuple(mesh), notes, clocks, wave
         self.disk_mb, self.seed = disk_mb, seed
         self.books = self.folder / "books"
@@ -455,14 +463,13 @@
 
     def site(self, sender: Sender) -> str:
         """A sender's TOML file."""
-        limits = "peers = true\n" if self.notes else ""
         text = [
             f'name = "{sender.name}"',
             f"state = {json.dumps(str(sender.state))}",
             f"disk_mb = {self.disk_mb}",
             "sockets = 1024",
             f'mgmt = "{HOST}:{sender.port("mgmt")}"',
-            self.settings.replace("{senders}", str(len(self.senders))).replace("{limits}", limits),
+            self.settings,
             "[platform]",
             f'listen = "{HOST}:{sender.port("clients")}"',
             f'discovery = "{self.address(sender.name, "discovery")}"',
--- a/rowanrack/lab/links.py
+++ b/rowanrack/lab/links.py
@@ -251,6 +251,7 @@
     """A relay for datagrams: those that come at the near port leave from a port of this link alone."""
 
     near: Port = field(default_factory=Port)
+    counted: int = 0  # datagrams that have come to it
 
     async def open(self) -> None:
         """Take a port for the far side; `port` is the near one."""
@@ -267,6 +268,7 @@
     def received(self, data: bytes, way: str) -> None:
         """A datagram has come on one way."""
         faults = self.ways[way]
+        self.counted += 1
         if not self.passes or faults.silent or self.rng.random() < faults.loss:
             return
         late = faults.delay_ms / 1000
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -2,24 +2,315 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from typing import Any
 
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from rowanrack.config import ConfigError, operator_config
+from rowanrack.lab import skewed
+from rowanrack.lab.__main__ import BAD_INPUT, NOT_PLAYED, bounded, main
+from rowanrack.lab.books import Entry
+from rowanrack.lab.books import read as books
+from rowanrack.lab.checker import Checker, figures
 from rowanrack.lab.fleet import Figures, Fleet, Partner
+from rowanrack.lab.links import Relays, UdpLink
+from rowanrack.lab.plan import make
+from rowanrack.lab.scenario import SCENARIOS, parse, read
 from tests.rig import on_loop
 
 SHOP = Partner("shop", Figures(dest=1, rate=60.0), endpoints=2)
 
 
+class Echo(asyncio.Protocol):
+    """Keeps what comes, and sends it back."""
+
+    def __init__(self) -> None:
+        self.got = bytearray()
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.got += data
+        self.transport.write(data)
+
+
+@asynccontextmanager
+async def tcp() -> AsyncIterator[tuple[Relays, int, Echo]]:
+    """Relays, the near port of a link `a`, and what is behind it."""
+    relays, echo = Relays(), Echo()
+    server = await asyncio.get_running_loop().create_server(lambda: echo, "127.0.0.1", 0)
+    port, _ = await relays.open("a", ["127.0.0.1", server.sockets[0].getsockname()[1]], "far")
+    yield relays, port, echo
+    await relays.do("cut", {"names": ["a"], "cut": True})
+    server.close()
+
+
+def fault(way: str = "both", **faults: Any) -> tuple[str, dict[str, Any]]:
+    return "set", {"names": ["a"], "way": way, "faults": faults}
+
+
+CUT, HEAL = (("cut", {"names": ["a"], "cut": cut}) for cut in (True, False))
+DOWN, RISEN = (("down", {"far": "far", "down": down}) for down in (True, False))
+
+
+async def until(condition: Callable[[], object]) -> None:
+    """Wait for what no event tells."""
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ("before", "then", "arrives", "comes", "least_s"),
+    [
+        ((), (), b"hello", b"hello", 0.0),
+        ((fault("there", delay_ms=80), fault("back", delay_ms=70)), (), b"hello", b"hello", 0.15),
+        ((fault("there", silent=True),), (HEAL,), b"", None, 0.0),
+        ((fault("back", silent=True),), (HEAL,), b"hello", None, 0.0),
+        ((fault("there", stall=True),), (fault(stall=False),), b"hello", b"hello", 0.0),
+        ((fault("there", cut_at=4),), (), b"hel", None, 0.0),
+        ((CUT,), (HEAL,), b"", None, 0.0),
+        ((DOWN,), (RISEN,), b"", None, 0.0),
+    ],
+)
+@on_loop
+async def test_tcp_links_fail_as_told(
+    before: Any, then: Any, arrives: bytes, comes: bytes | None, least_s: float
+) -> None:
+    """`comes` None: the connection ends; afterwards a new one works, on the same port."""
+    async with tcp() as (relays, port, echo):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"!")
+        assert await reader.readexactly(1) == b"!"
+        echo.got.clear()
+        for command in before:
+            await relays.do(*command)
+        began = asyncio.get_running_loop().time()
+        writer.write(b"hello")
+        if then and "faults" in before[0][1]:
+            halves = relays.links["a"].halves  # type: ignore[union-attr]
+            await until(lambda: any(half.spoilt or half.stalled for half in halves))
+            assert bytes(echo.got) == (b"" if before[0][1]["way"] == "there" else arrives)
+        elif then:
+            with pytest.raises(OSError):
+                await asyncio.open_connection("127.0.0.1", port)
+        for command in then:
+            await relays.do(*command)
+        if comes is None:
+            with suppress(ConnectionError):
+                assert await reader.read() in (b"", arrives)
+            await relays.do(*fault(cut_at=0))
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            await until(lambda: bytes(echo.got) == arrives)
+            writer.write(b"?")
+            comes = b"?"
+        assert await reader.readexactly(len(comes)) == comes
+        assert bytes(echo.got).removesuffix(b"?") == arrives
+        assert asyncio.get_running_loop().time() - began >= least_s
+
+
+@pytest.mark.parametrize(
+    ("faults", "comes"),
+    [
+        ({}, [b"1", b"2", b"end"]),
+        ({"loss": 1.0}, [b"end"]),
+        ({"silent": True}, [b"end"]),
+        ({"double": 1.0}, [b"1", b"1", b"2", b"2", b"end"]),
+        ({"reorder": 1.0}, [b"end", b"1", b"2"]),
+        ({"delay_ms": 60}, [b"end", b"1", b"2"]),
+    ],
+)
+@on_loop
+async def test_udp_links_fail_as_told(faults: dict[str, Any], comes: list[bytes]) -> None:
+    """Two datagrams under the fault, and one once it is lifted."""
+    got, relays, loop = list[bytes](), Relays(), asyncio.get_running_loop()
+
+    class Far(asyncio.DatagramProtocol):
+        def datagram_received(self, data: bytes, addr: Any) -> None:
+            got.append(data if addr[1] == seen_from else b"stranger")
+
+    far, _ = await loop.create_datagram_endpoint(Far, ("127.0.0.1", 0))
+    to = list(far.get_extra_info("sockname"))
+    port, seen_from = await relays.open("a", to, kind="udp", hub="h")
+    assert (await relays.open("b", to, kind="udp", hub="h"))[0] == port  # one datagram to all of a hub
+    await relays.do("cut", {"names": ["b"], "cut": True})
+    link = relays.links["a"]
+    assert isinstance(link, UdpLink)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as near:
+        await relays.do(*fault("there", **faults))
+        for data in (b"1", b"2"):
+            near.sendto(data, ("127.0.0.1", port))
+        await until(lambda: link.counted == 2)
+        await relays.do(*HEAL)
+        near.sendto(b"end", ("127.0.0.1", port))
+        await until(lambda: len(got) == len(comes))
+    assert got == comes
+    far.close()
+
+
+def e(at_ms: int, what: str, who: str = "", message: str = "", place: str = "", **more: Any) -> Entry:
+    return Entry(1000 * at_ms, what, who, message, place, 1 if place else -1, **more)
+
+
+def handed_in(message: str, cls: str = "once") -> list[Entry]:
+    return [e(0, "submit", "", message, note=cls), e(1, "taken", "s0", message, value=5_000_000, note=cls)]
+
+
+def called(at_ms: int, message: str, note: str = "200", **more: Any) -> list[Entry]:
+    answer = e(at_ms + 1, "answer", "s0", message, "p-0", note=note, **more)
+    ran = [e(at_ms, "ran", "s0", message, "p-0")] if note == "200" else []
+    return [e(at_ms, "call", "s0", message, "p-0"), *ran, answer]
+
+
+GOOD = [
+    *(entry for name in ("a", "b", "c", "d") for entry in handed_in(name)),
+    *called(20, "a"),
+    *called(100, "b", "429", value=800_000),
+    e(950, "told", "s0", place="p-0", note="DRAINING"),
+    *called(1100, "b"),
+    e(2000, "told", "s0", place="p-0", note="SERVING"),
+    *called(2100, "c"),
+    e(2200, "notice", "s0", "d", note="given_up"),
+]
+KILLED = [e(300, "down", "s0", note="kill"), e(400, "up", "s0")]
+
+
+@pytest.mark.parametrize(
+    ("rule", "more", "excuse"),
+    [
+        ("lost", handed_in("x"), [e(200, "empty", "s0")]),
+        ("late", handed_in("x") + called(7000, "x"), [e(5000, "down", "s0"), e(6000, "up", "s0")]),
+        ("repeat", called(3000, "a"), None),
+        (
+            "repeat",
+            [*handed_in("x"), *called(2999, "x"), e(3000, "notice", "s0", "x", note="handed_back")],
+            None,
+        ),
+        ("end", [e(2300, "notice", "s0", "d", note="handed_back")], None),
+        ("end", called(3000, "d"), [e(2250, "fault", "s0", note="link"), e(2900, "over", "s0", note="link")]),
+        ("end", [e(3000, "notice", "s0", "c", note="given_up")], [e(2099, "fault", "s0", note="link")]),
+        ("wait", [*handed_in("x"), *called(500, "x")], KILLED),
+        ("drain", [*handed_in("x"), *called(1600, "x")], [e(960, "down", "s0"), e(1500, "up", "s0")]),
+        ("owner", [e(2500, "call", "s0", "x", "p-0")], None),
+        ("answer", [e(2500, "bad", "s0", "a")], None),
+        ("cold", [e(2050, "state", place="p-0", note="up", value=0)], None),
+    ],
+)
+def test_the_checker_catches_each_broken_rule_and_no_other(
+    rule: str, more: list[Entry], excuse: list[Entry] | None
+) -> None:
+    """`excuse`: what makes a good book of it again."""
+    if rule == "cold":  # three by chance are none too many
+        for number in range(3):
+            more = more + handed_in(f"x{number}", "safe") + called(2300 + number, f"x{number}")
+
+    def broken(entries: list[Entry]) -> set[str]:
+        ordered = sorted(entries, key=lambda entry: entry.at)
+        return {breach.rule for breach in Checker(ordered, frozenset({"once"})).check()}
+
+    assert broken(GOOD) == set()
+    assert broken(GOOD + more) == {rule}
+    if rule == "cold":
+        assert broken(GOOD + more[:-5]) == set()
+    if excuse is not None:
+        assert broken(GOOD + more + excuse) == set()
+
+
+def test_the_books_tell_how_even_calls_were() -> None:
+    entries = [*GOOD, e(1000, "submit", "", "y", note="once")]
+    found = figures(sorted(entries, key=lambda entry: entry.at))["evenness"]["p-0"]
+    assert found == {"calls_per_s": 2.0, "peak_over_mean": 5.0, "least_over_mean": 0.0}
+
+
+def test_a_seed_gives_one_plan() -> None:
+    code = "import msgspec, rowanrack.lab.plan as p, rowanrack.lab.scenario as s, sys; "
+    code += "sys.stdout.buffer.write(msgspec.json.encode(p.make(s.read(s.SCENARIOS / 'small.toml'), 7)))"
+    told = [
+        subprocess.run([sys.executable, "-c", code], env=os.environ | {"PYTHONHASHSEED": h}, stdout=-1).stdout
+        for h in ("1", "2")
+    ]
+    scenario = read(SCENARIOS / "small.toml")
+    assert told[0] == told[1] == msgspec.json.encode(make(scenario, 7))
+    assert make(scenario, 7) != make(scenario, 8)
+    for path in SCENARIOS.glob("*.toml"):
+        assert make(read(path), 1).arrivals
+
+
+PARTNER = '[[partner]]\nname = "shop"\ndest = 1\n'
+HEAD = "seconds = 2.0\nsenders = 2\nrate = 5.0\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("seconds = ", "no TOML"),
+        (HEAD, "partner is missing"),
+        (HEAD + "colour = 3\n" + PARTNER, "line 4: colour: unknown key"),
+        (HEAD.replace("2\n", "0\n") + PARTNER, "line 2: senders: expected int >= 1 (0)"),
+        (HEAD + PARTNER + "wait_ms = [9, 3]", "line 7: partner.0.wait_ms: the lower one first, not [9, 3]"),
+        (HEAD + PARTNER + PARTNER.replace("shop", "lab"), "line 9: partner.1.dest: 1 is another partner's"),
+        (HEAD + PARTNER + PARTNER, "line 8: partner.1.name: letters and digits, each once, not 'shop'"),
+        (HEAD + PARTNER + '[[fault]]\nwhat = "eat"\nat_s = 1.0', "line 8: fault.0.what: invalid enum value"),
+        (HEAD + PARTNER + '[[fault]]\nwhat = "kill"\nat_s = 3.0', "line 9: fault.0.at_s: past the end (2 s)"),
+        *(
+            (HEAD + PARTNER + f'[[fault]]\nat_s = 1.0\non = "{on}"\nwhat = "{what}"', f"line 9: {no}: {on!r}")
+            for what, on, no in (
+                ("kill", "s2", "fault.0.on: no such sender"),
+                ("down", "shop-2", "fault.0.on: no such endpoint"),
+                ("cut", "s0>s7", "fault.0.on: no such link"),
+            )
+        ),
+        (HEAD.replace("= 2\n", "= 65\n") + "notes = true\n" + PARTNER, "line 4: notes: not among more than"),
+    ],
+)  # fmt: skip
+def test_a_bad_scenario_gets_one_line_with_file_line_and_key(text: str, said: str, tmp_path: Path) -> None:
+    path = tmp_path / "own.toml"
+    path.write_text(text)
+    ran = CliRunner().invoke(main, [str(path)])
+    assert ran.exit_code == BAD_INPUT
+    assert ran.output.startswith(f"rowanrack.lab: {path}: {said}") and ran.output.count("\n") == 1
+
+
+def test_a_skewed_clock_follows_its_file(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    true = time.time
+    for name in ("time", "time_ns"):
+        monkeypatch.setattr(time, name, getattr(time, name))
+    skewed.write(tmp_path / "clock", 0)
+    skewed.skew(tmp_path / "clock")
+    for ahead_s in (0, 3600, -3600):
+        skewed.write(tmp_path / "clock", ahead_s * 1_000_000)
+        assert abs(time.time() - true() - ahead_s) < 60
+        assert abs(time.time_ns() / 1e9 - true() - ahead_s) < 60
+
+
 @on_loop
 async def test_a_fleet_starts_is_hurt_and_serves_again(tmp_path: Path) -> None:
-    async with Fleet(tmp_path / "f", 2, [SHOP], notes=True, mesh=("channel",)) as fleet:
+    async with Fleet(tmp_path / "f", 2, [SHOP], notes=True, mesh=("channel",), clocks=True) as fleet:
         one = fleet.senders["s0"]
         assert await one.mgmt("GET", "/_ready") == (200, b"ready\n")
+        told = operator_config(one.folder / "site.toml").platform
+        assert told is not None and told.peers is not None
+        assert f"127.0.0.1:{told.peers.all_at[1]}" == fleet.address("s0", "s1", "notes")
         assert await fleet.submit("s0", "m1", "print-order", 1) == "+OK"
         await fleet.until(lambda book: any(e.what == "answer" and e.message == "m1" for e in book))
         await one.kill()
         assert await fleet.submit("s0", "m2", "print-order", 1) == "lost"
-        await one.start()
+        (one.state / "mark").touch()
+        await one.start(empty=True)
+        assert not (one.state / "mark").exists()
+        assert "; 0 messages owed" in await one.logged("serving")
         one.disk_full()
         number, answer = 3, "+OK"
         while answer == "+OK" and number < 200:  # the journal has some room that the disk gave before
@@ -32,3 +323,63 @@
         assert await fleet.submit("s0", f"m{number}", "print-order", 1) == "+OK"
         children = [sender.child for sender in fleet.senders.values()]
     assert all(child is not None and child.poll() is not None for child in children)
+
+
+def test_peers_without_a_platform_are_a_mistake(tmp_path: Path) -> None:
+    text = (Path(__file__).parents[1] / "deploy" / "operator.example.toml").read_text()
+    path = tmp_path / "site.toml"
+    path.write_text(text + '\n[peers]\nlisten = "127.0.0.1:1"\npeers = []\nall_at = "127.0.0.1:2"\n')
+    with pytest.raises(ConfigError, match="peers: senders tell each other something only where"):
+        operator_config(path)
+
+
+HURT = (
+    "seconds = 5.0\nsenders = 8\nrate = 30.0\n"
+    '[[grade]]\nname = "safe"\neffect = "retryable"\ndeadline_ms = 4000\n'
+    '[[grade]]\nname = "once"\neffect = "fragile"\ndeadline_ms = 4000\n'
+    '[[partner]]\nname = "shop"\ndest = 1\nendpoints = 3\nrate = 60.0\n'
+    '[[fault]]\nwhat = "kill"\nat_s = 1.0\nfor_s = 1.0\non = "s1"\n'
+    '[[fault]]\nwhat = "hang"\nat_s = 1.0\nfor_s = 2.6\non = "s2"\n'
+    '[[fault]]\nwhat = "cut"\nat_s = 1.0\nfor_s = 2.0\non = "s3>shop-1"\n'
+    '[[fault]]\nwhat = "disk"\nat_s = 1.0\nfor_s = 2.0\non = "s4"\n'
+)
+
+
+def test_eight_senders_keep_the_rules_while_one_dies_one_hangs_a_link_breaks_and_a_disk_is_full(
+    tmp_path: Path,
+) -> None:
+    scenario = parse(HURT)
+    result = asyncio.run(bounded(scenario, make(scenario, 3), tmp_path, 3))
+    assert result["rules"] == "kept", result["breaches"]
+    entries = books(tmp_path / "fleet" / "books")
+    seen = {(e.what, e.who, e.note) for e in entries if e.what in ("down", "up", "fault", "over")}
+    assert {("down", "s1", "kill"), ("up", "s1", ""), ("down", "s2", "hang"), ("up", "s2", "hang")} <= seen
+    assert {(what, *one) for what in ("fault", "over") for one in (("s3", "link"), ("s4", "disk"))} <= seen
+    hurt = {e.who for e in entries if e.what in ("unsure", "busy")}
+    assert {"s1", "s2", "s4"} <= hurt
+    assert result["ran"] > 0.8 * result["handed_in"]
+
+
+def test_sigterm_ends_all_that_was_started(tmp_path: Path) -> None:
+    path, keep = tmp_path / "own.toml", tmp_path / "kept"
+    path.write_text(HURT)
+    command = [sys.executable, "-m", "rowanrack.lab", str(path), "--keep", str(keep)]
+    lab = subprocess.Popen(command, stderr=subprocess.PIPE)
+    while lab.poll() is None and len(list(keep.glob("fleet/s*/log"))) < 4:
+        time.sleep(0.02)
+    assert started_for(keep)
+    lab.send_signal(signal.SIGTERM)
+    _, said = lab.communicate(timeout=20)
+    assert lab.returncode == NOT_PLAYED and b"ended by a signal" in said
+    assert not started_for(keep)
+
+
+def started_for(folder: Path) -> list[str]:
+    """The processes whose command line names the folder, but for the lab itself."""
+    found = []
+    for process in Path("/proc").glob("[0-9]*"):
+        with suppress(OSError):
+            line = (process / "cmdline").read_bytes().decode().split("\0")
+            if any(word.startswith(f"{folder}/") for word in line):
+                found.append(process.name)
+    return found
