--- a/rowanrack/lab/checker.py
+++ b/rowanrack/lab/checker.py
@@ -102,7 +102,7 @@
     def _learn(self, entry: Entry) -> None:
         known = self.known.setdefault(entry.message, Known()) if entry.message else Known()
         match entry.what:
-            case "submit" | "unsure" | "busy":
+            case "submit" | "unsure" | "busy" | "refused":
                 known.cls = entry.note
             case "taken":
                 known.cls, known.owner = entry.note, known.owner or entry.who
--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -290,7 +290,7 @@
         """Its clock of the day is so far ahead from now on, or behind. Raises FleetError without `clocks`."""
         if not self.fleet.clocks:
             raise FleetError("the fleet was started without `clocks`")
-        self.fleet.note("fault", self.name, "clock")
+        self.fleet.note("fault" if ahead_s else "over", self.name, "clock")
         skewed.write(self.clock_file, int(ahead_s * 1_000_000))
 
     @property
@@ -502,7 +502,7 @@
         await self.discovery.ask("health", host=name, health=health)
 
     async def submit(self, name: str, message: str, cls: str, dest: int, left_ms: int = 8000) -> str:
-        """Hand one message to a sender; its answer, `lost` where none came."""
+        """Hand one message to a sender; its answer, or `lost` without one, `refused` without a connection."""
         arrival = Arrival(0, message, cls, dest, left_ms, (name,))
         told: str = await self.clients.ask("submit", arrival=msgspec.to_builtins(arrival))
         return told
--- a/rowanrack/lab/links.py
+++ b/rowanrack/lab/links.py
@@ -12,6 +12,7 @@
 import asyncio
 import socket
 from collections import deque
+from contextlib import suppress
 from dataclasses import dataclass, field, fields
 from random import Random
 from typing import Any, cast
@@ -156,7 +157,8 @@
         if other is None or other.transport is None or other.transport.is_closing():
             return
         if not data:
-            other.transport.write_eof()
+            with suppress(OSError):  # reset meanwhile
+                other.transport.write_eof()
             return
         cut_at = self.link.ways[self.way].cut_at
         if cut_at and self.passed + len(data) >= cut_at:
