--- a/rowanrack/store/log_sqlite.py
+++ b/rowanrack/store/log_sqlite.py
@@ -67,7 +67,8 @@
 class SqliteLog:
     """Events in a SQLite file that takes, with its write-ahead file, no more than `most_bytes`.
 
-    A single call may let the write-ahead file go beyond by what that call itself changes.
+    It needs 512 KiB whatever `most_bytes` says. A single call may let the write-ahead file go beyond by what
+    that call itself changes.
     """
 
     path: Path
@@ -335,12 +336,13 @@
         found: list[Event] = []
         with self._reading() as connection:
             key = self._heads.get(stream, (-1, None))[0]
-            for row in connection.execute(ALONG, (key, min(number, MOST))):
-                event = self._event(stream, *row)
-                most_bytes -= weight(event)
-                if found and most_bytes < 0:
-                    break
-                found.append(event)
+            with contextlib.closing(connection.execute(ALONG, (key, min(number, MOST)))) as rows:
+                for row in rows:
+                    event = self._event(stream, *row)
+                    most_bytes -= weight(event)
+                    if found and most_bytes < 0:
+                        break
+                    found.append(event)
         return found
 
     def ordered(self, channel: str, since: Place | None, until_us: int, limit: int) -> list[Event]:
@@ -409,8 +411,9 @@
                 raise LogError(f"{self.path.name}: damaged: {said}".replace("\n", " "))
             for stream, (key, _) in self._heads.items():
                 self._gaps(connection, stream, key)
-                for row in connection.execute(ALONG, (key, 0)):
-                    self._event(stream, *row)
+                with contextlib.closing(connection.execute(ALONG, (key, 0))) as rows:
+                    for row in rows:
+                        self._event(stream, *row)
 
     # Retention: in transactions of a bounded size, so that the write-ahead file stays small.
 
