Say a log's trouble at most once in ten seconds

A store that is full and has room by turns wrote a pair of lines each 0.2 s. Trouble that comes back within ten seconds of its end is told once it has lasted so long.

--- a/rowanrack/channels_io/writer.py
+++ b/rowanrack/channels_io/writer.py
@@ -27,6 +27,7 @@
 GATHER_US = 200_000  # for so long a noted event waits for others
 BATCH = 500  # or until there are so many
 AGAIN_US, AGAIN_MOST_US = 200_000, 5_000_000  # the wait behind a failure: doubled each time, up to the second
+CALM_US = 10_000_000
 JOBS = 256  # that may wait for the log's thread
 CLOSE_S = 0.5
 
@@ -54,7 +55,8 @@
     """Events noted and not yet kept, within bounds; at most one batch of them is handed over at a time.
 
     Of more than the bounds the oldest are dropped and counted by channel; their `lost` is written ahead of
-    all that happened later. `say` gets one line when trouble begins and one when it is over.
+    all that happened later. `say` gets one line when trouble begins and one when it is over;
+    trouble that comes back within ten seconds is told once it has lasted so long.
     """
 
     say: Callable[[str], None]
@@ -70,7 +72,9 @@
     _again_us: int = 0
     _wait_us: int = 0
     _trouble_us: int | None = None  # since when
-    _dropped: int = 0  # in this trouble
+    _told: bool = False  # whether its line was said
+    _quiet_us: int = 0  # until then no trouble is said to begin
+    _dropped: int = 0  # and not yet told
 
     def __len__(self) -> int:
         """How many are not kept yet."""
@@ -121,6 +125,8 @@
     def _begins(self, why: str, now_us: int) -> None:
         if self._trouble_us is None:
             self._trouble_us = now_us
+        if not self._told and now_us >= self._quiet_us:
+            self._told = True
             self.say(f"event log: events are not written: {why}")
 
     def next_at(self) -> int | None:
@@ -147,8 +153,10 @@
         self._since_us, self._batch = now_us, min(self._batch * 2, BATCH)
         if self._trouble_us is not None and not self.missing:
             took, lost = (now_us - self._trouble_us) / 1e6, self._dropped
-            self._trouble_us, self._dropped = None, 0
-            self.say(f"event log: written again after {took:.1f} s, {lost} events lost")
+            self._trouble_us = None
+            if self._told:
+                self._told, self._dropped, self._quiet_us = False, 0, now_us + CALM_US
+                self.say(f"event log: written again after {took:.1f} s, {lost} events lost")
 
     def failed(self, why: str, now_us: int) -> None:
         """The batch is not kept, and may be later: all of it waits again, as far as the bounds allow."""
