--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -13,7 +13,7 @@
 from rowanspindle.api import (
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
-from rowanspindle.hearsay import UNIT_US
+from rowanspindle.hearsay import MOST_SENDERS, UNIT_US
 from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
 from rowanspindle.notes import What, digest
 from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
@@ -59,6 +59,10 @@
 PACE_FALL = 0.8  # factor on the pace at a refusal
 PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs,
 PACE_OTHERS = 3  # for so many at most: refusals come to the others as well
+PACE_LEAST = 8  # parts of the first pace, of which one is left at least
+MANY_FALL = 0.7  # factor at a refusal where senders are so many that each sees few,
+MANY_RISE = 0.1  # of the pace, added by each answer there,
+MANY_LEAST = 100  # and parts of the first pace there
 PACE_GONE = 2.5  # times the first pace: no limit is evident any more
 REPORT_WEIGHT = 0.3  # of a new report of the limit in the running mean: reports are noisy
 REPORT_MOST = 8.0  # times more or less than the list's rough rate that a report is believed
@@ -114,6 +118,7 @@
         self.pace: float | None = self.weight if told else None
         self.most = self.weight if told else math.inf
         self.bucket, self.by_time, self.risen_at = Bucket(1.0), False, now
+        self.many = settings.replicas > MOST_SENDERS  # none hears of the others
 
     def crowd(self, age_us: int) -> float:
         """How many forwarders have work here, this one among them, where work has waited so long."""
@@ -166,7 +171,8 @@
     def slow_down(self) -> None:
         """A limit is evident, and lower than was thought."""
         pace = min(self.weight if self.pace is None else self.pace, self.limit or math.inf)
-        self.pace = max(self.weight / 8, pace * (REPORT_FALL if self.limit else PACE_FALL))
+        fall = REPORT_FALL if self.limit else MANY_FALL if self.many else PACE_FALL
+        self.pace = max(self.weight / (MANY_LEAST if self.many else PACE_LEAST), pace * fall)
 
     def heard(self, now: int, wait_us: int, rng: Random) -> None:
         """Another's call was refused: one symptom for all, and its wait holds for all; ours come spread."""
@@ -182,6 +188,7 @@
         self.refusals = 0
         if self.pace is not None and not self.by_time:
             risen = self.pace + self.weight * PACE_RISE * min(self.replicas, PACE_OTHERS)
+            risen = max(risen, self.pace * (1 + MANY_RISE)) if self.many else risen
             gone = None if risen > self.weight * PACE_GONE else risen
             self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone and min(gone, self.most)
 
@@ -363,26 +370,6 @@
         if not destination.hold:
             del self.waiting[message.dest]
 
-    def stir(self, number: int) -> None:
-        """Something happened at a destination: what was picked or weighed there stands no more."""
-        if (kept := self.destinations.get(number)) is not None:
-            self.hearsay.holds(number, len(kept.hold), kept.hold.since)
-        if number in self.waiting:
-            self.stirred[number] = None
-            if self.spare or self.unweighed:
-                self.unweighed[number] = None
-
-    def line_up(self, key: str) -> None:
-        """Something happened to a key: its first message may have come to its turn, or lost it."""
-        if (line := self.keys.get(key)) is None:
-            return
-        if line.waiting:
-            first = line.waiting[0]
-            if self.destinations[first.dest].hold.move(first, first.sort_of(line.in_turn(first, self.now))):
-                self.stir(first.dest)
-        if not line.waiting and not line.out and self.now >= line.rest_until:
-            del self.keys[key]
-
     def members(self, event: Members) -> None:
         """Follow the list; an endpoint that drains or is gone gets nothing new from this moment on."""
         if event.scope is Scope.FAILED:
@@ -419,11 +406,6 @@
                     known.gate.weight = max(member.weight, 0.1)
                 known.gate.routes += self.unlisted.pop(known.target, None) is not None
 
-    def usual_rate(self) -> float:
-        """The first guess at own calls a second to a destination that is not known yet."""
-        slots_busy = self.settings.slots / min(c.aim_us for c in self.settings.classes.values()) * SECOND
-        return self.own.rate(self.now, slots_busy) / max(1, len(self.destinations))
-
     def measure(self, destination: Destination) -> None:
         """With no rough rate told, this forwarder's own answered calls stand in, as if all had as many.
 
@@ -641,7 +623,8 @@
         """By how many a pace is shared, and whether that has been heard from them or is a guess."""
         held = len(self.destinations[endpoint.dest].hold)
         heard = self.hearsay.crowd(endpoint.dest, held, self.now)
-        return heard or endpoint.gate.crowd(self.now - since), heard is not None
+        alike = max(1, held) if endpoint.gate.many else 1  # the more is held here, the larger is the share
+        return heard or endpoint.gate.crowd(self.now - since) / alike, heard is not None
 
     def pick(self, destination: Destination) -> None:
         """The one place that picks the next message of a destination, and its route.
@@ -876,11 +859,6 @@
             self.keys[message.key].waiting.remove(message)
             self.line_up(message.key)
 
-    def tidy_destination(self, number: int) -> None:
-        """Forget a destination with no endpoint and nothing held."""
-        if (kept := self.destinations.get(number)) and not kept.endpoints and not kept.hold:
-            del self.destinations[number]
-
     def arm(self) -> None:
         """Keep one timer armed for the next thing due."""
         full = len(self.calls) >= self.settings.slots
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -16,6 +16,7 @@
 E = TypeVar("E")
 G = TypeVar("G")
 
+SECOND = 1_000_000  # microseconds
 MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
 GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
@@ -67,6 +68,36 @@
         self.token, self.armed_for = 0, NEVER
         self.asking, self.hearsay = Asking(settings), Hearsay(settings)
 
+    def stir(self, number: int) -> None:
+        """Something happened at a destination: what was picked or weighed there stands no more."""
+        if (kept := self.destinations.get(number)) is not None:
+            self.hearsay.holds(number, len(kept.hold), kept.hold.since)
+        if number in self.waiting:
+            self.stirred[number] = None
+            if self.spare or self.unweighed:
+                self.unweighed[number] = None
+
+    def line_up(self, key: str) -> None:
+        """Something happened to a key: its first message may have come to its turn, or lost it."""
+        if (line := self.keys.get(key)) is None:
+            return
+        if line.waiting:
+            first = line.waiting[0]
+            if self.destinations[first.dest].hold.move(first, first.sort_of(line.in_turn(first, self.now))):
+                self.stir(first.dest)
+        if not line.waiting and not line.out and self.now >= line.rest_until:
+            del self.keys[key]
+
+    def usual_rate(self) -> float:
+        """The first guess at own calls a second to a destination that is not known yet."""
+        slots_busy = self.settings.slots / min(c.aim_us for c in self.settings.classes.values()) * SECOND
+        return self.own.rate(self.now, slots_busy) / max(1, len(self.destinations))
+
+    def tidy_destination(self, number: int) -> None:
+        """Forget a destination with no endpoint and nothing held."""
+        if (kept := self.destinations.get(number)) and not kept.endpoints and not kept.hold:
+            del self.destinations[number]
+
     def tenant_share(self, tenant: str | None) -> float:
         """Full worth within the tenant's share, little beyond it, as the settings say."""
         if tenant is None or (bucket := self.quota.get(tenant)) is None:
--- a/rowanspindle/trust.py
+++ b/rowanspindle/trust.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 
 from rowanspindle.api import Settings
+from rowanspindle.hearsay import MOST_SENDERS
 
 SECOND = 1_000_000
 REUSE_LEAST = 3.0  # calls expected while an idle connection is trusted: below, it is closed after its answer
@@ -46,6 +47,7 @@
     def __init__(self, settings: Settings) -> None:
         self._most, self._one_call = settings.keepalive_us, settings.streams_per_conn == 1
         self._many = settings.replicas >= SHORT_SENDERS
+        self._fleet = settings.replicas > MOST_SENDERS  # one each fills any table, and no holder is told
         self.us: defaultdict[str, float] = defaultdict(lambda: float(self._most))
         self._new: defaultdict[str, Refusals] = defaultdict(Refusals)
         self._kept: defaultdict[str, Refusals] = defaultdict(lambda: Refusals(*BEFORE))
@@ -81,8 +83,11 @@
 
         Answers endpoints that take few connections, and connections dropped unseen. Where one carries one
         call at a time tables fill from the start; elsewhere failures at endpoints of the kind must show it.
-        It costs handshakes, for nothing after a crash, until answers regain the trust.
+        Who keeps one is never refused for want of one, and does not learn that others are: where senders are
+        too many to tell each other, none is kept. It costs handshakes, for nothing where there is room, and
+        after a crash until answers regain the trust.
         """
-        doubted = self.us[kind] < self._most or self._one_call
-        trusted = LEAST_US if now < self._short.get(kind, 0) else self.us[kind]
+        short = self._fleet or now < self._short.get(kind, 0)
+        doubted = self._fleet or self.us[kind] < self._most or self._one_call
+        trusted = LEAST_US if short else self.us[kind]
         return doubted and calls_a_second * trusted < REUSE_LEAST * SECOND
