Take turns among equal endpoints, and tell a slow one from chance: no herd of few callers

Seen: 200 senders with 60 calls a second at 20 endpoints left 1.94 even parts at one and 0.35 at another, at 6 endpoints 1.40 and 0.58. Ruled out where one connection carries one call: NEW_CONNECTION. Where one carries eight it is the cause, in forwarders with much traffic.

Fault: the sort in Forwarder.pick by Endpoint.lot, and distance(), which took any difference for one. Change: equal ranks take turns in an order drawn anew for whoever was passed over; an answer time or a zone speaks against a route once it differs by two standard errors; a forwarder whose calls keep one more connection in use takes it; an endpoint that joins is called first by an even part of the fleet.

Tests were seen to fail with each part taken out but the zones' (below a zone's chance).

--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -87,7 +87,7 @@
             self.fleet.settings, self.fleet.plan.seed * 100_003 + self.number + self.lives * 7919
         )
         self.legs, self.out = Counter[int](), dict[tuple[int, int], str]()
-        self.idle: dict[str, list[int]] = {}  # until when each idle connection lives
+        self.idle: dict[str, list[int]] = {}  # its idle connections, by numbers
 
     def decide(self, *events: Event) -> None:
         """One round, and what follows of it."""
@@ -115,11 +115,13 @@
 
     def connection(self, target: str) -> bool:
         """Take an idle connection, the one used last; whether there is one."""
-        lines = self.idle.get(target, [])
-        fresh = [at for at in lines if at > self.fleet.now]
-        self.fleet.open[target] -= len(lines) - len(fresh)
-        self.idle[target] = fresh[:-1]
-        return bool(fresh)
+        return bool((lines := self.idle.get(target)) and lines.pop())
+
+    def expire(self, target: str, line: int) -> None:
+        """A connection has been idle for too long."""
+        if line in (lines := self.idle.get(target, [])):
+            lines.remove(line)
+            self.fleet.open[target] -= 1
 
     def end(
         self, ref: int, leg: int, life: int, result: Result, latency: int, wait: int = 0, kept: bool = True
@@ -128,8 +130,9 @@
         if life != self.lives or (target := self.out.pop((ref, leg), None)) is None:
             return
         if result is Result.OK or (result is Result.FULL and kept):
-            lives_until = self.fleet.now + int(self.fleet.plan.keepalive * IDLE_PART * SECOND)
-            self.idle.setdefault(target, []).append(lives_until)
+            line = next(self.fleet.turn)
+            self.idle.setdefault(target, []).append(line)
+            self.fleet.after(int(self.fleet.plan.keepalive * IDLE_PART * SECOND), self.expire, target, line)
         elif result is not Result.CONNECT_FAILED:
             self.fleet.open[target] -= kept
         self.decide(Outcome(ref, leg, target, result, latency, result is Result.OK, wait))
@@ -152,7 +155,7 @@
             weights_told=plan.told > 0,
         )
         self.queue: list[tuple[int, int, Any, tuple[Any, ...]]] = []
-        self.turn = itertools.count()
+        self.turn = itertools.count(1)
         self.calls: list[tuple[int, str]] = []  # when and where
         self.new = self.short = self.refs = 0
         self.open, self.most_open = Counter[str](), 0
--- a/rowanspindle/held.py
+++ b/rowanspindle/held.py
@@ -12,11 +12,13 @@
 from typing import Generic, TypeVar
 
 from rowanspindle.api import Accept, MessageClass
-from rowanspindle.order import ByTime
+from rowanspindle.order import ByTime, Meter
 
 E = TypeVar("E")
 G = TypeVar("G")
 
+MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
+GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
 NEVER = 1 << 62  # microseconds; no clock gets there
 
 # The class, the share of the worth, the only zone that it may go to ("": any), and whether it is its turn.
@@ -133,3 +135,5 @@
         self.hold = Hold()
         self.choice: tuple[float, Message, E] | None = None  # the last pick
         self.opens_at = NEVER  # when the next route opens that was closed then
+        self.own, self.rate = Meter(NEVER, MEMORY_S, GUESS), 0.0  # own messages for it, and these a second
+        self.turn = 0.0  # of the endpoint called last; the others' lie ahead
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -14,10 +14,10 @@
     Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outcome,
     Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
 from rowanspindle.hearsay import MOST_SENDERS, UNIT_US
-from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
+from rowanspindle.held import GUESS, MEMORY_S, NEVER, KeyLine, Message, Place, turns
 from rowanspindle.notes import What, digest
 from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
-from rowanspindle.state import GUESS, MEMORY_S, Call, State
+from rowanspindle.state import Call, State
 from rowanspindle.trust import LEAST_US
 
 SECOND = 1_000_000  # microseconds
@@ -31,6 +31,8 @@
 FAILURE_DECAY_S = 3.0  # seconds in which a failure's weight falls to 1/e
 FAR_WHEN_FULL = 3.0  # times more that a far zone weighs when every slot is taken
 NEW_CONNECTION = 1.5  # in-flight calls that the lack of a warm idle connection weighs
+REUSE = 4.0  # calls on each connection while an idle one lives, from which one more is worth having
+CHANCE = 2.0  # standard errors of two mean answer times by which they may differ by chance
 SLOWNESS = 2.0  # in-flight calls that an answer time twice that of the quickest route weighs
 FEE = 25.0  # and that a point of the result weighs, which a route apart takes for each message
 
@@ -95,6 +97,15 @@
     return call.endpoint.answered_at > call.sent_at and now - call.sent_at >= call.endpoint.silence_us()
 
 
+def slower(usual: tuple[float, float], quick: tuple[float, float]) -> float:
+    """By what part a mean answer time is above the quickest's, with the error of each; 0 if it may be chance.
+
+    Answers herds: of equal endpoints each forwarder went on calling the few that had been quick by chance.
+    """
+    (mean, error), (least, doubt) = usual, quick
+    return mean / least - 1 if mean - least > CHANCE * (error + doubt) else 0.0
+
+
 def full(window: Window, calls: list[Call[Endpoint]], now: int) -> bool:
     """Whether the calls in flight leave no permit; lost ones hold none."""
     size = int(window.size)
@@ -196,10 +207,10 @@
 class Endpoint:
     """One endpoint: its window, its answer times, its health and its return after an outage."""
 
-    def __init__(self, member: Member, gate: Gate, settings: Settings, lot: float) -> None:
+    def __init__(self, member: Member, gate: Gate, settings: Settings, turn: float, drawn: bool) -> None:
         self.target, self.zone, self.dest, self.kind = member.target, member.zone, member.dest, member.kind
-        self.gate, self.settings, self.lot = gate, settings, lot  # by the lot equal ranks spread the fleet
-        self.listed, self.proved = True, False
+        self.gate, self.settings, self.turn = gate, settings, turn  # equal ranks take turns
+        self.listed, self.proved, self.drawn = True, False, drawn  # drawn: by lot, to be called first
         self.window = Window(gate.window.size, gate.window.most, FLOOR, CUT)
         self.calls: list[Call[Endpoint]] = []
         self.failures, self.failed_at, self.row = 0.0, 0, 0
@@ -215,11 +226,16 @@
         """An even part of what the destination takes, in calls a second of all forwarders."""
         return self.gate.weight / max(1, self.gate.routes)
 
-    def rank(self, now: int) -> float:
-        """Dialogue's balanced rank, with a preference for a warm connection."""
+    def rank(self, now: int, more: bool = False) -> float:
+        """Dialogue's balanced rank, with a preference for warm connections until one more is worth it."""
         recent = self.failures * math.exp(-(now - self.failed_at) / (FAILURE_DECAY_S * SECOND))
-        warm = (self.warm and now - self.warm[-1] < self.settings.keepalive_us) or self.shares_connection()
-        return len(self.calls) + FAILURE_WEIGHT * recent + (0.0 if warm else NEW_CONNECTION)
+        cold = NEW_CONNECTION if not (more or self.is_warm(now)) else 0.0
+        return len(self.calls) + FAILURE_WEIGHT * recent + cold
+
+    def is_warm(self, now: int) -> bool:
+        """Whether a call may go on a connection that is there; so may one to an endpoint that was drawn."""
+        idle = self.warm and now - self.warm[-1] < self.settings.keepalive_us
+        return bool(idle) or self.shares_connection() or self.drawn
 
     def latency(self, now: int) -> float:
         """Its usual answer time, or for how long its oldest call is out, if that is longer."""
@@ -344,7 +360,9 @@
         if (cls := self.settings.classes.get(event.cls)) is None:
             raise ValueError(f"cls: unknown class {event.cls!r}")
         message = self.messages[event.ref] = Message(event, cls, self.now, self.tenant_share(event.tenant))
-        self.measure(self.destinations[message.dest])
+        self.measure(destination := self.destinations[message.dest])
+        destination.rate = destination.own.rate(self.now, SECOND / self.settings.keepalive_us)
+        destination.own.count += 1
         self.own.count += 1
         self.hearsay.earn()
         if message.key is not None:
@@ -362,14 +380,6 @@
             lapse = min(lapse, message.ran_at + message.cls.key_ttl_us)
         self.ends.set(message.ref, self.now if self.hopeless(message) else lapse)
 
-    def release(self, message: Message) -> None:
-        """Hold a message no longer."""
-        destination = self.waiting[message.dest]
-        destination.hold.remove(message)
-        self.stir(message.dest)
-        if not destination.hold:
-            del self.waiting[message.dest]
-
     def members(self, event: Members) -> None:
         """Follow the list; an endpoint that drains or is gone gets nothing new from this moment on."""
         if event.scope is Scope.FAILED:
@@ -395,7 +405,9 @@
                 apart = self.settings.kinds.get(member.kind, Kind()).apart
                 gate = (None if apart else destination.gate) or Gate(
                     self.settings, member.weight, self.usual_rate(), self.now)
-                destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, self.rng.random())
+                drawn = destination.rate > 0 and self.rng.random() * (len(destination.endpoints) + 1) < 1
+                turn = destination.turn + self.rng.random()
+                destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, turn, drawn)
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
                 self.digests[digest(member.target)] = endpoint
                 gate.routes += 1
@@ -510,8 +522,7 @@
         endpoint, gate, kind, now = call.endpoint, call.endpoint.gate, call.endpoint.kind, self.now
         evidence = gate.weight / self.settings.replicas * OUT_EVIDENCE_S  # own calls that there may have been
         if event.result in (Result.OK, Result.TIMEOUT):
-            usual = self.zones.setdefault(endpoint.zone, float(event.latency_us))
-            self.zones[endpoint.zone] += SMOOTH * (event.latency_us - usual)
+            self.zones.setdefault(endpoint.zone, Usual(SMOOTH)).add(event.latency_us)
         match event.result:
             case Result.OK:
                 gate.answered()
@@ -637,8 +648,13 @@
         destination.opens_at = min((at for at, _ in opens if at > now), default=NEVER)
         routes = [e for at, e in opens if at <= now]
         if len(routes) > 1:
-            quick = min((e.latency(now) for e in routes if e.usual.mean), default=0.0)
-            routes.sort(key=lambda e: (e.rank(now) + self.distance(e, quick), e.lot))
+            seen = ((e.latency(now), e.usual.error()) for e in routes if e.usual.mean)
+            quick = min(seen, key=sum, default=(1.0, 0.0))
+            for passed in (e for e in routes if e.turn <= destination.turn):
+                passed.turn = destination.turn + self.rng.random()
+            more = (sum(e.is_warm(now) for e in routes) + 1) * REUSE * SECOND <= (
+                destination.rate * self.settings.keepalive_us)
+            routes.sort(key=lambda e: (e.rank(now, more) + self.distance(e, quick), e.turn))
         drain_us = self.drain_us(destination) if routes else 0
         best: tuple[int, float] | None = None
         for cls, zone, line in destination.hold.sendable() if routes else ():
@@ -651,7 +667,7 @@
                 if best is None or key > best:
                     best, destination.choice = key, (key[1], message, route)
 
-    def distance(self, endpoint: Endpoint, quick: float) -> float:
+    def distance(self, endpoint: Endpoint, quick: tuple[float, float]) -> float:
         """What speaks against a route beside its calls, as calls in flight: its fee, its answer time against
         the quickest route's, and its zone's against the quickest zone's.
 
@@ -660,10 +676,12 @@
         """
         apart = self.settings.kinds.get(endpoint.kind, Kind()).apart
         against = FEE * self.settings.zone_fees.get(endpoint.zone, 0.0) if apart else 0.0
-        against += SLOWNESS * (endpoint.latency(self.now) / quick - 1) if endpoint.usual.mean else 0.0
-        least = min(self.zones.values(), default=1.0)
+        if endpoint.usual.mean:
+            against += SLOWNESS * slower((endpoint.latency(self.now), endpoint.usual.error()), quick)
+        zones = {name: (usual.mean, usual.error()) for name, usual in self.zones.items()}
+        near = min(zones.values(), key=sum, default=(1.0, 0.0))
         scarce = 1 + FAR_WHEN_FULL * len(self.calls) / self.settings.slots  # a far call keeps its slot longer
-        return against + (self.zones.get(endpoint.zone, least) / least - 1) * scarce
+        return against + slower(zones.get(endpoint.zone, near), near) * scarce
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
@@ -735,6 +753,7 @@
     def send(self, destination: Destination, first: Message, endpoint: Endpoint) -> None:
         """Start one call, with as many messages as travel together."""
         trial, gate = endpoint.out_since is not None, endpoint.gate
+        destination.turn, endpoint.turn, endpoint.drawn = endpoint.turn, endpoint.turn + 1, False
         call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if trial:
             self.trials[call] = None
@@ -847,18 +866,6 @@
             self.actions.append(Fail(message.ref))
         self.end(message)
 
-    def end(self, message: Message) -> None:
-        """The message has had its final answer."""
-        if self.messages.pop(message.ref, None) is None:
-            return
-        self.ends.drop(message.ref)
-        if message.sort is not None:
-            self.release(message)
-        self.tidy_destination(message.dest)
-        if message.key is not None:
-            self.keys[message.key].waiting.remove(message)
-            self.line_up(message.key)
-
     def arm(self) -> None:
         """Keep one timer armed for the next thing due."""
         full = len(self.calls) >= self.settings.slots
--- a/rowanspindle/order.py
+++ b/rowanspindle/order.py
@@ -208,15 +208,22 @@
 
     def __init__(self, weight: float) -> None:
         self.mean = self.deviation = 0.0
-        self._weight = weight  # of each new value
+        self._weight, self._first = weight, 1.0  # of each new value, and squared of the first by now
 
     def add(self, value: float) -> None:
         """Measured once more."""
         if self.mean == 0:
-            self.mean, self.deviation = float(value), value / 2
+            self.mean, self.deviation, self._first = float(value), value / 2, 1.0
+        else:
+            self._first *= (1 - self._weight) ** 2
         self.deviation += self._weight * (abs(value - self.mean) - self.deviation)
         self.mean += self._weight * (value - self.mean)
 
+    def error(self) -> float:
+        """The standard error of the mean, as far as the deviation shows it."""
+        rest = (1 - self._first) * self._weight / (2 - self._weight)
+        return self.deviation * math.sqrt(math.pi / 2 * (self._first + rest))
+
 
 class Window:
     """A count that rises by one a round while it is in use, and falls by a factor, once for a burst."""
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -9,16 +9,14 @@
 from rowanspindle.api import Action, Settings
 from rowanspindle.asking import Asking
 from rowanspindle.hearsay import Hearsay
-from rowanspindle.held import NEVER, KeyLine, Message, Place
-from rowanspindle.order import Agenda, Bucket, Meter, Ranking
+from rowanspindle.held import GUESS, MEMORY_S, NEVER, KeyLine, Message, Place
+from rowanspindle.order import Agenda, Bucket, Meter, Ranking, Usual
 from rowanspindle.trust import Trust
 
 E = TypeVar("E")
 G = TypeVar("G")
 
 SECOND = 1_000_000  # microseconds
-MEMORY_S = 30.0  # seconds in which a measured rate forgets: longer than an outage, shorter than a day
-GUESS = 0.5  # events that a guessed rate counts for, until there are measured ones
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota that it may hand in at once
 
 
@@ -61,7 +59,7 @@
         self.leaving: Agenda[E] = Agenda()  # when an unlisted endpoint may be forgotten
         self.unlisted: dict[str, E] = {}
         self.answered: dict[E, None] = {}
-        self.zones: dict[str, float] = {}
+        self.zones: dict[str, Usual] = {}
         self.own = Meter(NEVER, MEMORY_S, GUESS)
         self.trust = Trust(settings)
         self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
@@ -106,3 +104,23 @@
         within = bucket.next_at(self.now, rate, max(1.0, rate * QUOTA_BURST_S)) <= self.now
         bucket.tokens -= within
         return 1.0 if within else self.settings.over_share_worth
+
+    def release(self, message: Message) -> None:
+        """Hold a message no longer."""
+        destination = self.waiting[message.dest]
+        destination.hold.remove(message)
+        self.stir(message.dest)
+        if not destination.hold:
+            del self.waiting[message.dest]
+
+    def end(self, message: Message) -> None:
+        """The message has had its final answer."""
+        if self.messages.pop(message.ref, None) is None:
+            return
+        self.ends.drop(message.ref)
+        if message.sort is not None:
+            self.release(message)
+        self.tidy_destination(message.dest)
+        if message.key is not None:
+            self.keys[message.key].waiting.remove(message)
+            self.line_up(message.key)
--- a/tests/test_measured.py
+++ b/tests/test_measured.py
@@ -5,6 +5,8 @@
 import pytest
 
 from rowanspindle import Disconnect, Members, Result, Scope, Send
+from rowanspindle.logic import SMOOTH
+from rowanspindle.order import Usual
 from tests.helpers import SECOND, Caller, member
 
 
@@ -127,7 +129,10 @@
 def near_calls(others: int) -> int:
     """How many calls go to the near zone before the first goes to one that answers in twice the time."""
     caller = Caller(member("near", zone="z"), member("far", zone="y"), member("other", dest=2))
-    caller.forwarder.zones = {"z": 50_000.0, "y": 100_000.0}
+    for zone, us in ("z", 50_000.0), ("y", 100_000.0):
+        usual = caller.forwarder.zones[zone] = Usual(SMOOTH)
+        for _ in range(40):
+            usual.add(us)
     for _ in range(others):
         caller.accept(dest=2)
     sent: list[str] = []
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,72 @@
+"""Load spread evenly by senders that each see little of it: no herd by lot, by chance or by connections."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from benchmarks.spread import Plan, herds, measure, parts
+from rowanspindle import Accept, Forwarder, Members, Scope, Send
+from rowanspindle.order import Usual
+from tests.helpers import BASE, SECOND, Caller, member
+
+FLEET = Plan(senders=60, endpoints=6, phase=15.0, warm=5.0, seed=3)
+
+
+@pytest.mark.parametrize(
+    ("changes", "most", "least", "new"),
+    [
+        ({}, 1.15, 0.85, 0.7),
+        ({"zones": 2}, 1.15, 0.85, 0.7),  # equally far: a few lucky answers had made one of them near
+        ({"streams": 8}, 1.6, 0.25, 0.1),
+    ],
+)
+def test_a_fleet_spreads_its_calls(changes: dict[str, int], most: float, least: float, new: float) -> None:
+    row = measure(replace(FLEET, **changes))  # type: ignore[arg-type]
+    assert max(row[f"peak{phase}"] for phase in (1, 2, 3)) < most
+    assert min(row[f"least{phase}"] for phase in (1, 2, 3)) > least
+    assert row["new"] < new
+
+
+def test_an_endpoint_that_joins_is_called_first_by_an_even_part_of_the_fleet() -> None:
+    listed = [member(f"t{n}") for n in range(5)]
+    first = 0
+    for number in range(200):
+        forwarder = Forwarder(replace(BASE, replicas=200, streams_per_conn=8), number)
+        forwarder.decide(0, [Members(Scope.FULL, tuple(listed))])
+        forwarder.decide(SECOND, [Accept(1, "safe", 1, 20 * SECOND)])
+        forwarder.decide(2 * SECOND, [Members(Scope.FULL, (*listed, member("new")))])
+        actions = forwarder.decide(3 * SECOND, [Accept(2, "safe", 1, 20 * SECOND)])
+        first += any(isinstance(a, Send) and a.target == "new" for a in actions)
+    assert 15 <= first <= 60
+
+
+@pytest.mark.parametrize(("gap", "least", "most"), [(2.0, 1, 2), (0.1, 5, 8)])
+def test_more_calls_are_spread_over_more_connections(gap: float, least: int, most: int) -> None:
+    caller = Caller(*(member(f"t{n}") for n in range(8)), streams_per_conn=8)
+    for _ in range(40):
+        caller.end(caller.accept(), latency_us=50_000)
+        caller.wait(int(gap * SECOND))
+    assert least <= len({send.target for _, send in caller.sends()[20:]}) <= most
+
+
+def test_the_error_of_a_usual_time_is_that_of_many_such_means() -> None:
+    dice = Random(1)
+    for count in (20, 60):
+        means, errors = [], []
+        for _ in range(400):
+            usual = Usual(0.15)
+            for _ in range(count):
+                usual.add(dice.gauss(100.0, 20.0))
+            means.append(usual.mean)
+            errors.append(usual.error())
+        spread = (sum((m - 100.0) ** 2 for m in means) / len(means)) ** 0.5
+        assert sum(errors) / len(errors) == pytest.approx(spread, rel=0.25)
+
+
+def test_what_is_counted() -> None:
+    calls = [(0, "a"), (50_000, "a"), (900_000, "a"), (3 * SECOND, "b")]
+    assert parts(calls, ["a", "b"]) == (1.5, 0.5)
+    assert herds(calls, ["a", "b"], 0, 4 * SECOND) == {"in_100ms": 2, "in_1s": 3, "idle_s": 3.1}
