--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -435,18 +435,23 @@
 
     def _book(self, message_id: str, kept: int, left: int) -> None:
         """Keep account of what a message takes in a compaction, and of what may still have to be written."""
-        old_kept, old_left = self._books.pop(message_id, (0, 0))
+        old_kept, old_left = self._books.get(message_id, (0, 0))
         self.live += kept - old_kept
         self.promised += left - old_left
-        if kept or left:
+        if kept:
             self._books[message_id] = kept, left
+        else:
+            self._books.pop(message_id, None)
 
     def _spent(self, message_id: str, size: int) -> None:
         """A step of an owed message is written, in the room promised to it."""
         if message_id in self.owed:
             kept, left = self._books[message_id]
-            self._book(message_id, kept + size, max(0, left - size))
-            if left < size:
+            spent = min(left, size)
+            self._books[message_id] = kept + size, left - spent
+            self.live += size
+            self.promised -= spent
+            if spent < size:
                 self._reserve(0)
 
     def _room_of(self, message: Message) -> int:
@@ -459,15 +464,16 @@
 
     def _room(self, more: int, kept: int, left: int) -> bool:
         """Whether the file may grow so far and a compaction's file still fits beside it."""
-        beside = self._compacted() + kept + self.promised + left + MARGIN
-        if self.size + more + self.promised + left + beside <= self.budget:
+        if self._fits(self.size + more, kept, left):
             return True
         self._tidy()
-        beside = self._compacted() + kept + self.promised + left + MARGIN
-        if self._compacted() + more + self.promised + left + beside > self.budget or not self._compact():
+        # No compaction where it would not help: each refusal would cost one.
+        if not self._fits(self._compacted() + more, kept, left) or not self._compact():
             return False
-        beside = self._compacted() + kept + self.promised + left + MARGIN
-        return self.size + more + self.promised + left + beside <= self.budget
+        return self._fits(self.size + more, kept, left)
+
+    def _fits(self, grown: int, kept: int, left: int) -> bool:
+        return grown + len(MAGIC) + self.live + kept + 2 * (self.promised + left) + MARGIN <= self.budget
 
     def _compacted(self) -> int:
         """What a compaction writes at most."""
@@ -508,12 +514,12 @@
         """Write a record behind all that wait; False if it is not written."""
         if self._unwritten and not self._flush():
             return False
-        if self.size > COMPACT_LEAST + 3 * self._compacted():
+        if self.size > COMPACT_LEAST + 3 * (len(MAGIC) + self.live):
             # Before the record, never behind it: what it says is known here only once it is written, and a
             # compaction in between would drop a message just taken, or an execution just begun.
             self._compact()
         try:
-            self._opened.write(record)
+            (self.file or self._opened).write(record)
         except OSError as error:
             self._stuck = True
             self._fails(error)
--- a/rowanrack/store/journal_file.py
+++ b/rowanrack/store/journal_file.py
@@ -21,6 +21,11 @@
     return -(-size // BLOCK) * BLOCK
 
 
+def short_write(written: int, of: int) -> OSError:
+    """The error of a write that the disk took only in part."""
+    return OSError(errno.ENOSPC, f"only {written} of {of} bytes were written")
+
+
 @dataclass(slots=True)
 class JournalFile:
     """An open file; what a failed write may have left behind `size` is zeroed before the next one."""
@@ -36,8 +41,11 @@
             # Guards against a shorter record here: what is left behind it could be read as one.
             self._put(bytes(self.torn - self.size), self.size)
             self.torn = self.size
-        self._put(data, self.size)
-        self.size += len(data)
+        written = os.pwrite(self.fd, data, self.size)
+        if written < len(data):
+            self.torn = self.size + written
+            raise short_write(written, len(data))
+        self.size += written
 
     def probe(self) -> None:
         """Raise OSError unless the next bytes can be written; zeros are, which count as room."""
@@ -69,8 +77,7 @@
         os.close(self.fd)
 
     def _put(self, data: bytes, at: int) -> None:
+        """Write zeros, all of them."""
         written = os.pwrite(self.fd, data, at)
         if written < len(data):
-            if at == self.size:
-                self.torn = max(self.torn, at + written)
-            raise OSError(errno.ENOSPC, f"only {written} of {len(data)} bytes were written")
+            raise short_write(written, len(data))
