Make a log's promises hold under doubles and layouts, and measure the meetings

A site whose name and incarnation another process used goes on under a new one, and promises in the doubled one count no more. A promise counts on channels other than `fleet` only when both sites had the same on `fleet` as their exchange began, so that they agreed on who keeps what. `Log` hands on what is new (`saw`) and says when events got other names (`rewritten`); `refused` says that an exchange failed through what the other site said.

--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -58,10 +58,13 @@
         keep_us: int = 7 * 86_400_000_000,
         most_bytes: int = 1 << 40,
         draw: Callable[[], str] = lambda: secrets.token_hex(6),
+        saw: Callable[[Sequence[Event]], None] = lambda events: None,
     ) -> None:
         """`members` are the senders of the file, with or without this one; `say` takes lines for the log.
 
         Retention keeps events for `keep_us` and up to `most_bytes`; `draw` gives a new incarnation's name.
+        `saw` takes what is new here once it is kept, written or merged, in any order of streams. When
+        `rewritten` grows, events got other names (see `fork`), and what was built of them is built anew.
         """
         self.store, self.site, self.life = store, site, ""
         self.members = sorted({*members, site})
@@ -69,6 +72,7 @@
         self.waits_since: Callable[[], int | None] = lambda: None
         self.talks: dict[str, object] = {}  # the exchanges that we began, by site: sync.py's
         self._time, self._say, self._draw = time, say, draw
+        self._saw, self.rewritten = saw, 0
         self._keep_us, self._most_bytes = keep_us, most_bytes
         self._heads: dict[Stream, Head] = {}
         self._clock = Hybrid(time)
@@ -113,10 +117,16 @@
         if tilde:
             self._doubled.add((stream.site, plain))
 
+    def _alone(self) -> None:
+        """Go on under a new incarnation if another process wrote under ours."""
+        if (self.site, self.life) in self._doubled:
+            self._reborn()
+
     # Writing and merging.
 
     def write(self, noted: Sequence[Noted]) -> list[Event]:
         """Keep what happened here, each as the next event of its channel. Raises ValueError: too large."""
+        self._alone()
         news: dict[Stream, Head] = {}
         events: list[Event] = []
         for each in noted:
@@ -132,6 +142,7 @@
         if events:
             self.store.append(events)
             self._heads.update(news)
+            self._saw(events)
         return events
 
     def merge(self, events: Iterable[Event], broken: set[Stream] | None = None) -> list[Event]:
@@ -178,6 +189,7 @@
             for head in news.values():
                 self._see_double(head.stream)
                 self._follow(head)
+            self._saw(fresh)
         return fresh
 
     def _follow(self, head: Head) -> None:
@@ -272,8 +284,7 @@
             f"two processes wrote as {stream.site}/{stream.life}: on channel "
             f"{stream.channel} the second is kept as {branch.life} from number {mine.number} on",
         )
-        if (stream.site, stream.life) == (self.site, self.life):
-            self._reborn()
+        self.rewritten += 1
         return self._heads[stream].number
 
     def _all(self, stream: Stream, after: int, last: int) -> list[Event]:
@@ -322,6 +333,7 @@
 
     def promise(self) -> Promise:
         """Our own promise as of now; it is on disk first, so that it outlasts a kill and a clock set back."""
+        self._alone()
         at = self._clock.promise(self.waits_since())
         if at > self._on_disk:
             self.store.append([], {"floor": (at + LEAD_US).to_bytes(8, "big")})
--- a/rowanrack/channels/sync.py
+++ b/rowanrack/channels/sync.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
-from itertools import groupby
+from itertools import chain, groupby
 from typing import NamedTuple, Protocol, TypeVar
 
 import msgspec
@@ -94,6 +94,7 @@
     forks: dict[Stream, int] = field(default_factory=dict)  # streams that differ, compared up to a number
     forked: set[Stream] = field(default_factory=set)  # those that were compared
     bad: set[Stream] = field(default_factory=set)  # nothing more comes of these in this exchange
+    over: bool = False
 
 
 def offer(log: Log, peer: str, scope: Scope) -> bytes:
@@ -142,7 +143,7 @@
     """
     reply = _decoded(body, Reply)
     talk = log.talks.get(reply.site)
-    if not isinstance(talk, Talk):
+    if not isinstance(talk, Talk) or talk.over:
         return None
     if talk.groups is None:
         talk.groups, talk.theirs = [g for g in dict.fromkeys(reply.groups) if 0 <= g < GROUPS], reply.promises
@@ -166,12 +167,12 @@
             return _encoded(request)
     if not talk.bad:
         log.heard(talk.peer, talk.theirs, direct=talk.layout)
-    del log.talks[talk.peer]
+    talk.over = True
     return None
 
 
 def refused(log: Log, peer: str) -> list[str]:
-    """The streams of the exchange under way that the other site could not give or take as it said."""
+    """The streams of our last exchange with a site that it could not give or take as it said: it failed."""
     talk = log.talks.get(peer)
     return [f"{s.channel} {s.site}/{s.life}" for s in sorted(talk.bad)] if isinstance(talk, Talk) else []
 
@@ -183,9 +184,9 @@
         if gap.stream in wanted and gap.stream not in talk.forks:
             _skip(log, gap)
     broken: set[Stream] = set()
-    plain = (e for e in reply.events if e.stream in wanted and e.stream not in talk.forks)
-    log.merge(plain, broken)
-    runs = {run[0].stream: run for run in _runs(reply.events) if run[0].stream in talk.forks}
+    runs = {run[0].stream: run for run in _runs(reply.events)}
+    plain = (run for stream, run in runs.items() if stream in wanted and stream not in talk.forks)
+    log.merge(chain.from_iterable(plain), broken)
     moved = False
     for stream, behind in wanted.items():
         if stream in talk.forks:
@@ -216,8 +217,8 @@
         if stream in talk.bad or not (room > 0 or want_room > 0):
             continue
         theirs, number = far.get(stream) or Far(stream, 0, 0, b""), _number(log, stream)
-        chain = _chain(log, stream)  # START where retention took what stood in front: not known
-        differs = theirs.number == number and START not in (chain, theirs.chain) and chain != theirs.chain
+        ours = _chain(log, stream)  # START where retention took what stood in front: not known
+        differs = theirs.number == number and START not in (ours, theirs.chain) and ours != theirs.chain
         fork = stream in talk.forks
         differs |= theirs.number < number and talk.given.get(stream) == theirs.number  # they did not take it
         if differs and not fork and stream not in talk.forked:
@@ -276,7 +277,7 @@
 
 
 def _runs(events: Iterable[Event]) -> Iterator[list[Event]]:
-    for _, run in groupby(events, lambda event: event.stream):
+    for _, run in groupby(events, lambda event: (event.channel, event.site, event.life)):
         yield list(run)
 
 
--- a/tests/test_channels_log.py
+++ b/tests/test_channels_log.py
@@ -14,7 +14,7 @@
 from rowanrack.channels.bans import Detaches
 from rowanrack.channels.clock import Hybrid
 from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, START, Event, Place, Stream, chained, packed
-from rowanrack.channels.log import Log, Noted
+from rowanrack.channels.log import Log, Noted, Promise
 from rowanrack.store.log_memory import MemoryLog
 
 S = 1_000_000
@@ -170,11 +170,21 @@
     mine = [[note(each, n=n)] for n, each in enumerate(logs)]
     loser = max((0, 1), key=lambda n: mine[n][0].chain)
     logs[loser].fork(mine[1 - loser])
-    assert logs[loser].life == "z"
     assert note(logs[loser]).number == 1
+    assert logs[loser].life == "z" and logs[loser].rewritten == 1
     assert len(logs[loser].read(FLEET, None, 1 << 62, 9)) == 3
 
 
+def test_a_promise_in_a_name_that_two_used_does_not_count() -> None:
+    for runs in (branches()[:1], branches(), branches()[::-1]):
+        here, _ = log("a", time := Hands(), members="ab")
+        here.merge(runs[0])
+        here.fork(runs[-1])
+        here.heard("b", [Promise("b", "x", time.now, b"")])
+        here.heard("b", [Promise("b", "x", time.now + 1, here.lives())])
+        assert (here.settled_until(FLEET)[0] > 0) == (here.rewritten == 0)
+
+
 def ban(kind: str, site: str, number: int, endpoint: str, undoes: Any = ()) -> Event:
     data = {"endpoint": endpoint, "undoes": list(undoes)} if kind == ATTACHED else {"endpoint": endpoint}
     return Event(FLEET, site, "x", number, number, 0, kind, packed(data), START)
--- a/tests/test_channels_sync.py
+++ b/tests/test_channels_sync.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.channels import spread
 from rowanrack.channels import sync
 from rowanrack.channels.events import FLEET, Event, Gap, Stream, packed
 from rowanrack.channels.log import Log, Noted
@@ -115,6 +116,14 @@
     for each in (b, c):
         assert each.read("7", None, END, 9) == [last]
         assert [(gap.first, gap.last) for gap in each.gaps("7")] == [(1, 3)]
+    time.now += 24 * 8 * HOUR
+    fresh = log("b", time, life="d")[0]
+    a.tidy(time.now)
+    meet(fresh, a)
+    assert [(gap.first, gap.last) for gap in fresh.gaps("7")] == [(1, 4)]
+    time.now += S
+    meet(fresh, a)
+    assert fresh.promises()["a"].at >= time.now, "a gap whose end's chain is not known is no lie"
     assert meet(c, a) == 1 and note(a, "7").number == 5
 
 
@@ -129,6 +138,33 @@
             assert same(*logs.values()) and len(logs["a"].read(FLEET, None, END, 99)) == 7
 
 
+def test_one_whose_name_another_used_goes_on_anew_and_its_old_promises_count_no_more() -> None:
+    lives = iter("xxpqrs")
+    times = {life: Hands() for life in ("one", "two", "c")}
+    one, two, c = (
+        Log(MemoryLog(), time, site, "bc", lambda line: None, draw=lambda: next(lives))
+        for site, time in zip("bbc", times.values(), strict=True)
+    )
+    for each in (one, two, c):
+        each.open()
+    for n, each in enumerate((one, two)):
+        note(each, n=n)
+    for _ in range(2):
+        meet(c, one)
+    times["one"].now += HOUR
+    settled = c.settled_until(FLEET)[0]
+    for each in (two, one):
+        meet(c, each)
+    times["c"].now += HOUR
+    assert c.settled_until(FLEET)[0] == settled, "the promises of a name that two used"
+    for each in (one, two, one, two):
+        note(each)
+        meet(c, each)
+    assert "x" not in (one.life, two.life) and one.life != two.life
+    meet(c, one)
+    assert same(one, c) and c.settled_until(FLEET)[0] > settled
+
+
 def changed(**change: Any) -> Callable[[Reply], None]:
     def change_it(reply: Reply) -> None:
         for name, value in change.items():
@@ -181,10 +217,14 @@
     reply.groups, reply.promises = [], []
     assert take(a, msgspec.msgpack.encode(reply), ALL) is None
     assert a.settled_until(FLEET)[0] < event.at, "it did not give what it said to have"
+    assert sync.refused(a, "c") == ["fleet c/c"]
     answer(a, offer(c, "a", ALL), ALL)
     assert a.settled_until(FLEET)[0] < event.at, "nor is it here by its asking"
     meet(a, c)
     assert a.settled_until(FLEET)[0] >= event.at
+    assert a.settled_until("7")[0] < event.at, "who keeps what may have been seen differently"
+    meet(a, c)
+    assert a.settled_until("7")[0] >= event.at
 
 
 def test_a_new_incarnation_promises_nothing_for_what_the_lost_one_wrote() -> None:
@@ -242,6 +282,7 @@
         meet(each, a, scope=Own())
     meet(b, a, scope=Own())
     assert [len(each.read("7", None, END, 9)) for each in (a, b, c)] == [2, 1, 1]
+    assert meet(b, a, scope=Own()) == 1, "and what it does not keep does not count as lacking"
     assert len(b.read(FLEET, None, END, 9)) == 2
     note(c, "7")
     reply = msgspec.msgpack.encode(Request(1, "c", events=c.read("7", None, END, 9)))
@@ -276,6 +317,12 @@
     assert meetings.due(now + HOUR) == [] and meetings.next_at() is None
 
 
+def test_what_one_wrote_is_soon_everywhere_also_past_dead_neighbours() -> None:
+    for dead in (0, 12):
+        found = spread(40, 9, dead)
+        assert found["known_s"][1] < 3 and found["behind_s"][1] < 4 and found["meetings_s"] < 13, found
+
+
 SITES = "abcd"
 STEP = st.tuples(
     st.sampled_from(["write", "write", "meet", "meet", "cut", "clock", "time", "kill", "lose", "settle"]),
