Hand the fleet's events from the log's thread to the loop in one place, and rebuild after a rename

Seen by reading the joined code: the loop swapped the list of new events while the log's thread appended to it, so that an event could be lost to the loop's copy of detaches and layouts; and after two processes under one name were told apart, nothing was built anew of the new names.

--- /dev/null
+++ b/benchmarks/log_cost.py
@@ -0,0 +1,102 @@
+"""What the channels' log costs a sender: two fleets side by side in one run, with it and without.
+
+`python -m benchmarks.log_cost [--senders 3] [--rate 60] [--seconds 20]` prints CPU a message, the time to the
+end, memory, and bytes an event on disk and on the wire. Needs the machine for itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+from pathlib import Path
+from random import Random
+
+import click
+import numpy as np
+
+from rowanrack.lab.fleet import Figures, Fleet, Partner, Sender
+from rowanrack.lab.plan import Arrival
+from rowanrack.net.turns import FairLoop
+from rowanrack.store.log_sqlite import SqliteLog
+
+TICK_S = 1 / os.sysconf("SC_CLK_TCK")
+SECOND = 1_000_000
+
+
+def cpu_s(sender: Sender) -> float:
+    """Seconds of processor time that a sender's process has used."""
+    user, system = Path(f"/proc/{sender.pid}/stat").read_text().rpartition(")")[2].split()[11:13]
+    return (int(user) + int(system)) * TICK_S
+
+
+def with_log(fleet: Fleet, sender: Sender) -> str:
+    """The `[channels]` part of a sender's file."""
+    others = [other for other in fleet.senders if other != sender.name]
+    sites = "".join(f'{other} = "{fleet.address(sender.name, other, "log")}"\n' for other in others)
+    return f'[channels]\nlisten = "127.0.0.1:{sender.port("log")}"\n[channels.sites]\n{sites}'
+
+
+def arrivals(fleet: Fleet, label: str, rate: float, seconds: float) -> list[Arrival]:
+    """Messages at even times, each to one sender."""
+    names, rng = list(fleet.senders), Random(1)
+    count = int(rate * seconds)
+    return [
+        Arrival(int(n / rate * SECOND), f"{label}{n}", "album-update", 1, 8000, (rng.choice(names),))
+        for n in range(count)
+    ]
+
+
+async def figures(fleet: Fleet, label: str, rate: float, seconds: float) -> dict[str, float]:
+    """One stretch of traffic on a fleet."""
+    before = sum(map(cpu_s, fleet.senders.values()))
+    await fleet.run(arrivals(fleet, label, rate, seconds))
+    used = sum(map(cpu_s, fleet.senders.values())) - before
+    began, took = dict[str, int](), list[int]()
+    for entry in fleet.entries():
+        if entry.what == "submit" and entry.message.startswith(label):
+            began[entry.message] = entry.at
+        elif entry.what == "answer" and entry.note == "200" and entry.message in began:
+            took.append(entry.at - began.pop(entry.message))
+    rss = max(sender.memory()[0] for sender in fleet.senders.values()) / 1e6
+    p50, p99 = np.percentile(took, [50, 99]) / 1000
+    return {"messages": len(took), "us": used / max(1, len(took)) * 1e6, "p50": p50, "p99": p99, "rss": rss}
+
+
+async def measure(senders: int, rate: float, seconds: float, rounds: int) -> None:
+    """Both fleets in turns, so that the machine's state strikes both alike."""
+    figs = Figures(dest=1, rate=10 * rate, service_ms=(20, 40), queue=100, width=64)
+    shop = [Partner("shop", figs, endpoints=3)]
+    rows: dict[str, list[dict[str, float]]] = {"off": [], "on": []}
+    with tempfile.TemporaryDirectory() as folder:
+        off = Fleet(Path(folder) / "off", senders, shop)
+        on = Fleet(Path(folder) / "on", senders, shop, mesh=("log",), extra=with_log)
+        async with off, on:
+            for number in range(rounds):
+                for name, fleet in (("off", off), ("on", on)):
+                    rows[name].append(await figures(fleet, f"r{number}-", rate, seconds))
+                    click.echo(f"{name:4}" + "".join(f" {k} {v:9.2f}" for k, v in rows[name][-1].items()))
+            await asyncio.sleep(5)  # what is noted is written, and met
+            log = SqliteLog(next(iter(on.senders.values())).state / "channels.db", 64_000_000)
+        log.open()
+        events = sum(head.number - head.floor for head in log.heads())
+        click.echo(f"{events} events kept at one sender, {log.size_bytes() / events:.0f} bytes each on disk")
+        log.close()
+    ratios = [b["us"] / a["us"] for a, b in zip(rows["off"], rows["on"], strict=True)]
+    click.echo(f"CPU a message, on over off, by round: {', '.join(f'{r:.3f}' for r in ratios)}; "
+               f"median {float(np.median(ratios)):.3f}")  # fmt: skip
+
+
+@click.command()
+@click.option("--senders", default=3)
+@click.option("--rate", default=60.0)
+@click.option("--seconds", default=20.0)
+@click.option("--rounds", default=3)
+def main(senders: int, rate: float, seconds: float, rounds: int) -> None:
+    """Measure."""
+    with asyncio.Runner(loop_factory=FairLoop) as runner:
+        runner.run(measure(senders, rate, seconds, rounds))
+
+
+if __name__ == "__main__":
+    main()
--- a/rowanrack/channels/events.py
+++ b/rowanrack/channels/events.py
@@ -24,7 +24,7 @@
 DETACHED = "detached"  # {"endpoint"}, on FLEET
 ATTACHED = "attached"  # {"endpoint", "undoes": [[site, life, number], ...]}, on FLEET
 LAYOUT = "layout"  # {"version", "from", "shards", "keepers", "sites": [[name, weight], ...]}, on FLEET
-KEPT = "kept"  # {"version", "shard"}, on FLEET: its origin now keeps this shard whole
+KEPT = "kept"  # {"version", "shard", "layout"}, on FLEET: its origin now keeps this shard whole
 
 
 class Stream(NamedTuple):
--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -6,14 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 import msgspec
 
 from rowanrack.channels import reads, sync
 from rowanrack.channels.bans import Detaches
-from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, KEPT, Event, Stream, packed
+from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, KEPT, Event, packed
 from rowanrack.channels.layout import Layouts, Move
 from rowanrack.channels.log import Log, Noted
 from rowanrack.channels.ports import LogStore, Time
@@ -41,24 +41,6 @@
                 self.named.add(str(event.payload()["endpoint"]))
 
 
-class Telling(Log):
-    """A log that tells of every event that is new to it, whichever way it came."""
-
-    tell: Callable[[Sequence[Event]], None]
-
-    def write(self, noted: Sequence[Noted]) -> list[Event]:
-        """See `Log`."""
-        written = super().write(noted)
-        self.tell(written)
-        return written
-
-    def merge(self, events: Iterable[Event], broken: set[Stream] | None = None) -> list[Event]:
-        """See `Log`."""
-        fresh = super().merge(events, broken)
-        self.tell(fresh)
-        return fresh
-
-
 class Site:
     """A site's side of everything that its log takes part in. Times are Unix microseconds."""
 
@@ -74,12 +56,11 @@
     ) -> None:
         self.name, self._time, self._store = name, time, store
         members = [name, *others]
-        self.log = Telling(
-            store, time, name, members, say, keep_us=keep_us, most_bytes=int(most_bytes * TIDY_PART)
-        )
-        self.log.tell = self._saw
+        room = int(most_bytes * TIDY_PART)
+        self.log = Log(store, time, name, members, say, keep_us=keep_us, most_bytes=room, saw=self._saw)
         self.fleet = Fleet(members)
         self._news: list[Event] = []
+        self._anew, self._rewritten = False, 0
         self._asked: dict[str, list[Move]] = {}  # by site: what its exchange, under way, counts for
         self._met: dict[Move, set[str]] = {}  # the sites met whole since a shard was to come here
 
@@ -97,10 +78,16 @@
         """Let go of the store."""
         self._store.close()
 
-    def news(self) -> list[Event]:
-        """Events of `fleet` that are new here since the last question."""
-        news, self._news = self._news, []
-        return news
+    def news(self) -> tuple[bool, list[Event]]:
+        """Events of `fleet` new here since the last question, or all of them anew (True). Raises LogError."""
+        if self.log.rewritten != self._rewritten:  # events got other names: two wrote under one
+            now = self.log.rewritten
+            events = self.log.read(FLEET, None, FOREVER_US, FOREVER_US)
+            self._rewritten, self._anew, self._news = now, True, []
+            self.fleet = Fleet(self.log.members)
+            self._saw(events)
+        anew, news, self._anew, self._news = self._anew, self._news, False, []
+        return anew, news
 
     def _saw(self, events: Sequence[Event]) -> None:
         for event in events:
--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from collections import deque
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
@@ -76,6 +77,7 @@
         self.server = SitesServer(exchange, PORT_LEAST + 2 * len(others), self._answer)
         self.meetings = Meetings(name, others, seed)
         self.fleet = Fleet([name, *others])  # as the thread has told of it
+        self._told: deque[tuple[bool, list[Event]]] = deque()  # news that the thread has laid ready
         self.router = Router(Settings(name))
         self._reads: dict[Read, asyncio.Event] = {}  # each with what wakes it
         self._open_us: int | None = None  # when the log was opened
@@ -123,7 +125,7 @@
             else:
                 done.set_result(found)  # type: ignore[arg-type]
 
-        if not self.thread.submit(job, over):
+        if not self.thread.submit(lambda: self._then_tell(job), over):
             raise BehindError
         return await done
 
@@ -133,20 +135,34 @@
         """On the thread. Until the log is open what is noted waits."""
         if self._open_us is None:
             raise LogError("it is not open yet")
-        return self.site.write(noted)
+        return self._then_tell(lambda: self.site.write(noted))
 
     def _kept(self, events: list[Event]) -> None:
         self._heard_of()
 
     def _heard_of(self) -> None:
         """Take over what the thread has seen of the fleet."""
-        if not (news := self.site.news()):
-            return
-        for event in news:
-            self.fleet.saw(event)
-        if any(e.kind in (DETACHED, ATTACHED) for e in news):
+        changed = False
+        while self._told:
+            anew, news = self._told.popleft()
+            if anew:
+                self.fleet, changed = Fleet([self.name, *self.config.sites]), True
+            for event in news:
+                self.fleet.saw(event)
+                changed |= event.kind in (DETACHED, ATTACHED)
+        if changed:
             self._detached(self.fleet.named, self.fleet.detaches.detached())
 
+    def _then_tell(self, job: Callable[[], T]) -> T:
+        """On the thread: do something, and lay ready for the loop what it brought of the fleet's events."""
+        try:
+            return job()
+        finally:
+            with suppress(LogError):
+                told = self.site.news()
+                if any(told):
+                    self._told.append(told)
+
     def change(self, endpoint: str, banned: bool) -> None:
         """An operator detached an endpoint here, or attached it: told to the fleet at once."""
         payload: dict[str, Any] = {"endpoint": endpoint}
