Let the check for haste end where a source is in haste

Seen: with the pause taken out of Consul, the suite did not fail but ran without end: its stand-in answered each call within the call. It stops answering after 300 now, and the check then fails, for Consul and for discovery (both tried).

--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -107,7 +107,8 @@
         self.calls.append((wire, text.split(" ")[1]))
         if self.hasty is not None:
             self.hasty.append(self.desk.now)
-            wire.feed(self.document((Entry("a"),), self.index))
+            if len(self.hasty) < 300:  # in vain in haste, which would never end
+                wire.feed(self.document((Entry("a"),), self.index))
 
     async def call(self) -> tuple[Wire, str]:
         """The call that waits, once there is one."""
