Tell a write of the other process's bans from one's own, and hold the bans to a contract

tests/contracts/test_bans.py, over the file and a twin in memory. Seen failing on the code as it was:

- Two processes that write right behind each other: `write` took the file's time after its own replace, so what the other had put there in between counted as seen and was never read (its detached endpoint went on being used here).
Times alone also fall together within one tick of the file system (the case of an empty file failed that way).
The stamp is taken of the fresh file before it is put in place, and holds the file's number and length beside its time.
- JSON that is no list, or a list of other things than names, was passed over in silence or read in part: `[1]` lifted every ban.
JSON nested deep raised RecursionError out of `changed`.
All of these are one line in the log now, and the bans stay as they were.

Ruled out: a full disk at either step, a kill between writing and renaming, a file torn at any byte, a folder that is gone. A twin that looks after its write is found out.

--- a/rowanrack/store/bans.py
+++ b/rowanrack/store/bans.py
@@ -10,39 +10,55 @@
 log = logging.getLogger(__name__)
 
 FILE = "detached.json"
+Stamp = tuple[int, int, int]  # when it was written, its number on the disk, and its length
+UNREAD: Stamp = (-1, -1, -1)
 
 
 class BanFile:
     """The set of detached endpoints in the folder that lasts; written whole, read when it has changed."""
 
     def __init__(self, folder: Path) -> None:
-        self.path, self._seen = folder / FILE, -1
+        self.path = folder / FILE
+        self._seen: Stamp | None = UNREAD
 
-    def changed(self) -> set[str] | None:
-        """The bans as they stand, if the file has changed since it was last read or written here."""
+    def _stamp(self) -> Stamp | None:
+        """What tells one version of the file from another, however soon it follows; None if there is none."""
         try:
-            stamp = self.path.stat().st_mtime_ns
+            return stamp_of(self.path)
         except FileNotFoundError:
-            stamp = 0
+            return None
+
+    def changed(self) -> set[str] | None:
+        """The bans as they stand, if the file has changed since it was last read or written here."""
+        stamp = self._stamp()
         if stamp == self._seen:
             return None
         self._seen = stamp
-        if not stamp:
+        if stamp is None:
             return set()
         try:
             names = json.loads(self.path.read_text(encoding="utf-8"))
-        except (OSError, ValueError) as error:
+            if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+                raise ValueError("not a list of names")
+        except (OSError, ValueError, RecursionError) as error:
             log.error("%s: not read, the bans stay as they were: %s", self.path.name, error)
             return None
-        return {n for n in names if isinstance(n, str)} if isinstance(names, list) else None
+        return set(names)
 
     def write(self, bans: set[str]) -> None:
         """Replace the file at once: a reader sees the old set or the new one. Raises OSError: the old one."""
         fresh = self.path.with_suffix(f".{os.getpid()}.new")
         try:
             fresh.write_text(json.dumps(sorted(bans)), encoding="utf-8")
+            stamp = stamp_of(fresh)  # before the other process may have put its own in this one's place
             os.replace(fresh, self.path)
         except OSError:
             fresh.unlink(missing_ok=True)
             raise
-        self._seen = self.path.stat().st_mtime_ns
+        self._seen = stamp
+
+
+def stamp_of(path: Path) -> Stamp:
+    """Raises OSError."""
+    found = path.stat()
+    return found.st_mtime_ns, found.st_ino, found.st_size
--- /dev/null
+++ b/tests/contracts/test_bans.py
@@ -0,0 +1,163 @@
+"""What keeps the detached endpoints: two processes share it, and no failure loses what is in force."""
+
+from __future__ import annotations
+
+import errno
+import json
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+import pytest
+
+from rowanrack.store.bans import BanFile
+
+
+class Bans(Protocol):
+    """One process's view."""
+
+    def changed(self) -> set[str] | None:
+        """What stands there, if that is not known here yet."""
+
+    def write(self, bans: set[str]) -> None:
+        """Replace it, whole; OSError: it stands as before."""
+
+
+class Shared:
+    """The in-memory twin: what two views share."""
+
+    def __init__(self) -> None:
+        self.version, self.names = 0, frozenset[str]()
+
+
+class Held:
+    """A view of it."""
+
+    def __init__(self, shared: Shared) -> None:
+        self.shared, self.seen = shared, -1
+
+    def changed(self) -> set[str] | None:
+        if self.seen == self.shared.version:
+            return None
+        self.seen = self.shared.version
+        return set(self.shared.names)
+
+    def write(self, bans: set[str]) -> None:
+        self.shared.names, self.shared.version = frozenset(bans), self.shared.version + 1
+        self.seen = self.shared.version
+
+
+class SeesItsOwn(BanFile):
+    """Broken on purpose: it takes whatever stands there after a write for what it wrote itself."""
+
+    def write(self, bans: set[str]) -> None:
+        super().write(bans)
+        self._seen = self._stamp()
+
+
+def views(kind: str, folder: Path) -> tuple[Bans, Bans]:
+    if kind == "memory":
+        shared = Shared()
+        return Held(shared), Held(shared)
+    return BanFile(folder), BanFile(folder)
+
+
+@pytest.mark.parametrize("kind", ["file", "memory"])
+def test_each_sees_what_the_other_wrote_once_and_not_its_own(kind: str, tmp_path: Path) -> None:
+    one, other = views(kind, tmp_path)
+    assert one.changed() == other.changed() == set() and one.changed() is None
+    one.write({"a", "b"})
+    assert one.changed() is None and other.changed() == {"a", "b"} and other.changed() is None
+    for n in range(20):  # however soon after each other, and of one size
+        (one, other)[n % 2].write({f"n{n:02}"})
+        assert (other, one)[n % 2].changed() == {f"n{n:02}"}
+    other.write(set())
+    assert one.changed() == set()
+
+
+def overtaken(kind: type[BanFile], folder: Path, patch: pytest.MonkeyPatch) -> set[str] | None:
+    """What one of two sees when the other's write comes right behind its own."""
+    one, other, replaces = kind(folder), BanFile(folder), os.replace
+
+    def replace(*args: Any) -> None:
+        replaces(*args)
+        patch.setattr(os, "replace", replaces)
+        other.write({"theirs"})
+
+    patch.setattr(os, "replace", replace)
+    one.write({"ours"})
+    return one.changed()
+
+
+def test_a_write_right_behind_ones_own_is_seen(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its time was taken for that of the own write: what the other had detached was never heard of."""
+    assert overtaken(BanFile, tmp_path, monkeypatch) == {"theirs"}
+
+
+def test_a_broken_twin_is_found_out(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    assert overtaken(SeesItsOwn, tmp_path, monkeypatch) is None
+
+
+@pytest.mark.parametrize("step", [(Path, "write_text"), (os, "replace")], ids=lambda step: step[1])
+def test_a_full_disk_leaves_the_old_set_and_no_litter(
+    step: tuple[Any, str], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    one = BanFile(tmp_path)
+    one.write({"a"})
+
+    def full(*_: object, **__: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(*step, full)
+        with pytest.raises(OSError, match="No space left"):
+            one.write({"a", "b"})
+    assert one.changed() is None and BanFile(tmp_path).changed() == {"a"}
+    assert [p.name for p in tmp_path.iterdir()] == ["detached.json"]
+    one.write({"a", "b"})
+    assert BanFile(tmp_path).changed() == {"a", "b"}
+
+
+def test_a_kill_between_writing_and_renaming_leaves_the_old_set(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    BanFile(tmp_path).write({"a"})
+    with monkeypatch.context() as patch, pytest.raises(KeyboardInterrupt):
+        patch.setattr(os, "replace", lambda *_: (_ for _ in ()).throw(KeyboardInterrupt))
+        BanFile(tmp_path).write({"b"})
+    after = BanFile(tmp_path)
+    assert after.changed() == {"a"}
+    after.write({"c"})
+    assert BanFile(tmp_path).changed() == {"c"}
+
+
+WHOLE = json.dumps(["a", "b"]).encode()
+SPOILT: list[bytes] = [WHOLE[:cut] for cut in range(len(WHOLE))]
+SPOILT += [b"\xff\xfe", b"{}", b"null", b'"a"', b"[1]", b"[" * 100_000]
+
+
+@pytest.mark.parametrize("raw", SPOILT, ids=lambda raw: repr(raw[:12]))
+def test_a_damaged_file_keeps_the_bans_in_force(
+    raw: bytes, tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    one, other = BanFile(tmp_path), BanFile(tmp_path)
+    one.write({"a", "b"})
+    assert other.changed() == {"a", "b"}
+    fresh = tmp_path / "torn"
+    fresh.write_bytes(raw)
+    fresh.replace(tmp_path / "detached.json")
+    for bans in (one, other, one):
+        assert bans.changed() is None
+    assert len(caplog.records) == 2 and all(
+        "bans stay as they were" in r.getMessage() for r in caplog.records
+    )
+    one.write({"a"})
+    assert other.changed() == {"a"}
+
+
+def test_a_folder_that_is_gone_is_an_error_that_is_raised(tmp_path: Path) -> None:
+    make: Callable[[], BanFile] = lambda: BanFile(tmp_path / "gone")  # noqa: E731
+    assert make().changed() == set()
+    with pytest.raises(OSError, match="No such file"):
+        make().write({"a"})
