Count a meeting as failed where a site gives what does not follow, and look five times a second

Seen: an exchange that ended with streams refused was followed by the next one at the usual pace, however often; and 20 looks a second took part of what an idle log costs.

--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -123,11 +123,12 @@
 
     def take(self, peer: str, answer: bytes) -> bytes | None:
         """What a site answered; the next request, or None when both have all. Raises ValueError, LogError."""
-        talk = self.log.talks.get(peer)
         more = sync.take(self.log, answer, self.layouts)
         if more is not None:
             return SYNC + more
-        for move in self._asked.pop(peer, ()) if isinstance(talk, sync.Talk) and not talk.bad else ():
+        if refused := sync.refused(self.log, peer):
+            raise ValueError(f"it gave what does not follow, or did not take what does: {refused[0]}")
+        for move in self._asked.pop(peer, ()):
             self._met.setdefault(move, {self.name}).add(peer)
         self._confirm()
         return None
--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -36,7 +36,7 @@
 T = TypeVar("T")
 
 FILE = "channels.db"
-LOOK_US = 50_000  # between looks at what is due
+LOOK_US = 200_000  # between looks at what is due
 CALL_US = 5_000_000  # for one call of an exchange
 ROUNDS = 400  # calls of one exchange at most; what is left comes with the next
 NEEDS_US = 1_000_000  # between looks at who is to have what is here
