Break all links of an endpoint at once, and close a cut link's sockets before saying so

A fault of links may now name an endpoint, which loses its links to all senders; answers given there meanwhile tell no wait and prove no delivery, as they may have been lost on the way (both excuses tried: without them the checker's two new rows fail).

--- a/rowanrack/lab/__main__.py
+++ b/rowanrack/lab/__main__.py
@@ -29,7 +29,8 @@
     """One fault begins, or is over."""
     if one.what in LINK:
         near, _, far = one.on.partition(">")
-        link = fleet.link(near, far) if far else fleet.links_of(near)
+        whole = fleet.links_of if near in fleet.senders else fleet.links_to
+        link = fleet.link(near, far) if far else whole(near)
         if not one.begins:
             await link.heal()
         elif one.what == "cut":
--- a/rowanrack/lab/checker.py
+++ b/rowanrack/lab/checker.py
@@ -125,7 +125,7 @@
                 case "up":
                     waits = {key: told for key, told in waits.items() if key[0] != entry.who}
                     drains = {key: at for key, at in drains.items() if key[0] != entry.who}
-                case "answer" if entry.value:
+                case "answer" if entry.value and not self._lost(entry):
                     told = waits.get((entry.who, entry.dest), (0, 0))
                     waits[entry.who, entry.dest] = max(told, (entry.at + entry.value, entry.at))
                 case "told" if entry.note == "SERVING":
@@ -136,6 +136,10 @@
                     until, since = waits.get((entry.who, entry.dest), (0, 0))
                     self._call(entry, since, until, drains.get((entry.who, entry.place), NEVER))
 
+    def _lost(self, answer: Entry) -> bool:
+        """Whether an answer may have been lost on the way, with the links of its endpoint."""
+        return self.troubles.within(answer.place, answer.at - UNDER_WAY_US, answer.at + UNDER_WAY_US)
+
     def _call(self, call: Entry, waits_since: int, waits_until: int, drains_since: int) -> None:
         heard = waits_since + UNDER_WAY_US
         if heard < call.at < waits_until and not self.troubles.within(call.who, waits_since, call.at):
@@ -181,7 +185,7 @@
         done = known.delivered
         for notice in notices[:1] if done is not None else ():
             assert done is not None
-            told = notice.at > done.at + UNDER_WAY_US
+            told = notice.at > done.at + UNDER_WAY_US and not self._lost(done)
             if told and not self.troubles.within(notice.who, done.at - UNDER_WAY_US, notice.at):
                 text = f"{notice.note} told {(notice.at - done.at) // 1000} ms after it was delivered"
                 self._breach("end", notice.at, message, text)
--- a/rowanrack/lab/links.py
+++ b/rowanrack/lab/links.py
@@ -215,6 +215,7 @@
                 self.server = None
             for half in list(self.halves):
                 half.abort()
+            await asyncio.sleep(0)  # sockets close in the next turn: whoever asked sees them closed
         elif self.server is None:
             loop = asyncio.get_running_loop()
             self.server = await loop.create_server(lambda: Half(self, "there"), "127.0.0.1", self.port)
--- a/rowanrack/lab/scenario.py
+++ b/rowanrack/lab/scenario.py
@@ -145,6 +145,8 @@
             good, kind = fault.on in places, "an endpoint"
         elif fault.what in LINK and far:
             good, kind = near in senders | {"clients"} and far in senders | places | {"discovery"}, "a link"
+        elif fault.what in LINK:
+            good, kind = near in senders | places, "an end"
         else:
             good, kind = fault.on in senders, "a sender"
         if fault.on and not good:
