--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -14,7 +14,8 @@
     """`rowanrack.fronts.mgmt` was in no list of packages: what pip installed could not start."""
     build = "import setuptools.build_meta as b, sys; print(b.build_wheel(sys.argv[1]))"
     copied = tmp_path / "tree"
-    names = [*ROOT.glob("rowan*/**/*.py"), *ROOT.glob("rowan*/**/*.scenario"), ROOT / "rowanspindle/py.typed"]
+    data = (ROOT.glob(f"rowan*/**/{what}") for what in ("*.py", "*.scenario", "*.toml", "py.typed"))
+    names = [path for found in data for path in found]
     for path in [*names, ROOT / "pyproject.toml", ROOT / "README.md", *ROOT.glob("requirements*.txt")]:
         (to := copied / path.relative_to(ROOT)).parent.mkdir(parents=True, exist_ok=True)
         to.write_bytes(path.read_bytes())
