--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -634,8 +634,10 @@
         """By how many a pace is shared, and whether that has been heard from them or is a guess."""
         held = len(self.destinations[endpoint.dest].hold)
         heard = self.hearsay.crowd(endpoint.dest, held, self.now)
-        alike = max(1, held) if endpoint.gate.many else 1  # the more is held here, the larger is the share
-        return heard or endpoint.gate.crowd(self.now - since) / alike, heard is not None
+        guess = endpoint.gate.crowd(self.now - since)
+        if endpoint.gate.many:  # guessed to have a message each, where this one has so many
+            guess = max(1.0, guess / max(1, held))
+        return heard or guess, heard is not None
 
     def pick(self, destination: Destination) -> None:
         """The one place that picks the next message of a destination, and its route.
