Tell lucky answers from quick ones in large fleets only, and draw zones apart by one error

Change: chance is allowed for from eight forwarders, as trust.py counts many; zones, of which all answers tell, need one error.

The zones' test was seen to fail at ZONE_CHANCE 0, the joiner's without its draw, and the fleet's without turns.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -33,6 +33,8 @@
 NEW_CONNECTION = 1.5  # in-flight calls that the lack of a warm idle connection weighs
 REUSE = 4.0  # calls on each connection while an idle one lives, from which one more is worth having
 CHANCE = 2.0  # standard errors of two mean answer times by which they may differ by chance
+ZONE_CHANCE = 1.0  # and those of two zones
+MANY = 8  # forwarders, of whom each sees little of an endpoint; of fewer each learns soon what was chance
 SLOWNESS = 2.0  # in-flight calls that an answer time twice that of the quickest route weighs
 FEE = 25.0  # and that a point of the result weighs, which a route apart takes for each message
 
@@ -97,13 +99,13 @@
     return call.endpoint.answered_at > call.sent_at and now - call.sent_at >= call.endpoint.silence_us()
 
 
-def slower(usual: tuple[float, float], quick: tuple[float, float]) -> float:
+def slower(usual: tuple[float, float], quick: tuple[float, float], chance: float) -> float:
     """By what part a mean answer time is above the quickest's, with the error of each; 0 if it may be chance.
 
     Answers herds: of equal endpoints each forwarder went on calling the few that had been quick by chance.
     """
     (mean, error), (least, doubt) = usual, quick
-    return mean / least - 1 if mean - least > CHANCE * (error + doubt) else 0.0
+    return mean / least - 1 if mean - least > chance * (error + doubt) else 0.0
 
 
 def full(window: Window, calls: list[Call[Endpoint]], now: int) -> bool:
@@ -678,12 +680,14 @@
         """
         apart = self.settings.kinds.get(endpoint.kind, Kind()).apart
         against = FEE * self.settings.zone_fees.get(endpoint.zone, 0.0) if apart else 0.0
+        many = self.settings.replicas >= MANY
         if endpoint.usual.mean:
-            against += SLOWNESS * slower((endpoint.latency(self.now), endpoint.usual.error()), quick)
-        zones = {name: (usual.mean, usual.error()) for name, usual in self.zones.items()}
+            usual = endpoint.latency(self.now), endpoint.usual.error()
+            against += SLOWNESS * slower(usual, quick, CHANCE * many)
+        zones = {name: (zone.mean, zone.error()) for name, zone in self.zones.items()}
         near = min(zones.values(), key=sum, default=(1.0, 0.0))
         scarce = 1 + FAR_WHEN_FULL * len(self.calls) / self.settings.slots  # a far call keeps its slot longer
-        return against + slower(zones.get(endpoint.zone, near), near) * scarce
+        return against + slower(zones.get(endpoint.zone, near), near, ZONE_CHANCE * many) * scarce
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
