Stamp what was noted before another's event came at its own time, not behind that event

Seen: on a busy machine a read as of a time stayed complete without messages taken before it (tests/test_channels_fleet.py, once in eight runs of the handover at a load of 14): events wait up to 200 ms to be written, and were stamped behind all that had been merged meanwhile, so behind the time that was asked for. And `Backlog.take` emptied the queue before the batch was set, so that a promise given by the log's thread in between did not know of it. Ruled out: the promise itself (bounded by what waits), the floor on disk (no restart there). Only stamps ahead of our time push what is noted; once our clock was set back, all do, as before. Measured: 55 tests of log, exchange and writer pass, the four with eight processes in 30 s.

--- a/rowanrack/channels/clock.py
+++ b/rowanrack/channels/clock.py
@@ -8,6 +8,7 @@
 from rowanrack.channels.events import Place
 from rowanrack.channels.ports import Time
 
+STEP_US = 500_000  # by which our clock is behind the steady one when it was set back
 MOST_AHEAD_US = 60_000_000  # a stamp further ahead of our own time than this does not move our clock
 
 
@@ -19,6 +20,7 @@
         self._time = time
         self._at, self._tick = floor_us, 0
         self._promised = floor_us
+        self._ahead = floor_us, 0  # the last stamp that was ahead of our time when it came
         self._wall, self._wall_now = time.unix_us(), time.now_us()
 
     def wall(self) -> int:
@@ -29,28 +31,35 @@
         return self._wall
 
     def stamp(self, behind: Place | None = None, noted_us: int | None = None) -> tuple[int, int]:
-        """The next stamp: at the time noted (else now), or just behind all before it and the place given."""
-        at, tick = self._time.unix_us() if noted_us is None else noted_us, 0
-        at = max(at, self._promised + 1)
-        if at <= self._at:
-            at, tick = self._at, self._tick + 1
-        self._at, self._tick = at, tick
-        if behind is None or (at, tick) > (behind.at, behind.tick):
-            return at, tick
-        self.merged(behind)
-        if (self._at, self._tick) == (behind.at, behind.tick):
-            self._tick += 1
-        return behind.at, behind.tick + 1
+        """The next stamp: at the time noted (else now), or just behind all before it and the place given.
+
+        What was noted before another's event came needs not stand behind it: only stamps ahead of our time
+        push it, or all of them once our clock was set back.
+        """
+        now = self._time.unix_us()
+        at, tick = max(now if noted_us is None else noted_us, self._promised + 1), 0
+        floor = self._ahead if now > self.wall() - STEP_US else (self._at, self._tick)
+        if (at, tick) <= floor:
+            at, tick = floor[0], floor[1] + 1
+        if behind is not None and (at, tick) <= (behind.at, behind.tick):
+            at, tick = behind.at, behind.tick + 1
+            if at > self.wall() + MOST_AHEAD_US:
+                return at, tick  # it stands behind what it names, and our clock does not follow
+        self._follow(at, tick)
+        return at, tick
 
     def merged(self, place: Place) -> bool:
-        """Another's event came: later stamps lie behind it. False: it is too far ahead, and not followed."""
-        if (place.at, place.tick) <= (self._at, self._tick):
-            return True
+        """Another's event came: what is noted from now on comes later. False: too far ahead, not followed."""
         if place.at > self.wall() + MOST_AHEAD_US:
-            return False
-        self._at, self._tick = place.at, place.tick
+            return (place.at, place.tick) <= (self._at, self._tick)
+        self._follow(place.at, place.tick)
         return True
 
+    def _follow(self, at: int, tick: int) -> None:
+        self._at, self._tick = max((self._at, self._tick), (at, tick))
+        if at >= self.wall():
+            self._ahead = max(self._ahead, (at, tick))
+
     def promise(self, before_us: int | None = None) -> int:
         """A time that every later stamp lies behind (at > promise). Each promise is later than the last.
 
--- a/rowanrack/channels_io/writer.py
+++ b/rowanrack/channels_io/writer.py
@@ -14,6 +14,7 @@
 from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 from typing import NamedTuple, TypeVar
 
 from rowanrack.channels.events import LOST, Event, packed
@@ -143,7 +144,9 @@
         channels = list(self.missing)[: self._batch]
         self._out_missing = {channel: self.missing.pop(channel) for channel in channels}
         count = min(self._batch - len(channels), len(self._waiting))
-        self._out = [self._waiting.popleft() for _ in range(count)]
+        self._out = list(islice(self._waiting, count))
+        for _ in self._out:  # behind that: the log's thread asks for the oldest at any moment
+            self._waiting.popleft()
         self._bytes -= sum(EACH + len(noted.data) for noted in self._out)
         return [*(missing.noted(channel) for channel, missing in self._out_missing.items()), *self._out]
 
