Leave fleets of under eight senders their lots: each of few soon learns what was chance

At fault: turns, the extra connection and the error of answer times also applied where `replicas` is below MANY. Change: all four parts are for eight forwarders and more; fewer decide as before.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -308,6 +308,11 @@
 class Forwarder(State[Endpoint, Gate]):
     """The decisions of one forwarder. It knows its settings and its own events, and nothing else."""
 
+    @property
+    def many(self) -> bool:
+        """Whether each forwarder sees little of an endpoint."""
+        return self.settings.replicas >= MANY
+
     def decide(self, now_us: int, events: list[Event]) -> list[Action]:
         """Take in what happened, and say what to do about it."""
         if events and all(isinstance(e, Timer) and e.token != self.token for e in events):
@@ -407,7 +412,8 @@
                 apart = self.settings.kinds.get(member.kind, Kind()).apart
                 gate = (None if apart else destination.gate) or Gate(
                     self.settings, member.weight, self.usual_rate(), self.now)
-                drawn = destination.rate > 0 and self.rng.random() * (len(destination.endpoints) + 1) < 1
+                drawn = self.many and destination.rate > 0 and (
+                    self.rng.random() * (len(destination.endpoints) + 1) < 1)
                 turn = destination.turn + self.rng.random()
                 destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, turn, drawn)
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
@@ -652,11 +658,11 @@
         destination.opens_at = min((at for at, _ in opens if at > now), default=NEVER)
         routes = [e for at, e in opens if at <= now]
         if len(routes) > 1:
-            seen = ((e.latency(now), e.usual.error()) for e in routes if e.usual.mean)
+            seen = ((e.latency(now), e.usual.error() * self.many) for e in routes if e.usual.mean)
             quick = min(seen, key=sum, default=(1.0, 0.0))
             for passed in (e for e in routes if e.turn <= destination.turn):
                 passed.turn = destination.turn + self.rng.random()
-            more = (sum(e.is_warm(now) for e in routes) + 1) * REUSE * SECOND <= (
+            more = self.many and (sum(e.is_warm(now) for e in routes) + 1) * REUSE * SECOND <= (
                 destination.rate * self.settings.keepalive_us)
             routes.sort(key=lambda e: (e.rank(now, more) + self.distance(e, quick), e.turn))
         drain_us = self.drain_us(destination) if routes else 0
@@ -680,14 +686,13 @@
         """
         apart = self.settings.kinds.get(endpoint.kind, Kind()).apart
         against = FEE * self.settings.zone_fees.get(endpoint.zone, 0.0) if apart else 0.0
-        many = self.settings.replicas >= MANY
         if endpoint.usual.mean:
             usual = endpoint.latency(self.now), endpoint.usual.error()
-            against += SLOWNESS * slower(usual, quick, CHANCE * many)
-        zones = {name: (zone.mean, zone.error()) for name, zone in self.zones.items()}
+            against += SLOWNESS * slower(usual, quick, CHANCE * self.many)
+        zones = {name: (zone.mean, zone.error() * self.many) for name, zone in self.zones.items()}
         near = min(zones.values(), key=sum, default=(1.0, 0.0))
         scarce = 1 + FAR_WHEN_FULL * len(self.calls) / self.settings.slots  # a far call keeps its slot longer
-        return against + slower(zones.get(endpoint.zone, near), near, ZONE_CHANCE * many) * scarce
+        return against + slower(zones.get(endpoint.zone, near), near, ZONE_CHANCE * self.many) * scarce
 
     def drain_us(self, destination: Destination) -> int:
         """How long the hold of a destination needs to drain, as its limits and its other senders stand."""
@@ -759,7 +764,8 @@
     def send(self, destination: Destination, first: Message, endpoint: Endpoint) -> None:
         """Start one call, with as many messages as travel together."""
         trial, gate = endpoint.out_since is not None, endpoint.gate
-        destination.turn, endpoint.turn, endpoint.drawn = endpoint.turn, endpoint.turn + 1, False
+        if self.many:  # each of few keeps its lot: they spread by it, and by what each sees of all
+            destination.turn, endpoint.turn, endpoint.drawn = endpoint.turn, endpoint.turn + 1, False
         call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if trial:
             self.trials[call] = None
