Leave in time with the channels' log, and wait for its file and port beside serving

Seen by reading: `ChannelPart.end` could take 1 s behind the 3.2 s in which a leaving sender settles, beyond the 3.7 s that it has; and at a hot restart the next process would have ended at its start, for the one before still had the log's port. `Sender.stop` gives the log what is left up to 3.6 s; the port opens behind the file, and what another process has is tried again each second, with one line.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -49,6 +49,8 @@
 STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
 BEGIN_US = 2_000_000  # after SIGTERM: a call that begins later might be cut off
 SETTLE_US = 3_200_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
+LEAVE_US = 3_600_000  # by which the channels' log must have been let go of,
+LOG_END_US = 1_000_000  # and the most that may take
 PLATFORM_KEEP_US = 1_000_000  # its clients hand nothing in under an old id once the message's time is up
 FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
 LOOK_US = 20_000  # between looks at whether all is settled
@@ -259,7 +261,7 @@
             asyncio.ensure_future(self._watch_bans()),
         ]
         if self.config.channels is not None:
-            await self._start_channels(self.config.channels)
+            self._start_channels(self.config.channels)
         self.serving = True
         if self.config.console is not None:
             self.console = ConsoleServer(self.config.name, self.exchange)
@@ -301,12 +303,12 @@
             return
         self.peers, exchange.tell = port, port.tell
 
-    async def _start_channels(self, channels: ChannelsConfig) -> None:
+    def _start_channels(self, channels: ChannelsConfig) -> None:
         from rowanrack.channels_io.part import ChannelPart  # sqlite3, msgspec, blake3: only where it is used
 
         config, bans = self.config, self._fleet_bans
         part = ChannelPart(channels, config.name, config.state, self.exchange, config.seed, bans)
-        await part.start()
+        part.start()
         self.channels = part
 
     def _start_recorder(self, record: RecordConfig) -> None:
@@ -380,7 +382,8 @@
                 self.exchange.freeze()
             await pause(self.exchange.after, LOOK_US)
         if self.channels is not None:
-            await self.channels.end()
+            left_us = LEAVE_US - (self.clock.now_us() - began)
+            await self.channels.end(max(0.0, min(LOG_END_US, left_us) / 1e6))
         told = self.notices is None or not self.notices.pending
         clients = sum(len(front.streams) for front, _ in self.fronts)
         log.info(
--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -6,7 +6,7 @@
 import json
 import logging
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, TypeVar
@@ -24,7 +24,7 @@
 from rowanrack.channels_io.server import SitesServer
 from rowanrack.channels_io.watching import Watching
 from rowanrack.channels_io.writer import LogThread, Notes
-from rowanrack.config import ChannelsConfig, ConfigError
+from rowanrack.config import ChannelsConfig
 from rowanrack.core.exchange import Exchange
 from rowanrack.net.http import Reply
 from rowanrack.net.rare_log import RareLog
@@ -83,22 +83,17 @@
         self._open_us: int | None = None  # when the log was opened
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def start(self) -> None:
-        """Open the port, and begin to note; the log opens beside serving. Raises ConfigError."""
-        try:
-            await self.server.listen(*self.config.listen)
-        except OSError as error:
-            host, port = self.config.listen
-            raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
+    def start(self) -> None:
+        """Begin to note; the log and the port open beside serving, once another process lets go of them."""
         self.thread.start()
         self.watching.start()
         self._begin(self._run())
 
-    async def end(self) -> None:
-        """Write what is noted, for a moment, and let go of the log."""
+    async def end(self, within_s: float) -> None:
+        """Write what is noted, and let go of the log, in so many seconds."""
         self.close()
-        await self.notes.close()
-        await self.thread.close()
+        await self.notes.close(within_s / 2)
+        await self.thread.close(within_s / 2)
 
     def close(self) -> None:
         """Note nothing more, and end what is under way."""
@@ -219,18 +214,15 @@
             await pause(self.exchange.after, LOOK_US)
 
     async def _open(self) -> None:
-        """Open the log; one that another process has, or that cannot be read, is tried again."""
-        said = ""
-        while self._open_us is None:
-            try:
-                await self._do(self.site.open)
-                self._open_us = self.exchange.clock.now_us()
-            except (LogError, BehindError) as error:
-                if str(error) != said:
-                    said = str(error)
-                    log.error("channels: the log is not open, sending goes on without it: %s", said)
-                await pause(self.exchange.after, OPEN_US)
-        log.info("channels: the log is open%s", " after all" if said else "")
+        """Open the log and the port; what another process has, or cannot be read, is tried again.
+
+        At a hot restart the process before this one has both until it leaves.
+        """
+        await self._until("the log is not open", lambda: self._do(self.site.open))
+        self._open_us = self.exchange.clock.now_us()
+        log.info("channels: the log is open")
+        host, port = self.config.listen
+        await self._until(f"cannot listen on {host}:{port}", lambda: self.server.listen(host, port))
         self._heard_of()
         for name in sorted(self.exchange.bans - self.fleet.named):
             self.change(name, True)  # detached here before there was a log
@@ -239,6 +231,22 @@
         with suppress(LogError, BehindError):
             self.meetings.needs(await self._do(self.site.needs))
 
+    async def _until(self, trouble: str, work: Callable[[], Awaitable[None]]) -> None:
+        """Try something until it is done: one line for each reason why not, and one once it is."""
+        said = ""
+        while True:
+            try:
+                await work()
+            except (LogError, BehindError, OSError) as error:
+                if (why := getattr(error, "strerror", None) or str(error)) != said:
+                    said = why
+                    log.error("channels: %s, sending goes on without it: %s", trouble, why)
+                await pause(self.exchange.after, OPEN_US)
+            else:
+                if said:
+                    log.info("channels: over: %s", trouble)
+                return
+
     async def _meet(self, site: str) -> None:
         now_us = self.exchange.clock.now_us
         try:
--- a/tests/test_channels_fleet.py
+++ b/tests/test_channels_fleet.py
@@ -117,7 +117,12 @@
         await asyncio.gather(*(link.heal() for link in halves))
         for sender in fleet.senders.values():
             await detached(sender, "shop-0", True)  # the later detach was not seen by the attach
-        asked_at = now_us()
+        last = await handed_in(fleet, [other.name], "last", 1)
+        assert other.child is not None
+        other.child.terminate()  # what it noted is written before it leaves, and told once it is back
+        assert await asyncio.to_thread(other.child.wait, 10) == 0
+        await other.start()
+        ids, asked_at = ids | last, now_us()
         for name in (left[0], right[-1]):
             found = await read_until(fleet.senders[name], "1", lambda f: f["complete"], asked_at)
             assert named(found, "taken") == ids and named(found, "delivered") <= ids
