Tell copies of one state folder apart alike, however many there are and whoever met first

Cause: a branch was numbered, chained and named anew from the number where two runs happened to differ. Cut off once more later, the same events got another name; and where a branch of that name was there already, what the second copy had behind the common part was skipped, and its stream dropped. Change: a branch is named by its first event as it was written (number, chain in front of it, own chain) and its events keep their chains, so a branch of a branch is compared and named as from the stem. A run that becomes a branch is put into the one that is there: it extends it, or is cut off in turn.

--- a/rowanrack/channels/events.py
+++ b/rowanrack/channels/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 import msgspec
@@ -107,11 +109,46 @@
 
 
 def chained(before: bytes, event: Event) -> bytes:
-    """The chain of an event behind that of the event before it."""
-    bare = (event.channel, event.site, event.life, event.number, event.at, event.tick, event.kind, event.data)
+    """The chain of an event behind that of the event before it; a branch's events keep theirs."""
+    life, number = event.life, event.number
+    if "~" in life and (branch := _branch(life)) is not None:
+        if number == 1:
+            before = branch.before
+        life, number = branch.life, number + branch.number - 1
+    bare = (event.channel, event.site, life, number, event.at, event.tick, event.kind, event.data)
     return blake3(before + msgspec.msgpack.encode(bare)).digest(length=CHAIN_BYTES)
 
 
+class Branch(NamedTuple):
+    """Where a branch of a doubled stream begins: its first event as its process wrote it."""
+
+    life: str
+    number: int
+    before: bytes  # the chain in front of it
+
+
+_BRANCH = re.compile(r"(.+)~([1-9][0-9]{0,17})\.([0-9a-f]{16})\.[0-9a-f]{16}")
+
+
+@lru_cache(1 << 10)
+def _branch(life: str) -> Branch | None:
+    found = _BRANCH.fullmatch(life)
+    return Branch(found[1], int(found[2]), bytes.fromhex(found[3])) if found else None
+
+
+def branched(first: Event, before: bytes) -> str:
+    """The incarnation of the branch that begins with an event, behind a chain.
+
+    It is made of that event as it was written (its number, the chain in front of it and its own), so it is
+    the same whichever of its branches was met first, and a branch of a branch is named as one of the stem.
+    """
+    stem = _branch(first.life)
+    life, number = (stem.life, first.number + stem.number - 1) if stem else (first.life, first.number)
+    if stem and first.number == 1:
+        before = stem.before
+    return f"{life}~{number}.{before.hex()}.{first.chain.hex()}"
+
+
 def packed(payload: dict[str, Any]) -> bytes:
     """A payload's bytes: the same for equal payloads, whatever order their keys were given in."""
     return msgspec.msgpack.encode(payload, order="sorted")
--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -14,7 +14,18 @@
 from blake3 import blake3
 
 from rowanrack.channels.clock import Hybrid
-from rowanrack.channels.events import CHAIN_BYTES, FLEET, START, Event, Gap, Head, Place, Stream, chained
+from rowanrack.channels.events import (
+    CHAIN_BYTES,
+    FLEET,
+    START,
+    Event,
+    Gap,
+    Head,
+    Place,
+    Stream,
+    branched,
+    chained,
+)
 from rowanrack.channels.ports import LogStore, Time
 
 LEAD_US = 2_000_000  # the promise on disk is this far ahead of those given, so that few of them cost a write
@@ -229,8 +240,9 @@
         """Compare a run of one stream with ours, where the two may differ: two processes under one name.
 
         Of two branches the one whose first differing event has the lower chain keeps the incarnation. If it
-        is theirs, ours goes on under `life~chain`, and theirs takes its place. Returns the number up to which
-        both are the same afterwards (0: nothing could be compared); ours stays where it has the lower chain.
+        is theirs, ours goes on under a name of its own (`branched`), and theirs takes its place. Returns
+        the number up to which both are the same afterwards (0: nothing could be compared); ours stays where
+        it has the lower chain.
         """
         if not events:
             return 0
@@ -250,7 +262,10 @@
             before = self._chain_at(head, event.number - 1)
             if before is None or event.chain != chained(before, event) or event.chain > mine.chain:
                 return same
-            return self._give_way(head, mine, events[position:])
+            if not _names(branched(mine, before)):
+                return same  # a branch's name would be too long
+            self._give_way(head, mine, before, events[position:])
+            return self._heads[stream].number
         return same
 
     def _chain_at(self, head: Head, number: int) -> bytes | None:
@@ -259,17 +274,10 @@
         found = self.store.after(head.stream, number - 1, 1)
         return found[0].chain if found and found[0].number == number else None
 
-    def _give_way(self, head: Head, mine: Event, theirs: Sequence[Event]) -> int:
+    def _give_way(self, head: Head, mine: Event, before: bytes, theirs: Sequence[Event]) -> None:
         stream = head.stream
         kept = self._all(stream, head.floor, head.number)
-        ours = [event for event in kept if event.number >= mine.number]
-        branch = Stream(stream.channel, stream.site, f"{stream.life}~{mine.chain.hex()}")
-        chain, renamed = START, []
-        for number, event in enumerate(ours, 1):
-            bare = msgspec.structs.replace(event, life=branch.life, number=number)
-            chain = chained(chain, bare)
-            renamed.append(msgspec.structs.replace(bare, chain=chain))
-        self.merge(renamed)
+        self._branch([event for event in kept if event.number >= mine.number], before)
         begin = [event for event in kept if event.number < mine.number]
         self.store.drop(stream.channel, stream)
         del self._heads[stream]
@@ -277,15 +285,31 @@
             self.store.skip(Gap(stream, 1, head.floor, "taken by retention"))
             self._heads[stream] = Head(stream, head.floor, head.floor, 0, 0, START)
         self.merge([*begin, *theirs])
-        self._see_double(branch)
+        self.rewritten += 1
+
+    def _branch(self, run: Sequence[Event], before: bytes) -> None:
+        """Keep a run of events, behind a chain, as a branch; where it differs from ours, as two."""
+        branch = run[0].stream._replace(life=branched(run[0], before))
         self._name(
             "double",
-            stream.site,
-            f"two processes wrote as {stream.site}/{stream.life}: on channel "
-            f"{stream.channel} the second is kept as {branch.life} from number {mine.number} on",
+            branch.site,
+            f"two processes wrote as {branch.site}/{run[0].life}: on channel {branch.channel} "
+            f"what one wrote from number {run[0].number} on is kept as {branch.life}",
         )
-        self.rewritten += 1
-        return self._heads[stream].number
+        run = [msgspec.structs.replace(each, life=branch.life, number=n) for n, each in enumerate(run, 1)]
+        self.merge(run)  # it is new, or goes on where ours ends
+        self._see_double(branch)
+        head = self._heads[branch]
+        ours = {event.number: event for event in self._all(branch, head.floor, run[-1].number)}
+        for position, event in enumerate(run):
+            mine = ours.get(event.number, event)
+            if event.chain != mine.chain:
+                if event.chain < mine.chain:
+                    self._give_way(head, mine, before, run[position:])
+                else:
+                    self._branch(run[position:], before)
+                return
+            before = event.chain
 
     def _all(self, stream: Stream, after: int, last: int) -> list[Event]:
         found: list[Event] = []
--- a/tests/test_channels_sync.py
+++ b/tests/test_channels_sync.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import random
 from collections.abc import Callable
 from typing import Any
@@ -414,3 +415,59 @@
     for site, here in logs.items():
         fresh(site, FLEET)
         assert here.settled_until(FLEET)[0] > 0, "with all that met, the order is settled"
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("wwwwccmmmkxg"), st.integers(0, 11), st.integers(0, 11)),
+        min_size=30,
+        max_size=60,
+    ),
+    st.integers(0, 1 << 30),
+)
+def test_copies_of_a_folder_that_go_on_under_one_name_are_told_apart_alike_in_any_order(
+    steps: list[tuple[str, int, int]], seed: int
+) -> None:
+    rng, time, lives, said = random.Random(seed), Hands(), iter(range(1000)), iter(range(1000))
+    stores: list[MemoryLog] = []
+    logs: list[Log] = []
+
+    def opened(site: str, store: MemoryLog) -> Log:
+        store.close()
+        made = Log(store, time, site, "abcd", lambda line: None, draw=lambda: f"{next(lives):03}")
+        made.open()
+        return made
+
+    def added(site: str, store: MemoryLog) -> None:
+        stores.append(store)
+        logs.append(opened(site, store))
+
+    for site in "acdb":
+        added(site, MemoryLog())
+    written: list[int] = []
+    gone: set[Log] = set()
+    for what, first, second in steps:
+        time.now += rng.randrange(S)
+        of_b = 3 + first % (len(logs) - 3)
+        one, two = of_b if second % 2 else first % len(logs), second % len(logs)
+        if what == "w":
+            written += [n := next(said)]
+            note(logs[of_b], rng.choice([FLEET, FLEET, "7"]), n=n)
+        elif what == "c" and len(logs) < 7:
+            added("b", copy.deepcopy(stores[of_b]))
+        elif what == "k" and logs[one] not in gone:
+            logs[one] = opened(logs[one].site, stores[one])
+        elif what == "g" and of_b > 3:
+            gone.add(logs[of_b])
+        elif what in "mx" and logs[one].site != logs[two].site and not gone & {logs[one], logs[two]}:
+            meet(logs[one], logs[two], 400 if what == "m" else rng.randrange(6))
+    left = [log for log in logs if log not in gone]
+    for _ in range(4):
+        for one_, two_ in [(a, b) for a in left for b in left if a.site != b.site]:
+            meet(one_, two_)
+    assert same(*left)
+    assert all(meet(a, b) == 1 for a in left for b in left if a.site != b.site), "nothing more to do"
+    found = [e.payload()["n"] for c in (FLEET, "7") for e in left[0].read(c, None, END, 999)]
+    assert len(found) == len(set(found)) and set(found) <= set(written)
+    assert gone or set(found) == set(written)
