Tell in what the log costs a sender how much of it the loop uses, and how much the log's thread

Change: CPU is read by thread (schedstat), the loop's apart from the others'; nanoseconds, not ticks.

--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -1,13 +1,13 @@
 """What the channels' log costs a sender: two fleets side by side in one run, with it and without.
 
-`python -m benchmarks.log_cost [--senders 3] [--rate 60] [--seconds 20]` prints CPU a message, the time to the
-end, memory, and bytes an event on disk and on the wire. Needs the machine for itself.
+`python -m benchmarks.log_cost [--senders 3] [--rate 60] [--seconds 20]` prints microseconds of CPU a message,
+those of the loop's thread and of the others (the log's, of which there is none without a log) apart, the time
+to the end, memory, and bytes an event on disk. Needs the machine for itself.
 """
 
 from __future__ import annotations
 
 import asyncio
-import os
 import tempfile
 from pathlib import Path
 from random import Random
@@ -20,14 +20,16 @@
 from rowanrack.net.turns import FairLoop
 from rowanrack.store.log_sqlite import SqliteLog
 
-TICK_S = 1 / os.sysconf("SC_CLK_TCK")
 SECOND = 1_000_000
 
 
-def cpu_s(sender: Sender) -> float:
-    """Seconds of processor time that a sender's process has used."""
-    user, system = Path(f"/proc/{sender.pid}/stat").read_text().rpartition(")")[2].split()[11:13]
-    return (int(user) + int(system)) * TICK_S
+def cpu_s(sender: Sender) -> tuple[float, float]:
+    """Seconds of processor time that a sender's loop has used, and those of its process's other threads."""
+    used = {
+        int(task.name): int((task / "schedstat").read_text().split()[0]) / 1e9
+        for task in Path(f"/proc/{sender.pid}/task").iterdir()
+    }
+    return used.pop(sender.pid), sum(used.values())
 
 
 def with_log(fleet: Fleet, sender: Sender) -> str:
@@ -49,9 +51,9 @@
 
 async def figures(fleet: Fleet, label: str, rate: float, seconds: float) -> dict[str, float]:
     """One stretch of traffic on a fleet."""
-    before = sum(map(cpu_s, fleet.senders.values()))
+    before = np.sum([cpu_s(sender) for sender in fleet.senders.values()], axis=0)
     await fleet.run(arrivals(fleet, label, rate, seconds))
-    used = sum(map(cpu_s, fleet.senders.values())) - before
+    used = np.sum([cpu_s(sender) for sender in fleet.senders.values()], axis=0) - before
     began, took = dict[str, int](), list[int]()
     for entry in fleet.entries():
         if entry.what == "submit" and entry.message.startswith(label):
@@ -60,7 +62,11 @@
             took.append(entry.at - began.pop(entry.message))
     rss = max(sender.memory()[0] for sender in fleet.senders.values()) / 1e6
     p50, p99 = np.percentile(took, [50, 99]) / 1000
-    return {"messages": len(took), "us": used / max(1, len(took)) * 1e6, "p50": p50, "p99": p99, "rss": rss}
+    loop, others = used / max(1, len(took)) * SECOND
+    return {
+        "messages": len(took), "us": loop + others, "loop": loop, "others": others,
+        "p50": p50, "p99": p99, "rss": rss,
+    }  # fmt: skip
 
 
 async def measure(senders: int, rate: float, seconds: float, rounds: int) -> None:
