Let the lab play the channels' log, judge it by the books, and show a run's figures

The lab knew nothing of the log: its tests in fleets of eight set it up by hand, with a relay for each pair, and no run showed spread, herds, endings and the log together.

A scenario has [channels]: all senders keep the log, over relays only where a fault is planned on a pair (200 x 199 would be 39,800 listeners in one process) and directly else. Layouts and reads of the past are planned; reads write a book of their own. Four rules more: order, event, whole and detach; a detach is a fault.

--- a/rowanrack/lab/__main__.py
+++ b/rowanrack/lab/__main__.py
@@ -6,18 +6,23 @@
 import json
 import signal
 import tempfile
-from contextlib import ExitStack
+from contextlib import ExitStack, closing, suppress
+from functools import partial
+from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
 
 import click
 
-from rowanrack.lab.books import now_us
+from rowanrack.lab.books import now_us, read_pages
+from rowanrack.lab.channels import PORT, Reads, part_of
 from rowanrack.lab.checker import END_SLACK_US, Checker, figures
+from rowanrack.lab.figures import log_figures, run_figures, series
 from rowanrack.lab.fleet import Fleet, FleetError, Partner, settings
+from rowanrack.lab.log_rules import LogChecker
 from rowanrack.lab.plan import Move, Plan, make
 from rowanrack.lab.role import RoleError
-from rowanrack.lab.scenario import LINK, SCENARIOS, Scenario, ScenarioError, read
+from rowanrack.lab.scenario import DETACH, LINK, SCENARIOS, Scenario, ScenarioError, read
 
 KEPT, BROKEN, BAD_INPUT, NOT_PLAYED = 0, 1, 2, 3
 START_S = 1.0  # for each sender's start at most, beside a minute
@@ -39,6 +44,8 @@
             await link.set(delay_ms=one.by)
         else:
             await link.set(**({"loss": one.by} if one.what == "lossy" else {one.what: True}))
+    elif one.what == DETACH:
+        await detach(fleet, one)
     elif one.what == "drain":
         await fleet.drain(one.on, "DRAINING" if one.begins else "SERVING")
     elif one.what in STATES:
@@ -47,6 +54,18 @@
         await strike(fleet, one)
 
 
+async def detach(fleet: Fleet, one: Move) -> None:
+    """An operator detaches an endpoint at a sender, or attaches it there. Raises FleetError."""
+    near, _, far = one.on.partition(">")
+    what = "detach" if one.begins else "attach"
+    status, body = await fleet.senders[near].mgmt(
+        "POST", f"/_endpoints/{what}", json.dumps({"name": far}).encode()
+    )
+    if status != 200:
+        raise FleetError(f"{near}: no {what} of {far}: {status} {body.decode(errors='replace')}")
+    fleet.book.add(what, near, place=far)
+
+
 async def strike(fleet: Fleet, one: Move) -> None:
     """The same for a sender."""
     sender = fleet.senders[one.on]
@@ -75,18 +94,39 @@
     longest_s = max(grade.deadline_ms for grade in scenario.grade) / 1000
     given: dict[str, Any] = {"told": told, "notes": scenario.notes, "clocks": clocks, "wave": scenario.wave}
     given |= {"disk_mb": scenario.disk_mb, "seed": str(seed)}
+    channels = scenario.log
+    if channels is not None:
+        given |= {"mesh": (PORT,), "relayed": plan.relayed, "extra": partial(part_of, channels)}
     began = now_us()
     async with Fleet(folder / "fleet", scenario.senders, list(places.values()), **given) as fleet:
         up_s = (now_us() - began) / 1e6
         memory = [sender.memory() for sender in fleet.senders.values()]
         starts = sorted(sender.serving_s for sender in fleet.senders.values())
+        cpu = fleet.cpu_s()
         async with asyncio.TaskGroup() as group:
             group.create_task(fleet.run(plan.arrivals))
             group.create_task(play_moves(fleet, plan.moves))
+            if channels is not None:
+                reads = Reads(fleet, channels, list(scenario.channel_names.values()))
+                group.create_task(reads.play(plan.layouts, plan.reads))
+                looks = asyncio.create_task(reads.look(plan.reader))
+        cores = (fleet.cpu_s() - cpu) / scenario.seconds
         await asyncio.sleep(longest_s + END_SLACK_US / 1e6)
-        entries = fleet.entries()
+        if channels is not None:
+            looks.cancel()
+            with suppress(asyncio.CancelledError):
+                await looks
+            with closing(reads):
+                await reads.at_the_end(plan.reader)
+        entries, pages = fleet.entries(), read_pages(fleet.books)
     once = frozenset(grade.name for grade in scenario.grade if grade.effect == "fragile")
     breaches = Checker(entries, once, covered=scenario.covered).check()
+    log: dict[str, Any] = {}
+    if channels is not None:
+        judge = LogChecker(entries, pages, int(channels.heard_s * 1e6))
+        breaches += judge.check()
+        log = {"log": log_figures(entries, pages, judge)}
+    slo_us = {grade.name: 1000 * grade.slo_ms for grade in scenario.grade}
     return {
         "rules": "broken" if breaches else "kept",
         "breaches": [breach._asdict() for breach in breaches],
@@ -98,7 +138,11 @@
         "pss_mb": round(max(pss for _, pss in memory) / 1e6, 1),
         "pss_mb_all": round(sum(pss for _, pss in memory) / 1e6),
         "moves": [f"{m.at_us / 1e6:g} s: {m.what} {m.on} {'on' if m.begins else 'over'}" for m in plan.moves],
+        "cores": round(cores, 2),
         **figures(entries),
+        **run_figures(entries),
+        **log,
+        "series": series(entries, pages, slo_us),
     }
 
 
@@ -118,6 +162,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, task.cancel)
     most_s = 60 + START_S * scenario.senders + 2 * scenario.seconds
+    most_s += 2 * scenario.log.settle_s + 60 if scenario.log is not None else 0
     async with asyncio.timeout(most_s + 2 * max(g.deadline_ms for g in scenario.grade) / 1000):
         return await play(scenario, plan, folder, seed)
 
@@ -128,15 +173,20 @@
     "--seed", default=1, show_default=True, help="Who is hit, when messages come, and links' chances."
 )
 @click.option("--json", "where", type=click.Path(path_type=Path), help="Write the result here.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Draw the run here, as SVG (needs matplotlib).")
 @click.option("--keep", type=click.Path(path_type=Path), help="A new folder for books, logs and journals.")
 @click.option("--plan", "only_plan", is_flag=True, help="Print the plan, and play nothing.")
-def main(scenario: str, seed: int, where: Path | None, keep: Path | None, only_plan: bool) -> None:
+def main(
+    scenario: str, seed: int, where: Path | None, plot: Path | None, keep: Path | None, only_plan: bool
+) -> None:
     """Play SCENARIO: a name that comes with the program, or a file. 0 rules kept, 1 broken, 2 bad input."""
     own = SCENARIOS / f"{scenario}.toml"
     try:
         found = read(own if own.is_file() else Path(scenario))
         if keep is not None and keep.exists():
             raise ScenarioError(f"--keep: {keep} is there already")
+        if plot is not None and find_spec("matplotlib") is None:
+            raise ScenarioError("--plot: matplotlib is not installed")
     except ScenarioError as error:
         click.echo(f"rowanrack.lab: {error}", err=True)
         raise SystemExit(BAD_INPUT) from None
@@ -144,7 +194,9 @@
     if only_plan:
         for one in plan.moves:
             click.echo(f"{one.at_us / 1e6:8.3f} s  {one.what} {one.on} {'on' if one.begins else 'over'}")
-        click.echo(f"{len(plan.arrivals)} messages")
+        for layout in plan.layouts:
+            click.echo(f"{layout.at_us / 1e6:8.3f} s  layout of {len(layout.sites)} sites at {layout.on}")
+        click.echo(f"{len(plan.arrivals)} messages, {len(plan.reads)} reads")
         return
     with ExitStack() as stack:
         folder = keep or Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="lab-")))
@@ -159,6 +211,10 @@
             raise SystemExit(not_played("ended by a signal")) from None
     if where is not None:
         where.write_text(json.dumps(result, indent=1) + "\n")
+    if plot is not None:
+        from rowanrack.lab.plot import draw  # matplotlib is a tool's
+
+        draw(result, plot)
     for breach in result["breaches"][:SHOWN]:
         click.echo(f"{breach['rule']}: {breach['message']} {breach['text']}")
     shown = (
@@ -174,6 +230,10 @@
         "pss_mb_all",
     )
     click.echo(", ".join(f"{key} {result[key]}" for key in shown))
+    if "log" in result:
+        log = result["log"]
+        keys = ("events", "settled_s", "complete", "incomplete", "nobody", "lag_ms_p50", "lag_ms_most")
+        click.echo("log: " + ", ".join(f"{key} {log[key]}" for key in keys) + f", {result['cores']} cores")
     click.echo(f"rules {result['rules']}: {len(result['breaches'])} breaches")
     raise SystemExit(BROKEN if result["breaches"] else KEPT)
 
--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import AsyncExitStack
@@ -305,6 +306,11 @@
         found = {line.split()[0]: 1024 * int(line.split()[1]) for line in lines[1:]}
         return found["Rss:"], found["Pss:"]
 
+    def cpu_s(self) -> float:
+        """Processor time that its process has used."""
+        user, system = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()[11:13]
+        return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
     async def mgmt(self, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
         """An operator's call; its status and body. Raises OSError, TimeoutError and net.http's errors."""
         async with asyncio.timeout(MGMT_S):
@@ -320,7 +326,8 @@
     """Senders s0 and on, the stand-ins, and all links between them; ends what it started, whatever happens.
 
     `extra(fleet, sender)` is text for the end of a sender's TOML file. `mesh` names ports of the senders' own
-    for which there is a TCP link for each ordered pair; `notes` gives them UDP links for notes, and [peers].
+    for which there is a TCP link for each ordered pair that is `relayed(near, far)`: others meet without one,
+    and no fault can lie between them. `notes` gives them UDP links for notes, and [peers].
     `told` takes the place of the settings that `settings(senders)` gives.
     """
 
@@ -333,6 +340,7 @@
         told: str = "",
         extra: Callable[[Fleet, Sender], str] = lambda fleet, sender: "",
         mesh: Sequence[str] = (),
+        relayed: Callable[[str, str], bool] = lambda near, far: True,
         notes: bool = False,
         clocks: bool = False,
         wave: int = 4,
@@ -342,6 +350,7 @@
         super().__init__()
         self.folder, self.partners = folder.resolve(), tuple(partners)
         self.settings, self.extra = told or settings(senders, notes=notes), extra
+        self.relayed = relayed
         self.mesh, self.notes, self.clocks, self.wave = tuple(mesh), notes, clocks, wave
         self.disk_mb, self.seed = disk_mb, seed
         self.books = self.folder / "books"
@@ -365,6 +374,7 @@
         self.books.mkdir(parents=True)
         self.book = Book(self.books / "lab.jsonl")
         self.callback(self.book.close)
+        self.book.add("clock", value=time.time_ns() // 1000)  # what the books' is then
         self.relays = await self._role("links", self.seed)
         self.town = await self._role("partners", str(self.books / "partners.jsonl"), self.seed)
         self.discovery = await self._role("discovery", str(self.books / "discovery.jsonl"))
@@ -400,7 +410,8 @@
                 wanted.append({"name": f"{name}>{end}", "to": [HOST, port], "far": end, "source": source})
             for other in self.senders.values():
                 pair = {"name": f"{name}>{other.name}", "far": other.name}
-                for what in self.mesh if other is not sender else ():
+                between = other is not sender and self.relayed(name, other.name)
+                for what in self.mesh if between else ():
                     named = pair | {"name": f"{pair['name']} {what}", "source": source}
                     wanted.append(named | {"to": [HOST, other.port(what)]})
                 if self.notes and other is not sender:
@@ -441,8 +452,11 @@
                 held.close()
 
     def address(self, near: str, far: str, what: str = "") -> str:
-        """The address that one side must use for the other, so that it goes over their link."""
-        return f"{HOST}:{self._ports[f'{near}>{far} {what}'.rstrip()][0]}"
+        """The address that one side must use for the other, so that it goes over their link, if any."""
+        link = f"{near}>{far} {what}".rstrip()
+        if link not in self._ports and what in self.mesh:
+            return f"{HOST}:{self.senders[far].port(what)}"
+        return f"{HOST}:{self._ports[link][0]}"
 
     def link(self, near: str, far: str) -> Link:
         """All links of an ordered pair of senders; far may be an endpoint or `discovery`, near `clients`."""
@@ -483,6 +497,10 @@
             text.append(f"peers = {json.dumps(peers)}")
         return "\n".join([*text, self.extra(self, sender), ""])
 
+    def cpu_s(self) -> float:
+        """Processor time that the senders' processes of now have used."""
+        return sum(sender.cpu_s() for sender in self.senders.values() if sender.alive)
+
     def note(self, what: str, who: str, note: str = "") -> None:
         """An entry in the lab's own book."""
         self.book.add(what, who, note=note)
--- a/rowanrack/lab/plan.py
+++ b/rowanrack/lab/plan.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from rowanrack.lab.scenario import LINK, PLACE, Fault, Scenario
+from rowanrack.lab.scenario import DETACH, LINK, PLACE, Channels, Fault, Scenario
 
 SECOND = 1_000_000
 
@@ -32,16 +32,70 @@
     begins: bool
 
 
+class Announce(msgspec.Struct, frozen=True):
+    """A layout is announced at a sender: so far ahead, with those sites."""
+
+    at_us: int
+    on: str
+    ahead_us: int
+    sites: list[str]
+
+
+class ReadAt(msgspec.Struct, frozen=True):
+    """A read of the past at a sender; `as_of_us` counts from the run's begin, None: as of the reading."""
+
+    at_us: int
+    on: str
+    channel: str
+    as_of_us: int | None
+    limit: int
+
+
 class Plan(msgspec.Struct, frozen=True):
     """All that happens, in the order of time."""
 
     arrivals: list[Arrival]
     moves: list[Move]
+    layouts: list[Announce] = []
+    reads: list[ReadAt] = []
+    reader: str = ""  # a sender that no fault hits, if there is one: it is asked about the log throughout
+
+    def relayed(self, near: str, far: str) -> bool:
+        """Whether a fault is planned on the link from one sender to another: all others may meet directly."""
+        on = {move.on for move in self.moves if move.what in LINK}
+        return bool(on & {near, far, f"{near}>{far}"})
 
 
 def make(scenario: Scenario, seed: int) -> Plan:
     """The plan of a seed."""
-    return Plan(arrivals(scenario, Random(f"{seed} arrivals")), moves(scenario, Random(f"{seed} moves")))
+    faults = moves(scenario, Random(f"{seed} moves"))
+    plan = Plan(arrivals(scenario, Random(f"{seed} arrivals")), faults)
+    if scenario.log is None:
+        return plan
+    return with_log(plan, scenario, scenario.log, Random(f"{seed} log"))
+
+
+def with_log(plan: Plan, scenario: Scenario, channels: Channels, rng: Random) -> Plan:
+    """The plan with what is asked of the log: by senders that nothing hits, if there are any."""
+    hit = {part for move in plan.moves for part in move.on.split(">")}
+    well = [name for name in scenario.sender_names if name not in hit] or scenario.sender_names
+    layouts = [
+        Announce(int(new.at_s * SECOND), new.on or rng.choice(well), int(new.ahead_s * SECOND),
+                 [name for name in scenario.sender_names if name not in new.drop])
+        for new in channels.layout
+    ]  # fmt: skip
+    reads: list[ReadAt] = []
+    for one in channels.read:
+        as_ofs: list[int | None] = [int(t * SECOND) for t in one.as_of_s]
+        reads += [
+            ReadAt(int(one.at_s * SECOND), on, scenario.channel_names[name], as_of, one.limit)
+            for on in one.at or [rng.choice(well)]
+            for name in one.of or list(scenario.channel_names)
+            for as_of in as_ofs or [None]
+        ]
+    layouts.sort(key=lambda one: one.at_us)
+    reads.sort(key=lambda one: one.at_us)
+    return msgspec.structs.replace(plan, layouts=layouts, reads=reads, reader=rng.choice(well))
 
 
 def arrivals(scenario: Scenario, rng: Random) -> list[Arrival]:
@@ -81,4 +135,5 @@
 
     if fault.what in PLACE:
         return turn(places)
-    return f"{turn(senders)}>{turn(places)}" if fault.what in LINK else turn(senders)
+    pair = fault.what in LINK or fault.what == DETACH
+    return f"{turn(senders)}>{turn(places)}" if pair else turn(senders)
--- a/rowanrack/lab/scenario.py
+++ b/rowanrack/lab/scenario.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -16,10 +17,13 @@
 SENDER = frozenset({"kill", "lose", "hang", "disk", "clock"})
 LINK = frozenset({"cut", "silent", "stall", "slow", "lossy"})
 PLACE = frozenset({"down", "shut", "failing", "mute", "drain"})
+DETACH = "detach"
 What = Literal[
     "kill", "lose", "hang", "disk", "clock", "cut", "silent", "stall", "slow", "lossy",
-    "down", "shut", "failing", "mute", "drain",
+    "down", "shut", "failing", "mute", "drain", "detach",
 ]  # fmt: skip
+Seconds = Annotated[float, Meta(ge=0)]
+FLEET = "fleet"  # the channel that all senders keep
 
 
 class ScenarioError(ValueError):
@@ -62,6 +66,42 @@
     by: float = 0.0
 
 
+class NewLayout(Table, frozen=True):
+    """A layout is announced at a sender (`on`, or the seed chooses): all senders but some keep shards."""
+
+    at_s: Seconds
+    drop: list[str] = []
+    on: str = ""
+    ahead_s: Above = 2.0  # from then on it is valid
+
+
+class Read(Table, frozen=True):
+    """Reads of the past: when, of which partners' channels, as of which times of the run, at which senders.
+
+    Without `of` all partners and `fleet`; without `as_of_s` as of the time of reading; without `at` the seed
+    chooses one that no fault hits.
+    """
+
+    at_s: Seconds
+    of: list[str] = []
+    as_of_s: list[Seconds] = []
+    at: list[str] = []
+    limit: Annotated[int, Meta(ge=1, le=1000)] = 1000
+
+
+class Channels(Table, frozen=True):
+    """The channels' log at every sender."""
+
+    log: bool = True
+    disk_mb: Above = 16.0
+    shards: Annotated[int, Meta(ge=1, le=4096)] = 64  # of announced layouts
+    keepers: Annotated[int, Meta(ge=1, le=16)] = 2
+    heard_s: Above = 10.0  # behind which a detach must have been heard of
+    settle_s: Above = 60.0  # for the order to settle behind the run
+    layout: list[NewLayout] = []
+    read: list[Read] = []
+
+
 GRADES = (Grade(name="album-update", effect="retryable"), Grade(name="print-order", effect="fragile"))
 
 
@@ -81,6 +121,17 @@
     notes: bool = False
     covered: bool = False  # whether what a sender with an emptied folder took must still end
     spread: Whole = 4  # senders that a client tries, one after the other
+    channels: Channels | None = None
+
+    @property
+    def log(self) -> Channels | None:
+        """The log's part, if it is on."""
+        return self.channels if self.channels is not None and self.channels.log else None
+
+    @property
+    def channel_names(self) -> dict[str, str]:
+        """Channels by the partner's name."""
+        return {p.name: str(p.dest) for p in self.partner} | {FLEET: FLEET}
 
     @property
     def sender_names(self) -> list[str]:
@@ -147,12 +198,46 @@
             good, kind = near in senders | {"clients"} and far in senders | places | {"discovery"}, "a link"
         elif fault.what in LINK:
             good, kind = near in senders | places, "an end"
+        elif fault.what == DETACH:
+            good, kind = near in senders and far in places, "a sender>endpoint"
         else:
             good, kind = fault.on in senders, "a sender"
         if fault.on and not good:
             found.append(([*at, "on"], f"no such {kind.split()[1]}: {fault.on!r}"))
         if fault.at_s > scenario.seconds:
             found.append(([*at, "at_s"], f"past the end ({scenario.seconds:g} s), not {fault.at_s:g}"))
+        if fault.what == DETACH and scenario.log is None:
+            found.append(([*at, "what"], "needs [channels]: nobody else would hear of it"))
+    if scenario.channels is not None:
+        found += channel_mistakes(scenario, scenario.channels)
     if scenario.notes and scenario.senders > 64:
         found.append((["notes"], "not among more than 64 senders"))
     return found
+
+
+def channel_mistakes(scenario: Scenario, channels: Channels) -> list[tuple[list[str], str]]:
+    """The same for the log's part."""
+    found: list[tuple[list[str], str]] = []
+    senders = set(scenario.sender_names)
+    parts: list[tuple[str, Sequence[NewLayout | Read]]] = [
+        ("layout", channels.layout),
+        ("read", channels.read),
+    ]
+    for part, ones in parts:
+        for n, one in enumerate(ones):
+            at = ["channels", part, str(n)]
+            if one.at_s > scenario.seconds:
+                found.append(([*at, "at_s"], f"past the end ({scenario.seconds:g} s), not {one.at_s:g}"))
+            named = {"drop": one.drop, "on": [one.on] if one.on else []} if isinstance(one, NewLayout) else {}
+            named |= {"at": one.at} if isinstance(one, Read) else {}
+            for key, names in named.items():
+                if unknown := [name for name in names if name not in senders]:
+                    found.append(([*at, key], f"no such sender: {unknown[0]!r}"))
+            if isinstance(one, NewLayout) and senders <= set(one.drop):
+                found.append(([*at, "drop"], "somebody must keep what there is"))
+            if isinstance(one, Read):
+                if unknown := [name for name in one.of if name not in scenario.channel_names]:
+                    found.append(([*at, "of"], f"no such partner: {unknown[0]!r}"))
+                if late := [t for t in one.as_of_s if t > one.at_s]:
+                    found.append(([*at, "as_of_s"], f"not past yet at {one.at_s:g} s: {late[0]:g}"))
+    return found
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
@@ -21,11 +22,12 @@
 from rowanrack.config import ConfigError, operator_config
 from rowanrack.lab import skewed
 from rowanrack.lab.__main__ import BAD_INPUT, NOT_PLAYED, bounded, main
-from rowanrack.lab.books import Entry
+from rowanrack.lab.books import Entry, Page
 from rowanrack.lab.books import read as books
 from rowanrack.lab.checker import Checker, figures
 from rowanrack.lab.fleet import Figures, Fleet, Partner
 from rowanrack.lab.links import Relays, UdpLink
+from rowanrack.lab.log_rules import LogChecker
 from rowanrack.lab.plan import make
 from rowanrack.lab.scenario import SCENARIOS, parse, read
 from tests.rig import on_loop
@@ -279,6 +281,19 @@
                 ("slow", "shop", "fault.0.on: no such end"),
             )
         ),
+        *(
+            (HEAD + PARTNER + f"[channels]\n{text}", f"line {line}: channels.{said}")
+            for text, line, said in (
+                ("keepers = 0", 8, "keepers: expected int >= 1 (0)"),
+                ("shard = 3", 8, "shard: unknown key"),
+                ('[[channels.layout]]\nat_s = 1.0\ndrop = ["s2"]', 10, "layout.0.drop: no such sender: 's2'"),
+                ('[[channels.layout]]\nat_s = 3.0', 9, "layout.0.at_s: past the end (2 s), not 3"),
+                ('[[channels.layout]]\nat_s = 1\ndrop = ["s0", "s1"]', 10, "layout.0.drop: somebody"),
+                ('[[channels.read]]\nat_s = 1.0\nof = ["lab"]', 10, "read.0.of: no such partner: 'lab'"),
+                ("[[channels.read]]\nat_s = 1.0\nas_of_s = [1.5]", 10, "read.0.as_of_s: not past yet at 1 s"),
+            )
+        ),
+        (HEAD + PARTNER + '[[fault]]\nat_s = 1.0\nwhat = "detach"', "line 9: fault.0.what: needs [channels]"),
         (HEAD.replace("= 2\n", "= 65\n") + "notes = true\n" + PARTNER, "line 4: notes: not among more than"),
     ],
 )  # fmt: skip
@@ -335,6 +350,115 @@
     assert all(child is not None and child.poll() is not None for child in children)
 
 
+UNIX = 1_000_000_000  # less the books' time
+ENDED = 20_000  # ms: when the run was over
+
+
+def logged(at_ms: int, kind: str, message: str, who: str = "s0", **more: Any) -> dict[str, Any]:
+    named = {"message": message} if message else {}
+    found = {"id": f"{who}/x/{at_ms}", "at": UNIX + 1000 * at_ms, "origin": who, "kind": kind}
+    return found | named | more
+
+
+def page(
+    events: list[dict[str, Any]], as_of_ms: int = ENDED, by: str = "k1", why: str = "end", **more: Any
+) -> Page:
+    as_of = UNIX + 1000 * as_of_ms
+    up_to = [event for event in events if event["at"] <= as_of]
+    given: dict[str, Any] = {"settled_until": as_of, "complete": True, "status": 200, "events": up_to} | more
+    given |= {"at": 1000 * as_of_ms, "who": by, "answered_by": by, "channel": "1", "as_of": as_of}
+    return Page(**given, limit=99, why=why, series=sum(by.encode()))
+
+
+def happened(message: str, at_ms: int) -> list[Entry]:
+    taken = e(at_ms, "taken", "s0", message, value=10**9, note="once")
+    return [msgspec.structs.replace(taken, dest=1), *called(at_ms + 10, message)]
+
+
+def noted(message: str, at_ms: int, leg: int = 1) -> list[dict[str, Any]]:
+    begun = logged(at_ms + 5, "begun", message, leg=leg, endpoint="p-0")
+    return [logged(at_ms, "taken", message), begun, logged(at_ms + 10, "delivered", message)]
+
+
+BOOK = [e(0, "clock", value=UNIX), e(0, "up", "s0"), *happened("a", 1000), *happened("b", 2000)]
+BOOK += [e(ENDED, "end", value=UNIX + 1000 * ENDED)]
+LOG = noted("a", 1000) + noted("b", 2000)
+KEPT_BY = [page(LOG), page(LOG, by="k2")]
+OTHER = [dict(LOG[0], id="s0/x/0"), *LOG[1:]]
+DETACHED = [e(3000, "detach", "s1", place="p-0"), *happened("c", 14_000)]
+SPAN: dict[str, Any] = {"from": UNIX + 2_000_000, "to": UNIX + 2_200_000}
+LOST = logged(4000, "lost", "", count=1, **SPAN)
+HUNG, SILENT = e(4000, "down", "k1", note="hang"), page([], 5000, why="run", status=0)
+LINK = [e(2000, "fault", "s0", note="link"), e(8000, "over", "s0", note="link")]
+LATE = [{"what": "events from 1", "why": "not heard"}]
+ATTACHED = [e(5000, "attach", "s1", place="p-0")]
+UNSETTLED = page(LOG, settled_until=UNIX + 9_000_000)
+
+
+@pytest.mark.parametrize(
+    ("rule", "book", "pages", "excused"),
+    [
+        ("order", [], [page(LOG), page(OTHER, by="k2")], None),
+        ("order", [], [page([LOG[1], LOG[0], *LOG[2:]])], None),
+        ("order", [], [UNSETTLED], ([e(5000, "down", "s3", note="kill")], [])),
+        ("event", [], [page(LOG[:-1])], ([e(3000, "down", "s0", note="kill")], [])),
+        ("event", [], [page(LOG[:-1])], ([], [page([*LOG[:-1], LOST])])),
+        ("event", [], [page(LOG[:-2])], None),
+        ("event", [], [page([*LOG[:-2], LOST])], None),  # it tells of one, and two are gone
+        ("event", [], [page(LOG + noted("b", 3000))], ([e(2500, "up", "s0")], [])),
+        ("event", [], [page([*LOG, logged(3000, "delivered", "z")])], None),
+        ("whole", [], [*KEPT_BY, page(LOG[1:], 5000, why="run")], None),
+        ("whole", [], [*KEPT_BY, page(LOG[1:], 5000, why="run", complete=False, missing=LATE)], None),
+        ("whole", [], [*KEPT_BY, page(LOG, 5000, why="run", complete=False)], None),
+        ("whole", [], [*KEPT_BY, page(LOG, 5000, why="run", missing=[{"what": "x", "why": ""}])], None),
+        ("whole", [], [*KEPT_BY, page([], 5000, why="run", status=404, text="never seen")], None),
+        ("whole", [], [*KEPT_BY, SILENT], ([HUNG], [])),
+        ("whole", happened("c", 2500), [page(LOG + noted("c", 6000)), page(LOG, 5000, why="run")], None),
+        ("detach", DETACHED, [page(LOG + noted("c", 14_000))], (ATTACHED, [])),
+        ("detach", DETACHED, [page(LOG + noted("c", 14_000))], (LINK, [])),
+    ],
+)  # fmt: skip
+def test_the_log_s_rules_catch_what_is_missing_doubled_or_out_of_order(
+    rule: str, book: list[Entry], pages: list[Page], excused: tuple[list[Entry], list[Page]] | None
+) -> None:
+    """A kill excuses what was noted 1.5 s before it, a `lost` event as many as it tells."""
+
+    def broken(entries: list[Entry], pages: list[Page]) -> set[str]:
+        ordered = sorted(BOOK + entries, key=lambda entry: entry.at)
+        return {breach.rule for breach in LogChecker(ordered, pages).check()}
+
+    early = page(LOG, 1500, why="run", complete=False, missing=LATE)
+    assert broken([], [*KEPT_BY, page(LOG, 5000, why="run"), early]) == set()
+    assert broken(book, pages) == {rule}
+    if excused is not None:
+        assert broken(book + excused[0], excused[1] or pages) == set()
+    if rule == "event" and excused is not None and excused[0]:
+        far = [msgspec.structs.replace(entry, at=entry.at + 1_000_000) for entry in excused[0]]
+        assert broken(book + far, pages) == ({rule} if far[0].what == "down" else set())
+
+
+def test_the_log_scenario_keeps_the_rules_and_shows_its_figures(tmp_path: Path) -> None:
+    scenario = read(SCENARIOS / "log.toml")
+    result = asyncio.run(bounded(scenario, make(scenario, 1), tmp_path, 1))
+    assert result["rules"] == "kept", result["breaches"]
+    log = result["log"]
+    assert log["by_kind"]["layout"] == log["by_kind"]["detached"] == 1
+    assert all(count >= 2 for count in log["keepers_asked"].values()) and log["events"] > 500
+    assert log["complete"] and log["complete"] + log["incomplete"] + log["nobody"] == 21
+    assert {row["dest"] for row in result["spread"]} == {1, 2} and result["endings"]["delivered"]
+    paths = tmp_path.glob("fleet/s*/site.toml")
+    files = {path.parent.name: tomllib.loads(path.read_text()) for path in paths}
+    direct = {
+        (near, far)
+        for near, doc in files.items()
+        for far, address in doc["channels"]["sites"].items()
+        if address == files[far]["channels"]["listen"]
+    }
+    well = files.keys() - {"s4"}  # which is cut off
+    assert len(well) == 7 and direct == {(a, b) for a in well for b in well if a != b}
+    assert result["series"]["lag"] and any(mark[1] == "layout" for mark in result["series"]["marks"])
+
+
 def test_peers_without_a_platform_are_a_mistake(tmp_path: Path) -> None:
     text = (Path(__file__).parents[1] / "deploy" / "operator.example.toml").read_text()
     path = tmp_path / "site.toml"
