Count a promise that came by others, once all that its site wrote since the last one is here

Need: until when a channel is settled a keeper knew only from each sender itself, so each keeper met all senders by turns, whether they had written or not. A promise names the channels that its site wrote on lately (64 at most, 30 s), with numbers, and since when these are all. One that came by others counts where its site's last one did, if that reaches back to then, for the same holdings and incarnations, and all that it names is here. Holdings that may have grown (a layout, a clock set back) void what counted before, also at a new keeper that confirms: it was counted there as settled before it had met the origins. What a giving site promises at an exchange's end now counts directly, if both agreed on the layout and the answering side's view has not changed.

--- a/rowanrack/channels/digests.py
+++ b/rowanrack/channels/digests.py
@@ -61,6 +61,7 @@
         super().__init__()
         self.site = site
         self.recent: dict[Stream, None] = {}  # own streams that changed, until `Log` takes them out
+        self.own_changes = 0  # how often that was
         self.wrote: dict[str, None] = {}  # channels with such streams, or whose holders changed, likewise
         self._changed: dict[Stream, None] = {}
         self._digests: dict[Stream, int] = {}
@@ -97,6 +98,7 @@
         self._changed[stream] = None
         if stream.site == self.site:
             self.recent[stream] = self.wrote[stream.channel] = None
+            self.own_changes += 1
 
     def follow(self, scope: Scope) -> None:
         """Bring all that follows from the heads up to what has changed of them, or of who keeps what."""
--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -15,7 +15,7 @@
 from blake3 import blake3
 
 from rowanrack.channels.clock import Hybrid
-from rowanrack.channels.digests import Heads
+from rowanrack.channels.digests import Heads, Scope
 from rowanrack.channels.events import (
     CHAIN_BYTES,
     FLEET,
@@ -37,6 +37,8 @@
 MOST_AT_US = 1 << 62
 REPEAT_US = 600_000_000  # a line about the same site comes this seldom
 PAGE_BYTES = 1 << 20  # how much of a stream is read at a time
+LATELY, LATELY_US = 64, 30_000_000  # a promise names so many streams of its site's, written so lately
+AHEAD_US = 60_000_000  # one that came by others and is this far ahead of our time does not count
 PROMISES_BYTES = 96 * 1024  # what promises take in one body, about
 
 
@@ -57,6 +59,16 @@
     life: str
     at: int
     lives: bytes  # digest of the incarnations that it knew of by then
+    since: int = MOST_AT_US  # of its events behind this time, other than on FLEET, all are in:
+    wrote: tuple[tuple[str, int], ...] = ()  # channels and the numbers up to which it had written there
+
+
+class Counted(NamedTuple):
+    """A promise that counts on all channels that we held then."""
+
+    promise: Promise
+    grown: int  # which holdings of ours these were: `Scope.grown`
+    counted_us: int  # steady time
 
 
 @dataclass(slots=True)
@@ -108,7 +120,11 @@
         self.session = secrets.token_hex(4)  # these changes are counted anew
         self._pairs = {member: Pair() for member in self.members}
         self._lives = b""
-        self._direct: dict[tuple[str, str], Promise] = {}  # on all channels that we share with that site
+        self._counted: dict[tuple[str, str], Counted] = {}  # on all channels that we hold
+        self._pending: dict[tuple[str, str], Promise] = {}  # and those that may count there
+        self._since = 0  # of our own promises
+        self._lately: tuple[int, int, tuple[tuple[str, int], ...]] = -1, 0, ()
+        self.scope: Scope | None = None  # who keeps what; None: every site all
         self._said: dict[str, int] = {}  # what was once called settled
         self._doubled: set[tuple[str, str]] = set()
         self._named: dict[tuple[str, str], int] = {}
@@ -135,6 +151,7 @@
 
     def _born(self, life: str) -> None:
         self.life = life
+        self._since, self._lately = 0, (-1, 0, ())
         self._tell(Promise(self.site, life, 0, b""), anew=True)
 
     def _reload(self) -> None:
@@ -382,6 +399,7 @@
 
     def drop(self, channel: str) -> None:
         """Forget a channel that is kept elsewhere; our own events stay until retention takes them."""
+        self._said.pop(channel, None)
         for stream in [stream for stream in self._heads if stream.channel == channel]:
             if stream.site != self.site:
                 self.store.drop(channel, stream)
@@ -396,13 +414,35 @@
         if at > self._on_disk:
             self.store.append([], {"floor": (at + LEAD_US).to_bytes(8, "big")})
             self._on_disk = at + LEAD_US
-        mine = Promise(self.site, self.life, at, self.lives())
+        wrote = self._wrote(at)
+        mine = Promise(self.site, self.life, at, self.lives(), self._since, wrote)
         if (self.site, self.life) in self._told:
             self._told[(self.site, self.life)] = mine  # it goes with each body, whatever has changed
         else:
             self._tell(mine)
         return mine
 
+    def _wrote(self, at: int) -> tuple[tuple[str, int], ...]:
+        """How far our streams go that were written lately; `_since` is moved behind all others."""
+        changes, until, wrote = self._lately
+        if changes == self._heads.own_changes and at < until:
+            return wrote
+        recent, lately = self._heads.recent, []
+        for stream in list(recent):
+            head = self._heads.get(stream)
+            if head is None or stream.life != self.life or stream.channel == FLEET:
+                del recent[stream]
+            else:
+                lately.append((head.at, head.number, stream))
+        lately.sort(reverse=True)
+        kept = [each for each in lately[:LATELY] if each[0] > at - LATELY_US]
+        for head_at, _, stream in lately[len(kept) :]:
+            self._since = max(self._since, head_at)
+            del recent[stream]
+        wrote = tuple((stream.channel, number) for _, number, stream in kept)
+        self._lately = self._heads.own_changes, at + LATELY_US // 10, wrote
+        return wrote
+
     def lives(self) -> bytes:
         """Digest of all incarnations that we know of: equal where the same are known."""
         if not self._lives:
@@ -434,12 +474,13 @@
             number, teller = self._changed[key]
             if known and teller == peer:
                 continue
-            room -= len(key[0]) + len(key[1]) + 32
+            each = self._told[key]
+            room -= len(key[0]) + len(key[1]) + 48 + sum(len(channel) + 9 for channel, _ in each.wrote)
             if room < 0:
                 return found, upto
             upto = number
             if key != (self.site, self.life):
-                found.append(self._told[key])
+                found.append(each)
         return found, max(upto, self._changes)
 
     def _tell(self, each: Promise, teller: str = "", anew: bool = False) -> None:
@@ -456,7 +497,10 @@
         self._told[key], self._changed[key] = each, (self._changes, teller)
 
     def heard(self, peer: str, promises: Iterable[Promise], direct: bool = True) -> None:
-        """Promises that a site held, after we have all that it had then; `direct`: off FLEET too."""
+        """Promises that a site held, after we have all that it had then.
+
+        `direct`: both agree on who keeps what, so that its own counts off FLEET too, and those of others may.
+        """
         for each in promises:
             key = (each.site, each.life)
             if each.site not in self.members or not 0 <= each.at < MOST_AT_US:
@@ -466,24 +510,82 @@
                 self._tell(each, peer, anew=True)
                 continue
             self._tell(each, peer)
-            if direct and each.site == peer and (key not in self._direct or self._direct[key].at < each.at):
-                self._direct[key] = each
+            if direct and each.site == peer:
+                counted = self._counted.get(key)
+                if counted is None or counted.grown != self._grown() or counted.promise.at < each.at:
+                    self._count(key, each)
+            elif direct and (key not in self._pending or self._pending[key].at < each.at):
+                self._pending[key] = each
+
+    def _grown(self) -> int:
+        return self.scope.grown if self.scope is not None else 0
+
+    def _count(self, key: tuple[str, str], each: Promise) -> None:
+        self._counted[key] = Counted(each, self._grown(), self._time.now_us())
+
+    def _catch_up(self) -> None:
+        """Count promises that came by others, once all that was written behind the last one is here.
+
+        That one must reach back to `since`, and must have counted for what we hold now. Its site must have
+        known no fewer incarnations by then: it may have got events of a new one's forerunner meanwhile.
+        """
+        grown, most = self._grown(), self._clock.wall() + AHEAD_US
+        holds: dict[str, bool] = {}
+        for key, each in list(self._pending.items()):
+            counted = self._counted.get(key)
+            if counted is None or counted.grown != grown:
+                continue
+            if counted.promise.at >= each.at:
+                del self._pending[key]
+            elif (
+                counted.promise.at >= each.since
+                and counted.promise.lives == each.lives
+                and each.at <= most
+                and all(self._has(channel, key, number, holds) for channel, number in each.wrote)
+            ):
+                self._count(key, each)
+                del self._pending[key]
+
+    def _has(self, channel: str, key: tuple[str, str], number: int, holds: dict[str, bool]) -> bool:
+        head = self._heads.get(Stream(channel, *key))
+        if head is not None and head.number >= number:
+            return True
+        if (here := holds.get(channel)) is None:
+            here = holds[channel] = self._holds(channel)
+        return not here
+
+    def _holds(self, channel: str) -> bool:
+        return channel == FLEET or self.scope is None or self.site in self.scope.holders(channel)
+
+    def counting(self) -> dict[str, Counted]:
+        """The last promise of each other site that counts on the channels that we hold."""
+        self._catch_up()
+        found: dict[str, Counted] = {}
+        grown, lives = self._grown(), self.lives()
+        for (site, life), each in self._counted.items():
+            sound = each.grown == grown and each.promise.lives == lives and (site, life) not in self._doubled
+            if sound and (site not in found or found[site].promise.at < each.promise.at):
+                found[site] = each
+        return found
 
     def settled_until(self, channel: str) -> tuple[int, list[str]]:
         """Up to when nothing more comes on a channel kept here (0: not known), and who holds it back.
 
         A promise counts once all that its site had is here, and once that site knew of all incarnations that
-        we know of. What was called settled once stays so.
+        we know of. What was called settled once stays so, for as long as the channel is kept here.
         """
         mine = self.promise()
-        table = self._told if channel == FLEET else self._direct
         best = dict.fromkeys(self.members, 0)
         best[self.site] = mine.at
-        for (site, life), each in table.items():
-            if site != self.site and each.lives == mine.lives and (site, life) not in self._doubled:
-                best[site] = max(best.get(site, 0), each.at)
-        least = min(best.values())
-        said = self._said[channel] = max(self._said.get(channel, 0), least)
+        if channel == FLEET:
+            for (site, life), each in self._told.items():
+                if site != self.site and each.lives == mine.lives and (site, life) not in self._doubled:
+                    best[site] = max(best.get(site, 0), each.at)
+        else:
+            best |= {site: each.promise.at for site, each in self.counting().items()}
+        said = least = min(best.values())
+        if self._holds(channel):
+            said = self._said[channel] = max(self._said.get(channel, 0), least)
         return said, [site for site, at in best.items() if at == least and site != self.site]
 
 
--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -69,6 +69,10 @@
         """Who keeps what, as known here."""
         return self.fleet.layouts
 
+    def _pass(self) -> None:
+        self.layouts.passed(self._time.unix_us())
+        self.log.scope = self.layouts
+
     def open(self) -> None:
         """Open the log and take in what it holds of the fleet. Raises LogError."""
         self.log.open()
@@ -105,7 +109,7 @@
         A keeper knows until when a channel is settled only from each sender itself, one that wrote nothing
         there among them.
         """
-        self.layouts.passed(self._time.unix_us())
+        self._pass()
         self.log.tracked.follow(self.layouts)
         found: set[str] = set()
         for holders in self.log.tracked.held():
@@ -116,7 +120,7 @@
 
     def offer(self, peer: str) -> bytes:
         """Begin an exchange with a site: the request for it."""
-        self.layouts.passed(self._time.unix_us())
+        self._pass()
         self._confirm()
         self._asked[peer] = self.layouts.moves(self.name)
         return SYNC + sync.offer(self.log, peer, self.layouts)
@@ -147,7 +151,7 @@
     def answer(self, body: bytes) -> bytes:
         """The answer to another site's call. Raises ValueError for one that cannot be read, LogError."""
         what, rest = body[:1], body[1:]
-        self.layouts.passed(self._time.unix_us())
+        self._pass()
         if what == SYNC:
             return sync.answer(self.log, rest, self.layouts)
         if what == READ:
@@ -159,12 +163,12 @@
 
     def give(self, asked: reads.PartAsked) -> bytes:
         """This site's part of a read."""
-        self.layouts.passed(self._time.unix_us())
+        self._pass()
         return msgspec.msgpack.encode(reads.give(self.log, self.layouts, asked))
 
     def tidy(self) -> int:
         """Retention; how many events went. What other sites are to keep by now goes as well."""
-        self.layouts.passed(self._time.unix_us())
+        self._pass()
         for channel in {head.stream.channel for head in self.log.heads()}:
             if self.layouts.may_drop(self.name, channel):
                 self.log.drop(channel)
--- a/rowanrack/channels/sync.py
+++ b/rowanrack/channels/sync.py
@@ -69,6 +69,8 @@
     over: bool = False
     told: Told = NOTHING  # which promises these are
     have: tuple[str, int] = ("", 0)  # by the other's session: up to which change we hold its promises
+    view: str = ""  # the layout that holds now, in the first request
+    turn: int = 0  # at the end, if both agree on who keeps what: the turn that the first answer named
 
 
 class Reply(msgspec.Struct, array_like=True):
@@ -84,6 +86,8 @@
     promises: list[Promise] = []
     told: Told = NOTHING
     have: tuple[str, int] = ("", 0)
+    view: str = ""
+    turn: int = 0  # of who keeps what: another one once that may have changed there
 
 
 @dataclass(slots=True)
@@ -93,6 +97,9 @@
     peer: str
     mine: list[Promise]  # as of its begin: those that the peer is not known to hold
     told: Told
+    turn: int  # of who keeps what, as of its begin
+    view: str
+    their_turn: int = 0
     groups: list[int] | None = None  # those still to be compared, the current one first; None: not known yet
     behind: Stream | None = None  # the current page begins behind this stream
     theirs: list[Promise] = field(default_factory=list)
@@ -108,15 +115,18 @@
 
 def offer(log: Log, peer: str, scope: Scope) -> bytes:
     """The request that begins an exchange; an earlier one with this site is given up."""
+    log.scope = scope
     mine, told = _promises(log, peer)
-    log.talks[peer] = Talk(peer, mine, told)
+    log.talks[peer] = Talk(peer, mine, told, scope.turn, scope.view)
     digests, have = _digests(log, peer, scope), _have(log, peer)
-    return _encoded(Request(VERSION, log.site, digests, promises=mine, told=told, have=have))
+    request = Request(VERSION, log.site, digests, promises=mine, told=told, have=have, view=scope.view)
+    return _encoded(request)
 
 
 def answer(log: Log, body: bytes, scope: Scope) -> bytes:
     """The answer to a request. Raises SyncError: it is none; LogError: the store failed, nothing was kept."""
     asked = _decoded(body, Request)
+    log.scope = scope
     reply = Reply(VERSION, log.site)
     _holds(log, asked)
     for gap in asked.gaps:
@@ -130,12 +140,13 @@
         both = sorted(ours.keys() | asked.digests.keys())
         reply.groups = [group for group in both if ours.get(group) != asked.digests.get(group)]
         reply.promises, reply.told = _promises(log, asked.site)
+        reply.view, reply.turn = scope.view, scope.turn
         if not reply.groups:
-            _heard(log, asked.site, asked.promises, asked.told)
+            _heard(log, asked.site, asked.promises, asked.told, asked.view == scope.view)
         else:
             asked.group = reply.groups[0]
     elif asked.over:
-        _heard(log, asked.site, asked.promises, asked.told, direct=False)
+        _heard(log, asked.site, asked.promises, asked.told, asked.turn == scope.turn)
     room = EVENT_BYTES
     for stream, behind in asked.wants:
         if room <= 0:
@@ -154,6 +165,7 @@
     exchange, and its promises do not count then.
     """
     reply = _decoded(body, Reply)
+    log.scope = scope
     talk = log.talks.get(reply.site)
     if not isinstance(talk, Talk) or talk.over:
         return None
@@ -161,7 +173,8 @@
     if talk.groups is None:
         talk.groups = [g for g in dict.fromkeys(reply.groups) if 0 <= g < GROUPS]
         talk.theirs, talk.theirs_told = reply.promises, reply.told
-        talk.layout = 0 not in talk.groups
+        talk.layout = 0 not in talk.groups and reply.view == talk.view
+        talk.their_turn = reply.turn
     if reply.last is not None and talk.behind is not None and reply.last <= talk.behind:
         reply.last = None  # a page that goes back would have no end
     _keep(log, talk, reply)
@@ -174,13 +187,14 @@
                 talk.groups.pop(0)
                 if not talk.groups and not talk.bad:
                     request.promises, request.told, request.over = talk.mine, talk.told, True
+                    request.turn = talk.their_turn if talk.layout and talk.turn == scope.turn else 0
                     return _encoded(request)
         if talk.groups:
             request.group, request.behind = talk.groups[0], talk.behind
             talk.wanted = request.wants
             return _encoded(request)
     if not talk.bad:
-        _heard(log, talk.peer, talk.theirs, talk.theirs_told, direct=talk.layout)
+        _heard(log, talk.peer, talk.theirs, talk.theirs_told, talk.layout and talk.turn == scope.turn)
     talk.over = True
     return None
 
@@ -209,7 +223,7 @@
     log.pair(body.site).known = number if session == log.session else 0
 
 
-def _heard(log: Log, peer: str, promises: list[Promise], told: Told, direct: bool = True) -> None:
+def _heard(log: Log, peer: str, promises: list[Promise], told: Told, direct: bool) -> None:
     """Count promises. If they are behind one that we do not hold, the other hears so and tells all again."""
     log.heard(peer, promises, direct)
     pair = log.pair(peer)
