Count how long an endpoint is passed over while a sibling has two calls out, and herds over the mean

The rate was fixed. Change: `passed_over` counts only time in which some sibling has two calls or more out; peaks are told over the mean of the ten seconds; `--rate`.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -250,6 +250,7 @@
 @click.option("--streams", default="1,8", show_default=True, help="Calls at once on a connection.")
 @click.option("--table", default=0, show_default=True, help="Connections an endpoint takes; 0: any number.")
 @click.option("--zones", default=1, show_default=True, help="Over which the endpoints are spread.")
+@click.option("--rate", default=60.0, show_default=True, help="Calls a second of all senders.")
 @click.option("--herds", is_flag=True, help="Herds in time instead, after something that all senders see.")
 def spread(
     against: Path | None,
@@ -260,6 +261,7 @@
     streams: str,
     table: int,
     zones: int,
+    rate: float,
     herds: bool,
 ) -> None:
     """How evenly the decisions spread calls, and for how many new connections, in virtual time."""
@@ -272,7 +274,7 @@
     )
     plans = [
         dict(zip(("happening", "senders", "endpoints", "streams"), case, strict=True))
-        | {"table": table, "zones": zones, "seed": seed + 1}
+        | {"table": table, "zones": zones, "rate": rate, "seed": seed + 1}
         for case in cases
         for seed in range(seeds)
     ]
@@ -288,8 +290,9 @@
                 raise SystemExit(f"benchmarks: {tree}: {error}") from None
     if herds:
         columns |= {"after": "happening", "in 100 ms": "in_100ms", "by chance": "chance_in_100ms"}
-        columns |= {"in 1 s": "in_1s", " by chance": "chance_in_1s", "idle s": "idle_s"}
-        columns |= {"  by chance": "chance_idle_s"}
+        columns |= {"over mean": "over_100ms", "in 1 s": "in_1s", " by chance": "chance_in_1s"}
+        columns |= {" over mean": "over_1s", "idle s": "idle_s", "  by chance": "chance_idle_s"}
+        columns |= {"passed s": "passed_s", "   by chance": "chance_passed_s"}
         show(herds_of(rows), columns, str(where) == "-")
     else:
         columns |= {"peak": "peak", "worst": "peak_worst", "by chance": "chance_peak", "least": "least"}
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -156,7 +156,8 @@
         )
         self.queue: list[tuple[int, int, Any, tuple[Any, ...]]] = []
         self.turn = itertools.count(1)
-        self.calls: list[tuple[int, str]] = []  # when and where
+        self.calls: list[tuple[int, str]] = []  # when and where,
+        self.lasted: list[int] = []  # and for how long
         self.new = self.short = self.refs = 0
         self.open, self.most_open = Counter[str](), 0
         self.down: set[str] = set()
@@ -215,6 +216,7 @@
                 self.open[target] += 1
                 self.most_open = max(self.most_open, self.open[target])
         us = max(1, int(latency * SECOND))
+        self.lasted.append(us)
         self.after(us, sender.end, send.ref, leg, sender.lives, result, us, wait, line)
 
     def run(self, until: float) -> None:
@@ -248,6 +250,24 @@
     return found
 
 
+def passed_over(calls: list[tuple[int, str]], lasted: list[int], listed: list[str], end: int) -> float:
+    """The most seconds that one endpoint stood without a call, until its next one, while some sibling had two
+    or more out at the same time. A pause of all counts nothing, however long."""
+    ends = ((at + us, n, -1, target) for n, ((at, target), us) in enumerate(zip(calls, lasted, strict=True)))
+    starts = ((at, n, 1, target) for n, (at, target) in enumerate(calls))
+    out, stood, most, before, double = Counter[str](), dict.fromkeys(listed, 0), 0, calls[0][0], 0
+    for at, _, step, target in sorted((*ends, *starts)):
+        if double:
+            for idle in listed:
+                stood[idle] += (min(at, end) - min(before, end)) * (not out[idle])
+        double += (step > 0 and out[target] == 1) - (step < 0 and out[target] == 2)
+        out[target] += step
+        before = at
+        if step > 0 and target in stood:
+            most, stood[target] = max(most, stood[target]), 0
+    return max(most, *stood.values()) / SECOND
+
+
 def happen(fleet: Fleet, at: float) -> float:
     """Let the plan's happening come about at that time; when it is over, which is when herds may form."""
     plan, new = fleet.plan, f"e{fleet.plan.endpoints}"
@@ -290,10 +310,14 @@
         start = happen(fleet, now)
         fleet.run(start + 10)
         after = [c for c in fleet.calls if c[0] >= start * SECOND]
+        lasted = fleet.lasted[-len(after) :]
         span = int(start * SECOND), int((start + 10) * SECOND)
         row |= herds(after, fleet.listed, *span)
         lots = [(at, dice.choice(fleet.listed)) for at, _ in after]
         drawn = herds(lots, fleet.listed, *span)
+        row["passed_s"] = passed_over(after, lasted, fleet.listed, span[1])
+        drawn["passed_s"] = passed_over(lots, lasted, fleet.listed, span[1])
+        row["even_1s"] = len(after) / len(fleet.listed) * SECOND / (span[1] - span[0])
         row |= {f"chance_{key}": value for key, value in drawn.items()}
     else:
         for phase in range(3):
@@ -354,9 +378,17 @@
 
 
 def herds_of(rows: list[dict[str, Any]]) -> list[dict[str, Any]]:
-    """Each case: means over seeds of what was worst in each."""
-    keys = [f"{by}{key}" for by in ("", "chance_") for key in ("in_100ms", "in_1s", "idle_s")]
-    return [{**r[0], **{k: fmean(float(x[k]) for x in r) for k in keys}} for r in cases_of(rows)]
+    """Each case: means over seeds of what was worst in each. `over_`: times what comes to one endpoint in the
+    mean of the ten seconds."""
+    keys = [f"{by}{key}" for by in ("", "chance_") for key in ("in_100ms", "in_1s", "idle_s", "passed_s")]
+    found = []
+    for runs in cases_of(rows):
+        row = {**runs[0], **{k: fmean(float(x[k]) for x in runs) for k in (*keys, "even_1s")}}
+        for by in ("", "chance_"):
+            row[f"{by}over_100ms"] = fmean(10 * x[f"{by}in_100ms"] / x["even_1s"] for x in runs)
+            row[f"{by}over_1s"] = fmean(x[f"{by}in_1s"] / x["even_1s"] for x in runs)
+        found.append(row)
+    return found
 
 
 if __name__ == "__main__":
