Let an attach undo what its process detached also where that process's run became a branch

Seen while telling copies apart: an attach names the detaches it has seen by site, incarnation and number. Where the run of a copied folder becomes a branch its detaches got another name, so its own attach undid them no more; and it undid a detach of another endpoint that stands under the same number in the stem, at some sites and not at others, by the order in which the two came. Change: detaches are held by endpoint and by the name under which their process wrote them, for operators and for reads of the past.

--- a/rowanrack/channels/bans.py
+++ b/rowanrack/channels/bans.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, Event
+from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, Event, written
 
-Id = tuple[str, str, int]  # site, life, number on FLEET
+Id = tuple[str, str, int]  # site, life, number on FLEET, as its process wrote it
 
 
 class Detaches:
@@ -12,7 +12,7 @@
 
     def __init__(self) -> None:
         self._standing: dict[str, set[Id]] = {}
-        self._undone: set[Id] = set()
+        self._undone: set[tuple[str, Id]] = set()  # by endpoint: doubles may have used one id for two
 
     def saw(self, event: Event) -> None:
         """Take an event in; what is no detach or attach passes. Raises ValueError: a broken payload."""
@@ -23,12 +23,12 @@
         if not isinstance(endpoint, str):
             raise ValueError(f"event {event.id}: `endpoint` is no text")
         if event.kind == DETACHED:
-            name = (event.site, event.life, event.number)
-            if name not in self._undone:
+            name = written(event)
+            if (endpoint, name) not in self._undone:
                 self._standing.setdefault(endpoint, set()).add(name)
             return
         undoes = {_id(event, each) for each in payload.get("undoes") or ()}
-        self._undone |= undoes
+        self._undone |= {(endpoint, each) for each in undoes}
         left = self._standing.get(endpoint, set()) - undoes
         if left:
             self._standing[endpoint] = left
--- a/rowanrack/channels/events.py
+++ b/rowanrack/channels/events.py
@@ -143,15 +143,21 @@
     return Branch(found[1], int(found[2]), bytes.fromhex(found[3])) if found else None
 
 
+def written(event: Event) -> tuple[str, str, int]:
+    """Site, incarnation and number under which its process wrote an event: what an attach names it by."""
+    if "~" in event.life and (branch := _branch(event.life)) is not None:
+        return event.site, branch.life, branch.number + event.number - 1
+    return event.site, event.life, event.number
+
+
 def branched(first: Event, before: bytes) -> str:
     """The incarnation of the branch that begins with an event, behind a chain.
 
     It is made of that event as it was written (its number, the chain in front of it and its own), so it is
     the same whichever of its branches was met first, and a branch of a branch is named as one of the stem.
     """
-    stem = _branch(first.life)
-    life, number = (stem.life, first.number + stem.number - 1) if stem else (first.life, first.number)
-    if stem and first.number == 1:
+    _, life, number = written(first)
+    if first.number == 1 and (stem := _branch(first.life)) is not None:
         before = stem.before
     return f"{life}~{number}.{before.hex()}.{first.chain.hex()}"
 
--- a/rowanrack/channels/past.py
+++ b/rowanrack/channels/past.py
@@ -28,6 +28,7 @@
     TAKEN,
     WAIT,
     Event,
+    written,
 )
 
 NAMED_MOST = 100  # owed messages that are named; all are counted
@@ -92,8 +93,8 @@
         self._outages: dict[str, int] = {}
         self._owed: dict[tuple[str, str | int], int] = {}  # sender and message: taken when
         self._nameless: Counter[str] = Counter()  # messages without an id that a sender owes
-        self._detaches: dict[tuple[str, str, int], str] = {}
-        self._undone: set[tuple[str, str, int]] = set()
+        self._detaches: set[tuple[str, tuple[str, str, int]]] = set()  # endpoint, and how it is named
+        self._undone: set[tuple[str, tuple[str, str, int]]] = set()
 
     def saw(self, event: Event) -> None:
         """Take in the next event of the channel or of `fleet`; later ones than the time are passed over."""
@@ -116,9 +117,9 @@
             case Lost():
                 self.lost += found.count
             case Attach():
-                self._undone.update(found.undoes)
+                self._undone.update((found.endpoint, each) for each in found.undoes)
             case Of() if fleet:
-                self._detaches[event.site, event.life, event.number] = found.endpoint
+                self._detaches.add((found.endpoint, written(event)))
             case Of():
                 self._named.add(found.endpoint)
                 self._endpoint(event, found)
@@ -155,7 +156,7 @@
 
         `detached` names the channel's own endpoints, on `fleet` all; times are Unix microseconds.
         """
-        detached = {name for at, name in self._detaches.items() if at not in self._undone}
+        detached = {name for name, _ in self._detaches - self._undone}
         owed = [
             {"sender": site, "message": message, "taken": at}
             for (site, message), at in sorted(self._owed.items(), key=lambda o: (o[1], o[0][0], str(o[0][1])))
--- a/tests/test_channels_log.py
+++ b/tests/test_channels_log.py
@@ -13,8 +13,20 @@
 
 from rowanrack.channels.bans import Detaches
 from rowanrack.channels.clock import Hybrid
-from rowanrack.channels.events import ATTACHED, DETACHED, FLEET, START, Event, Place, Stream, chained, packed
+from rowanrack.channels.events import (
+    ATTACHED,
+    DETACHED,
+    FLEET,
+    START,
+    Event,
+    Place,
+    Stream,
+    branched,
+    chained,
+    packed,
+)
 from rowanrack.channels.log import Log, Noted, Promise
+from rowanrack.channels.past import Past
 from rowanrack.store.log_memory import MemoryLog
 
 S = 1_000_000
@@ -232,6 +244,20 @@
     assert merged.detached() == plain
 
 
+def test_an_attach_undoes_what_its_process_detached_also_in_a_branch_and_nothing_else() -> None:
+    stem = ban(DETACHED, "b", 3, "kept")
+    mine = ban(DETACHED, "b", 3, "e"), ban(ATTACHED, "b", 4, "e", [("b", "x", 3)])
+    life = branched(mine[0], START)
+    branch = [msgspec.structs.replace(each, life=life, number=n) for n, each in enumerate(mine, 1)]
+    for order in itertools.permutations([stem, *branch]):
+        here, then = Detaches(), Past(FLEET, 9)
+        for each in order:
+            here.saw(each)
+            then.saw(each)
+        assert here.detached() == {"kept"} == set(then.state()["detached"])
+        assert here.undoes("kept") == [["b", "x", 3]]
+
+
 @pytest.mark.parametrize("payload", [{}, {"endpoint": 1}, {"endpoint": "e", "undoes": [["a"]]}])
 def test_a_payload_that_is_none_is_named(payload: dict[str, Any]) -> None:
     event = msgspec.structs.replace(ban(ATTACHED, "a", 1, "e"), data=packed(payload))
