Meet whom there is something for: neighbours seldom while quiet, at once with news, keepers when owed

Need: each site met each neighbour each second or two, and each keeper all senders by turns, whatever there was to say: at 200 senders more than eight cores for meetings alone. A site knows of each other one which FLEET it has, up to which round of our writes it has them, and when they last met whole, whoever began. Neighbours are met at most every 4 s (1 s for each of them), within 0.3 s if they lack news of FLEET; who is to have what was written here about 2 s later; who holds a channel here asks a sender whose promise it could not count for 10 s, and the other holders as seldom; who takes over a shard asks those that had it. The loop sleeps until something is due, looks at endpoints each second, and looks for whom to meet each second and with each news of FLEET.

--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -78,6 +78,10 @@
     known: int = 0  # the other holds our promises up to this change of them
     session: str = ""  # whose changes we count next: the other's log since it was opened
     had: int = 0  # and up to which of them we hold its promises
+    fleet: int = -1  # the digest of FLEET there
+    wrote: int = 0  # which round of our writes was the last for it
+    paid: int = 0  # and up to which round it has them
+    whole_us: int = 0  # steady time of the last meeting that came to its end
 
 
 class Log:
@@ -119,6 +123,7 @@
         self._changes = 0
         self.session = secrets.token_hex(4)  # these changes are counted anew
         self._pairs = {member: Pair() for member in self.members}
+        self._writes = 0  # rounds of our writes that others are to have
         self._lives = b""
         self._counted: dict[tuple[str, str], Counted] = {}  # on all channels that we hold
         self._pending: dict[tuple[str, str], Promise] = {}  # and those that may count there
@@ -458,6 +463,25 @@
         """What we know of a site from meetings; of a stranger nothing is kept."""
         return self._pairs.get(peer) or Pair()
 
+    def owing(self) -> int:
+        """Note who is to have what we wrote since the last question; which round of writes this was."""
+        assert self.scope is not None
+        self._heads.follow(self.scope)
+        if self._heads.wrote:
+            self._writes += 1
+            for channel in self._heads.wrote:
+                for site in self._heads.holders(channel):
+                    self.pair(site).wrote = self._writes
+            self._heads.wrote.clear()
+        return self._writes
+
+    def whole(self, peer: str, paid: int, fleet: int | None = None) -> None:
+        """A meeting with a site came to its end: it has our writes up to a round, and such a FLEET."""
+        pair = self.pair(peer)
+        pair.whole_us, pair.paid = self._time.now_us(), max(pair.paid, paid)
+        if fleet is not None:
+            pair.fleet = fleet
+
     def told(self, known: int = 0, peer: str = "") -> tuple[list[Promise], int]:
         """Our promise as of now, those that changed behind a change, and up to which these are all.
 
--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -20,6 +20,7 @@
 
 FOREVER_US = 1 << 62
 SYNC, READ = b"S", b"R"  # the first byte of a call between sites: an exchange, or a part of a read
+ASK_BEHIND_US = 10_000_000  # who could not be counted, or was not met, for so long is asked
 TIDY_PART = 0.8  # of the room on disk, to which retention goes back: what is written meanwhile fits
 
 
@@ -61,6 +62,7 @@
         self.fleet = Fleet(members)
         self._news: list[Event] = []
         self._anew, self._rewritten = False, 0
+        self._moves_as_of, self._to_move = 0, list[Move]()
         self._asked: dict[str, list[Move]] = {}  # by site: what its exchange, under way, counts for
         self._met: dict[Move, set[str]] = {}  # the sites met whole since a shard was to come here
 
@@ -103,18 +105,38 @@
         """Write what happened here. Raises LogError."""
         return self.log.write(noted)
 
-    def needs(self) -> list[str]:
-        """Whom to meet beside the neighbours: who is to hold what is here, and, for what is held here, all.
+    def needs(self) -> sync.Needs:
+        """Whom to meet, and why, beside neighbours by turns.
 
-        A keeper knows until when a channel is settled only from each sender itself, one that wrote nothing
-        there among them.
+        Who is to have what was written here is owed it. Who holds something here beside others asks them
+        seldom, in case one got what no other did, and each sender whose promise it has not been able to count
+        for a while; who is to take over a shard asks those that had it.
         """
         self._pass()
-        self.log.tracked.follow(self.layouts)
-        found: set[str] = set()
-        for holders in self.log.tracked.held():
-            found.update(self.log.members if self.name in holders else holders)
-        return sorted(found - {self.name})
+        log, now = self.log, self._time.now_us()
+        log.owing()
+        pairs = {site: log.pair(site) for site in log.members if site != self.name}
+        fleet = log.tracked.fleet
+        ask: set[str] = set()
+        held = [holders for holders in log.tracked.held() if self.name in holders]
+        if held:
+            counting, late = log.counting(), now - ASK_BEHIND_US
+            ask = {s for s in pairs if s not in counting or counting[s].counted_us < late}
+            ask |= {s for s in frozenset[str]().union(*held) & pairs.keys() if pairs[s].whole_us < late}
+        for move in self._moves():
+            met = self._met.get(move, {self.name})
+            ask.update(*(sources for sources in self.layouts.sources(move) if not met & sources))
+        return sync.Needs(
+            [site for site, pair in pairs.items() if pair.fleet != fleet],
+            [site for site, pair in pairs.items() if pair.wrote > pair.paid],
+            ask - {self.name},
+            {site: pair.whole_us for site, pair in pairs.items()},
+        )
+
+    def _moves(self) -> list[Move]:
+        if self._moves_as_of != self.layouts.turn:
+            self._moves_as_of, self._to_move = self.layouts.turn, self.layouts.moves(self.name)
+        return self._to_move
 
     # Exchanges, and reads of others.
 
@@ -122,7 +144,7 @@
         """Begin an exchange with a site: the request for it."""
         self._pass()
         self._confirm()
-        self._asked[peer] = self.layouts.moves(self.name)
+        self._asked[peer] = self._moves()
         return SYNC + sync.offer(self.log, peer, self.layouts)
 
     def take(self, peer: str, answer: bytes) -> bytes | None:
@@ -140,7 +162,7 @@
     def _confirm(self) -> None:
         """Say which shards are whole here by now, so that those who kept them before may drop them."""
         whole: list[Noted] = []
-        for move in self.layouts.moves(self.name):
+        for move in self._moves():
             met = self._met.get(move, {self.name})
             if all(met & sources for sources in self.layouts.sources(move)):
                 whole.append(Noted(FLEET, KEPT, packed(move.payload()), self._time.unix_us()))
--- a/rowanrack/channels/sync.py
+++ b/rowanrack/channels/sync.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import chain, groupby
 from typing import NamedTuple, TypeVar
@@ -71,6 +71,8 @@
     have: tuple[str, int] = ("", 0)  # by the other's session: up to which change we hold its promises
     view: str = ""  # the layout that holds now, in the first request
     turn: int = 0  # at the end, if both agree on who keeps what: the turn that the first answer named
+    writes: int = 0  # and its round of writes
+    fleet: int = 0  # at the end: the digest of FLEET that both had
 
 
 class Reply(msgspec.Struct, array_like=True):
@@ -88,6 +90,7 @@
     have: tuple[str, int] = ("", 0)
     view: str = ""
     turn: int = 0  # of who keeps what: another one once that may have changed there
+    writes: int = 0  # rounds of its site's own writes
 
 
 @dataclass(slots=True)
@@ -99,7 +102,10 @@
     told: Told
     turn: int  # of who keeps what, as of its begin
     view: str
+    writes: int  # of ours, as of its begin
+    fleet: int  # the digest of FLEET that both have, once the group is through
     their_turn: int = 0
+    their_writes: int = 0
     groups: list[int] | None = None  # those still to be compared, the current one first; None: not known yet
     behind: Stream | None = None  # the current page begins behind this stream
     theirs: list[Promise] = field(default_factory=list)
@@ -117,8 +123,8 @@
     """The request that begins an exchange; an earlier one with this site is given up."""
     log.scope = scope
     mine, told = _promises(log, peer)
-    log.talks[peer] = Talk(peer, mine, told, scope.turn, scope.view)
     digests, have = _digests(log, peer, scope), _have(log, peer)
+    log.talks[peer] = Talk(peer, mine, told, scope.turn, scope.view, log.owing(), log.tracked.fleet)
     request = Request(VERSION, log.site, digests, promises=mine, told=told, have=have, view=scope.view)
     return _encoded(request)
 
@@ -140,13 +146,16 @@
         both = sorted(ours.keys() | asked.digests.keys())
         reply.groups = [group for group in both if ours.get(group) != asked.digests.get(group)]
         reply.promises, reply.told = _promises(log, asked.site)
-        reply.view, reply.turn = scope.view, scope.turn
+        reply.view, reply.turn, reply.writes = scope.view, scope.turn, log.owing()
+        log.pair(asked.site).fleet = asked.digests.get(0, 0)
         if not reply.groups:
-            _heard(log, asked.site, asked.promises, asked.told, asked.view == scope.view)
+            _heard(log, asked.site, asked.promises, asked.told, agree := asked.view == scope.view)
+            log.whole(asked.site, reply.writes if agree else 0)
         else:
             asked.group = reply.groups[0]
     elif asked.over:
-        _heard(log, asked.site, asked.promises, asked.told, asked.turn == scope.turn)
+        _heard(log, asked.site, asked.promises, asked.told, agree := asked.turn == scope.turn)
+        log.whole(asked.site, asked.writes if agree else 0, asked.fleet)
     room = EVENT_BYTES
     for stream, behind in asked.wants:
         if room <= 0:
@@ -174,7 +183,7 @@
         talk.groups = [g for g in dict.fromkeys(reply.groups) if 0 <= g < GROUPS]
         talk.theirs, talk.theirs_told = reply.promises, reply.told
         talk.layout = 0 not in talk.groups and reply.view == talk.view
-        talk.their_turn = reply.turn
+        talk.their_turn, talk.their_writes = reply.turn, reply.writes
     if reply.last is not None and talk.behind is not None and reply.last <= talk.behind:
         reply.last = None  # a page that goes back would have no end
     _keep(log, talk, reply)
@@ -184,17 +193,22 @@
         if not (request.wants or request.events or request.forked or request.gaps):
             talk.behind = reply.last
             if reply.last is None:
-                talk.groups.pop(0)
+                if talk.groups.pop(0) == 0:
+                    log.tracked.follow(scope)
+                    talk.fleet = log.tracked.fleet
                 if not talk.groups and not talk.bad:
                     request.promises, request.told, request.over = talk.mine, talk.told, True
                     request.turn = talk.their_turn if talk.layout and talk.turn == scope.turn else 0
+                    request.writes, request.fleet = talk.their_writes, talk.fleet
                     return _encoded(request)
         if talk.groups:
             request.group, request.behind = talk.groups[0], talk.behind
             talk.wanted = request.wants
             return _encoded(request)
     if not talk.bad:
-        _heard(log, talk.peer, talk.theirs, talk.theirs_told, talk.layout and talk.turn == scope.turn)
+        agree = talk.layout and talk.turn == scope.turn
+        _heard(log, talk.peer, talk.theirs, talk.theirs_told, agree)
+        log.whole(talk.peer, talk.writes if agree else 0, talk.fleet)
     talk.over = True
     return None
 
@@ -399,22 +413,32 @@
     return found
 
 
-NEAR_US = 1_000_000  # a neighbour is met this often, with fewer than MANY sites
-MANY = 100  # with more, as much more seldom
-REST_US = 250_000  # the others that need us are met at this pace, one after the other, none more often than:
-REST_LEAST_US = 2_000_000
+QUIET_US, QUIET_EACH_US = 4_000_000, 1_000_000  # a neighbour is met this often, with many as much more seldom
+NEWS_LEAST_US, NEWS_US = 50_000, 300_000  # news of FLEET: that soon
+OWED_US = 2_000_000  # what we wrote waits so long for more
+ASK_US = 250_000  # who is to be asked is so at this pace, one after the other, none more often than:
+ASK_LEAST_US = 5_000_000
 AGAIN_US, MOST_AGAIN_US = 1_000_000, 60_000_000  # behind failures: doubled each time, up to a most
 MOST_AT_ONCE = 4
 FAILING = 3  # failures on end until the next site along the ring stands in
 
 
+class Needs(NamedTuple):
+    """Why other sites should be met, as of now."""
+
+    news: Collection[str] = ()  # they are not known to have what is on FLEET here
+    owed: Collection[str] = ()  # they are to have what we wrote
+    ask: Collection[str] = ()  # we lack their word, or what they hold
+    whole: Mapping[str, int] = {}  # steady time of the last whole meeting, whoever began it
+
+
 class Meetings:
     """Whom a site begins an exchange with, and when. Times are microseconds of the steady clock.
 
     For FLEET these are neighbours on a ring in the order of the names' digests, at distances 1, 2, 4, ...:
-    about log2(n) sites, and what one wrote is everywhere after about log2(n) meetings. A neighbour that
-    fails is tried further, and the next one stands in. The others that need what we hold (`needs`) are met
-    at one pace, however many they are.
+    about log2(n) sites, and what one wrote is everywhere after about log2(n) meetings. They are met seldom,
+    and at once if they lack what is new. A neighbour that fails is tried further, and the next one stands
+    in. Others are met for what we owe them, or to ask them, the latter at one pace, however many they are.
     """
 
     def __init__(self, site: str, sites: Sequence[str], seed: int) -> None:
@@ -424,9 +448,12 @@
         start = ring.index(site)
         self._ring = ring[start + 1 :] + ring[:start]
         self._fails = dict.fromkeys(self._ring, 0)
-        self._needs: list[str] = []
+        self._wants: dict[tuple[str, str], int] = {}  # by why and whom: when
+        self._asks_us = 0  # the last place in the line of asks
         self._busy: set[str] = set()
-        self._next: dict[str, int] = {}
+        self._next: dict[str, int] = {}  # of neighbours, with nothing new
+        self._least: dict[str, int] = {}  # not before: it failed, wants no call, or was just met
+        self._whole: dict[str, int] = {}
         self._near = self._neighbours()
 
     def _neighbours(self) -> list[str]:
@@ -440,9 +467,27 @@
             step *= 2
         return list(found)
 
-    def needs(self, sites: Iterable[str]) -> None:
-        """The sites that want something that we hold beside FLEET, or hold something that we want."""
-        self._needs = [site for site in sites if site in self._fails]
+    def needs(self, now_us: int, needs: Needs) -> None:
+        """Whom to meet beside the usual, and why, as of now. What is planned already stays where it is."""
+        before, self._wants = self._wants, {}
+        near = set(self._near)
+        for why, sites in (("news", near.intersection(needs.news)), ("owed", needs.owed), ("ask", needs.ask)):
+            for site in sorted(sites):
+                if site in self._fails:
+                    self._wants[why, site] = before.get((why, site)) or self._plan(why, site, now_us)
+        for site in self._near:
+            if (whole := needs.whole.get(site, 0)) > self._whole.get(site, 0):
+                self._whole[site] = whole
+                self._next[site] = whole + self._jittered(self._quiet())
+
+    def _plan(self, why: str, site: str, now_us: int) -> int:
+        if why == "news":
+            return now_us + self._random.randrange(NEWS_LEAST_US, NEWS_US)
+        if why == "owed":
+            return now_us + self._jittered(OWED_US)
+        self._asks_us = max(self._asks_us, now_us) + self._random.randrange(2 * ASK_US)
+        met = self._whole.get(site)
+        return self._asks_us if met is None else max(self._asks_us, met + self._jittered(ASK_LEAST_US))
 
     def due(self, now_us: int) -> list[str]:
         """Whom to meet now: the longest due first, at most as many as may be under way at once."""
@@ -455,38 +500,39 @@
         return min(times.values()) if times and len(self._busy) < MOST_AT_ONCE else None
 
     def _times(self, now_us: int) -> dict[str, int]:
-        for name in dict.fromkeys((*self._near, *self._needs)):
+        times: dict[str, int] = {}
+        for name in self._near:
             if name not in self._next:  # spread the first ones
-                self._next[name] = now_us + self._random.randrange(self._pause(name))
-        return {n: self._next[n] for n in (*self._near, *self._needs) if n not in self._busy}
-
-    def _pause(self, site: str) -> int:
-        rest = max(REST_LEAST_US, REST_US * len(self._needs))
-        near = NEAR_US * max(MANY, len(self._ring)) // MANY
-        return (
-            min(near, rest)
-            if site in self._near and site in self._needs
-            else (near if site in self._near else rest)
-        )
+                self._next[name] = now_us + self._random.randrange(self._quiet())
+            times[name] = self._next[name]
+        for (_, name), at in self._wants.items():
+            times[name] = min(times.get(name, at), at)
+        return {n: max(at, self._least.get(n, 0)) for n, at in times.items() if n not in self._busy}
+
+    def _quiet(self) -> int:
+        return max(QUIET_US, QUIET_EACH_US * len(self._near))
 
     def began(self, site: str, now_us: int, wait_us: int = 0) -> None:
         """An exchange with this site begins."""
         self._busy.add(site)
+        for why in ("news", "owed", "ask"):
+            self._wants.pop((why, site), None)
 
     def ended(self, site: str, now_us: int, wait_us: int = 0) -> None:
         """It is over, and went well; the site may want no call for a while."""
-        self._over(site, now_us, max(wait_us, self._jittered(self._pause(site))), 0)
+        self._whole[site] = now_us
+        self._over(site, now_us, now_us + wait_us, now_us + self._jittered(self._quiet()), 0)
 
     def failed(self, site: str, now_us: int, wait_us: int = 0) -> None:
         """It failed, or showed the site to say what is not so; it is left alone for longer each time."""
         fails = self._fails.get(site, 0) + 1
-        again = min(AGAIN_US << min(fails, 10), MOST_AGAIN_US)
-        self._over(site, now_us, max(wait_us, self._jittered(again)), fails)
+        again = now_us + max(wait_us, self._jittered(min(AGAIN_US << min(fails, 10), MOST_AGAIN_US)))
+        self._over(site, now_us, again, again, fails)
 
-    def _over(self, site: str, now_us: int, pause_us: int, fails: int) -> None:
+    def _over(self, site: str, now_us: int, least_us: int, next_us: int, fails: int) -> None:
         self._busy.discard(site)
         if site in self._fails:
-            self._next[site] = now_us + pause_us
+            self._least[site], self._next[site] = least_us, next_us
             if (self._fails[site] < FAILING) != (fails < FAILING):
                 self._fails[site] = fails
                 self._near = self._neighbours()
--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -36,10 +36,11 @@
 T = TypeVar("T")
 
 FILE = "channels.db"
-LOOK_US = 200_000  # between looks at what is due
+LOOK_US = 1_000_000  # between looks at endpoints' outages
+LEAST_US = 10_000  # between two rounds of what is due
 CALL_US = 5_000_000  # for one call of an exchange
 ROUNDS = 400  # calls of one exchange at most; what is left comes with the next
-NEEDS_US = 1_000_000  # between looks at who is to have what is here
+NEEDS_US = 1_000_000  # between looks at whom to meet, with nothing new on FLEET
 TIDY_US = 60_000_000  # between two rounds of retention
 OPEN_US = 1_000_000  # between tries to open a log that another process has, or that is broken
 PORT_LEAST = 16  # connections from other sites, and two for each
@@ -82,6 +83,9 @@
         self._reads: dict[Read, asyncio.Event] = {}  # each with what wakes it
         self._open_us: int | None = None  # when the log was opened
         self._tasks: set[asyncio.Task[None]] = set()
+        self._wake = asyncio.Event()  # of what looks at what is due
+        self._needs_at = 0
+        self._needing = False
 
     def start(self) -> None:
         """Begin to note; the log and the port open beside serving, once another process lets go of them."""
@@ -139,6 +143,8 @@
         """Take over what the thread has seen of the fleet."""
         changed = False
         while self._told:
+            self._needs_at = 0
+            self._wake.set()
             anew, news = self._told.popleft()
             if anew:
                 self.fleet, changed = Fleet([self.name, *self.config.sites]), True
@@ -197,21 +203,28 @@
 
     async def _run(self) -> None:
         await self._open()
-        needs_at = tidy_at = self.exchange.clock.now_us()
+        look_at = tidy_at = 0
         while True:
             now = self.exchange.clock.now_us()
-            self.watching.look()
+            self._wake.clear()
+            if now >= look_at:
+                look_at = now + LOOK_US
+                self.watching.look()
             for site in self.meetings.due(now):
                 self.meetings.began(site, now)
                 self._begin(self._meet(site))
-            if now >= needs_at:
-                needs_at = now + NEEDS_US
+            if now >= self._needs_at and not self._needing:
+                self._needs_at, self._needing = now + NEEDS_US, True
                 self._begin(self._need())
             if now >= tidy_at:
                 tidy_at = now + TIDY_US
                 self.fleet.layouts.passed(self._unix())
                 self._begin(self._tidy())
-            await pause(self.exchange.after, LOOK_US)
+            next_at = self.meetings.next_at(now)
+            until = min(look_at, now + NEEDS_US if self._needing else self._needs_at, next_at or look_at)
+            timer = self.exchange.after(max(until - now, LEAST_US), self._wake.set)
+            await self._wake.wait()
+            timer.cancel()
 
     async def _open(self) -> None:
         """Open the log and the port; what another process has, or cannot be read, is tried again.
@@ -228,8 +241,14 @@
             self.change(name, True)  # detached here before there was a log
 
     async def _need(self) -> None:
-        with suppress(LogError, BehindError):
-            self.meetings.needs(await self._do(self.site.needs))
+        try:
+            needs = await self._do(self.site.needs)
+            self.meetings.needs(self.exchange.clock.now_us(), needs)
+        except (LogError, BehindError):
+            pass  # the next look finds it
+        finally:
+            self._needing = False
+            self._wake.set()
 
     async def _until(self, trouble: str, work: Callable[[], Awaitable[None]]) -> None:
         """Try something until it is done: one line for each reason why not, and one once it is."""
@@ -269,6 +288,8 @@
             log.exception("channels: a meeting with %s failed", site)  # a defect must not end the others
         else:
             self.meetings.ended(site, now_us())
+        finally:
+            self._wake.set()
 
     async def _call(self, site: str, body: bytes, timeout_us: int) -> tuple[bytes | None, int, str]:
         over: asyncio.Future[tuple[bytes | None, int, str]] = asyncio.get_running_loop().create_future()
