--- a/rowanrack/lab/figures.py
+++ b/rowanrack/lab/figures.py
@@ -249,7 +249,7 @@
         if good:
             settled[channel] = round((min(good) - asked) / SECOND, 2)
     reads = [page for page in pages if page.why == "run"]
-    lags = sorted(p.as_of - p.settled_until for p in pages if p.why == "lag" and p.settled_until)
+    lags = sorted(late for _, _, late in looks(entries, pages))
     why = Counter(reason(one) for page in reads for one in page.missing)
     detached = [e for e in entries if e.what == "detach"]
     return {
@@ -270,6 +270,16 @@
     }
 
 
+def looks(entries: Sequence[Entry], pages: Sequence[Page]) -> list[tuple[int, str, int]]:
+    """The looks at the log's lag: when, at which channel, and by how much; at most since the log is there."""
+    began = next((e.value for e in entries if e.what == "clock"), 0)
+    return [
+        (p.at, p.channel, p.as_of - max(p.settled_until, began))
+        for p in pages
+        if p.why == "lag" and p.status == 200
+    ]
+
+
 def reason(one: Mapping[str, str]) -> str:
     """Why something is missing, without names and numbers."""
     what = one["what"]
@@ -310,8 +320,7 @@
             row: list[Any] = [round((entry.at - begin) / SECOND, 2), entry.what, who]
             marks.append([*row, entry.note])
     lag = [
-        [round((p.at - begin) / SECOND, 2), p.channel, round((p.as_of - p.settled_until) / SECOND, 2)]
-        for p in pages
-        if p.why == "lag" and p.settled_until
+        [round((at - begin) / SECOND, 2), channel, round(late / SECOND, 2)]
+        for at, channel, late in looks(entries, pages)
     ]
     return {"calls": calls, "handed_in": handed, "in_time": good, "marks": marks, "lag": lag}
--- a/rowanrack/lab/plot.py
+++ b/rowanrack/lab/plot.py
@@ -37,6 +37,7 @@
     axes[2].set(ylabel="log's lag, s", xlabel="s from the first message", ylim=(0, None))
     if series["lag"]:
         axes[2].legend(fontsize=6, ncols=6)
+    axes[2].set_xlim(left=0)
     for number, (since, until, name) in enumerate(spans(series["marks"], axes[2].get_xlim()[1])):
         for ax in axes[1:]:
             ax.axvspan(since, until, color=FAULT, alpha=0.12, linewidth=0)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -25,6 +25,7 @@
 from rowanrack.lab.books import Entry, Page
 from rowanrack.lab.books import read as books
 from rowanrack.lab.checker import Checker, figures
+from rowanrack.lab.figures import run_figures
 from rowanrack.lab.fleet import Figures, Fleet, Partner
 from rowanrack.lab.links import Relays, UdpLink
 from rowanrack.lab.log_rules import LogChecker
@@ -242,6 +243,32 @@
     assert found == {"calls_per_s": 2.0, "peak_over_mean": 5.0, "least_over_mean": 0.0}
 
 
+def test_the_books_tell_of_spread_herds_idle_endpoints_and_ends() -> None:
+    def calls(at_ms: int, place: str, count: int, took_ms: int = 10) -> list[Entry]:
+        found = []
+        for n in range(count):
+            at, of = 1000 * at_ms + n, ("s0", f"{place}/{at_ms}/{n}", place, 1)
+            steps = ((at, "call", ""), (at, "ran", ""), (at + 1000 * took_ms, "answer", "200"))
+            found += [Entry(when, what, *of, note=note) for when, what, note in steps]
+        return found
+
+    entries = [e(0, "submit", "", "x"), e(30_000, "submit", "", "y")]
+    for n in range(1, 30):
+        entries += calls(1000 * n, "p-0", 1) + calls(1000 * n, "p-1", 1)
+    entries += calls(2500, "p-0", 9) + calls(20_500, "p-1", 20) + calls(10_300, "p-0", 1, took_ms=400)
+    entries += [e(20_400, "state", "", place="p-1", note="up")]
+    entries += [e(5000, "taken", "s0", m, value=10**9) for m in ("p-0/1000/0", "z", "o")]
+    entries += [e(6000, "notice", "s0", "z", note="given_up")]
+    found = run_figures(sorted(entries, key=lambda entry: entry.at))
+    (row,) = found["spread"]
+    assert (row["calls"], row["peak_at"], row["peak"], row["least"]) == (88, "p-1", 1.11, 0.89)
+    herds = {(row["behind"], row["in"]): (row["calls"], row["at"]) for row in found["herds"]}
+    assert herds["endpoint up", "1 s"] == (21, "p-1") and herds["endpoint up", "100 ms"] == (20, "p-1")
+    assert herds["nothing", "100 ms"] == (9, "p-0")
+    assert found["idle_s"]["busy"] == {"s": 0.4, "at": "p-1", "at_s": 10.3}
+    assert found["endings"] == {"delivered": 1, "given_up": 1, "none told": 1}
+
+
 def test_a_seed_gives_one_plan() -> None:
     code = "import msgspec, rowanrack.lab.plan as p, rowanrack.lab.scenario as s, sys; "
     code += "sys.stdout.buffer.write(msgspec.json.encode(p.make(s.read(s.SCENARIOS / 'small.toml'), 7)))"
