Close a relay's connection in the lab once both its ends have ended

Seen: with 200 senders and 28 endpoints the relays ran out of descriptors (20,000) after some 3,400 calls, each on a connection of its own. asyncio leaves a transport open whose protocol keeps it at the other side's end, also when its own end has gone out: each call that ended well left two sockets behind. Now: the side that passes the second end on closes both. Guard: without the closing all eight cases of the links' test fail, as their connections stay.

--- a/rowanrack/lab/links.py
+++ b/rowanrack/lab/links.py
@@ -72,6 +72,7 @@
         self.waiting: deque[bytes] = deque()  # b"": the end
         self.bytes_waiting = self.passed = 0
         self.spoilt = self.connecting = False
+        self.ended = False  # its end has been passed on
         self.stalled = 0  # pieces held since a stall began
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -157,8 +158,12 @@
         if other is None or other.transport is None or other.transport.is_closing():
             return
         if not data:
+            self.ended = True
             with suppress(OSError):  # reset meanwhile
                 other.transport.write_eof()
+            if other.ended and transport is not None:  # asyncio keeps what has ended both ways open
+                transport.close()
+                other.transport.close()
             return
         cut_at = self.link.ways[self.way].cut_at
         if cut_at and self.passed + len(data) >= cut_at:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -123,6 +123,9 @@
         assert await reader.readexactly(len(comes)) == comes
         assert bytes(echo.got).removesuffix(b"?") == arrives
         assert asyncio.get_running_loop().time() - began >= least_s
+        writer.write_eof()
+        async with asyncio.timeout(5):
+            await until(lambda: not relays.links["a"].halves)  # type: ignore[union-attr]
 
 
 @pytest.mark.parametrize(
