Measure spread with 200 real senders: endpoints that join and leave, uneven callers, no limits told

`spread200` plays both partners for three phases of 30 s. New in scenarios: `gone` (off discovery's list, and back or for the first time), `uneven` callers, `listed = false` (discovery tells no limit). Partners' books have each `connected`. `spread` in the result leaves out endpoints that were not there throughout a phase and names them, tells the peak and least that lots would give (100 draws, in place of three deviations), and new connections a call. Guards: counting absent endpoints fails the figures' test; equal callers fail the plan's.

--- a/rowanrack/lab/__main__.py
+++ b/rowanrack/lab/__main__.py
@@ -48,6 +48,8 @@
         await detach(fleet, one)
     elif one.what == "drain":
         await fleet.drain(one.on, "DRAINING" if one.begins else "SERVING")
+    elif one.what == "gone":
+        await fleet.drain(one.on, "DELETED" if one.begins else "SERVING")
     elif one.what in STATES:
         await fleet.endpoint(one.on, STATES[one.what] if one.begins else "up")
     else:
--- a/rowanrack/lab/figures.py
+++ b/rowanrack/lab/figures.py
@@ -6,15 +6,18 @@
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
+from random import Random
+from statistics import fmean
 from typing import Any
 
 from rowanrack.channels.events import DELIVERED, FAILED, REFUSED
 from rowanrack.lab.books import Entry, Page
-from rowanrack.lab.checker import SECOND
+from rowanrack.lab.checker import NEVER, SECOND
 from rowanrack.lab.log_rules import LogChecker, misses
 
 PHASE_US = 30 * SECOND
 BEHIND_US = 2 * SECOND  # for so long what comes at an endpoint is put down to what was before
+DRAWS = 100  # of calls by lot
 RESTARTS = 3  # senders that start within that time: a mass restart
 MARKS = frozenset({"down", "up", "fault", "over", "detach", "attach", "layout", "state"})
 WIDTHS = {"100 ms": SECOND // 10, "1 s": SECOND}
@@ -47,7 +50,7 @@
             calls[entry.place].append(entry.at)
     places = places_of(entries)
     return {
-        "spread": spread(calls, places, begin, end),
+        "spread": spread(calls, places, begin, end, absences(entries, places), connections(entries)),
         "herds": herds(entries, calls, places, begin, end),
         "idle_s": idle(entries, places, begin, end),
         "endings": endings(entries),
@@ -55,11 +58,17 @@
 
 
 def spread(
-    calls: Mapping[str, Sequence[int]], places: Mapping[str, int], begin: int, end: int
+    calls: Mapping[str, Sequence[int]],
+    places: Mapping[str, int],
+    begin: int,
+    end: int,
+    absent: Mapping[str, Sequence[tuple[int, int]]],
+    opened: Mapping[int, Sequence[int]],
 ) -> list[dict[str, Any]]:
     """For each phase of 30 s and partner: the endpoints with most and least calls, over an even part.
 
-    `by_chance`: three deviations of an endpoint's calls if each chose by lot, over the same.
+    Of those that were there throughout; `away` were not. `chance_peak` and `chance_least`: the mean of the
+    same if each call chose by lot. `new`: new connections a call.
     """
     found = []
     for since in range(begin, end, PHASE_US):
@@ -69,19 +78,74 @@
         by_dest: defaultdict[int, dict[str, int]] = defaultdict(dict)
         for place, dest in places.items():
             by_dest[dest][place] = count_in(calls.get(place, ()), since, until)
-        for dest, counts in sorted(by_dest.items()):
-            even = sum(counts.values()) / len(counts)
-            if even:
-                most, least = max(counts, key=counts.__getitem__), min(counts, key=counts.__getitem__)
-                found.append(
-                    {"from_s": (since - begin) // SECOND, "dest": dest, "calls": sum(counts.values())}
-                    | {"peak": round(counts[most] / even, 2), "peak_at": most}
-                    | {"least": round(counts[least] / even, 2), "least_at": least}
-                    | {"by_chance": round(3 / math.sqrt(even), 2)}
-                )
+        for dest, every in sorted(by_dest.items()):
+            away = [p for p in every if any(a < until and b > since for a, b in absent.get(p, ()))]
+            counts = {place: count for place, count in every.items() if place not in away}
+            if len(counts) < 2 or not (even := sum(counts.values()) / len(counts)):
+                continue
+            most, least = max(counts, key=counts.__getitem__), min(counts, key=counts.__getitem__)
+            peak, low = by_lot(sum(counts.values()), len(counts))
+            new = count_in(opened.get(dest, ()), since, until) / sum(every.values())
+            found.append(
+                {"from_s": (since - begin) // SECOND, "dest": dest, "calls": sum(every.values())}
+                | {"endpoints": len(counts), "away": away}
+                | {"peak": round(counts[most] / even, 2), "peak_at": most}
+                | {"least": round(counts[least] / even, 2), "least_at": least}
+                | {"chance_peak": round(peak / even, 2), "chance_least": round(low / even, 2)}
+                | {"new": round(new, 3)}
+            )
     return found
 
 
+def by_lot(calls: int, endpoints: int) -> tuple[float, float]:
+    """The most and the least calls at one endpoint, in the mean, if each call chooses by lot."""
+    dice = Random(0)
+    drawn = [Counter(dice.choices(range(endpoints), k=calls)) for _ in range(DRAWS)]
+    most = fmean(max(counts.values()) for counts in drawn)
+    return most, fmean(min(counts[n] for n in range(endpoints)) for counts in drawn)
+
+
+def connections(entries: Sequence[Entry]) -> dict[int, list[int]]:
+    """When connections to a destination were opened."""
+    found: defaultdict[int, list[int]] = defaultdict(list)
+    for entry in entries:
+        if entry.what == "connected":
+            found[entry.dest].append(entry.at)
+    return found
+
+
+def absences(entries: Sequence[Entry], places: Mapping[str, int]) -> dict[str, list[tuple[int, int]]]:
+    """From when to when each endpoint was out of service, off the list, detached or cut off."""
+    found: defaultdict[str, list[tuple[int, int]]] = defaultdict(list)
+    away: defaultdict[str, set[str]] = defaultdict(set)
+    since: dict[str, int] = {}
+    for entry in entries:
+        place = entry.place or entry.who
+        if place not in places or not leaves(entry, away[place]):
+            continue
+        if away[place]:
+            since.setdefault(place, entry.at)
+        elif place in since:
+            found[place].append((since.pop(place), entry.at))
+    for place, at in since.items():
+        found[place].append((at, NEVER))
+    return found
+
+
+def leaves(entry: Entry, away: set[str]) -> bool:
+    """Take in why an endpoint is away, or no longer; False for an entry that says nothing of it."""
+    match entry.what:
+        case "state" | "told" if entry.note in ("up", "SERVING"):
+            away.discard(entry.what)
+        case "attach" | "over":
+            away.discard({"attach": "detach", "over": "fault"}[entry.what])
+        case "state" | "told" | "detach" | "fault":
+            away.add(entry.what)
+        case _:
+            return False
+    return True
+
+
 def count_in(times: Sequence[int], since: int, until: int) -> int:
     """How many of the sorted times lie in since <= time < until."""
     return bisect_left(times, until) - bisect_left(times, since)
@@ -200,14 +264,8 @@
                 busy[place] += 1
             case "answer":
                 (busy if entry.note == "200" else queued)[place] -= 1
-            case "state" | "told" if entry.note in ("up", "SERVING"):
-                self.away[place].discard(entry.what)
-            case "attach" | "over":
-                self.away[place].discard({"attach": "detach", "over": "fault"}[entry.what])
-            case "state" | "told" | "detach" | "fault":
-                self.away[place].add(entry.what)
             case _:
-                return False
+                return leaves(entry, self.away[place])
         return True
 
     def look(self, changed: str, at: int, begin: int) -> None:
--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -423,7 +423,7 @@
     async def _list(self) -> None:
         hosts = [
             {"host": place, "site": "a", "class": "lab", "block": partner.figures.dest, "health": "SERVING"}
-            | {"share": partner.figures.rate / partner.endpoints, "born_ms": 0}
+            | {"share": partner.figures.rate / partner.endpoints * partner.figures.listed, "born_ms": 0}
             for partner in self.partners
             for place in partner.places
         ]
--- a/rowanrack/lab/partners.py
+++ b/rowanrack/lab/partners.py
@@ -16,6 +16,7 @@
 from rowanrack.lab.role import Do
 from rowanrack.lab.stand_in import HttpServer, sender_address
 from rowanrack.net.http import Reply, Request
+from rowanrack.net.stream import Stream
 
 SECOND = 1_000_000
 
@@ -24,7 +25,8 @@
     """The true figures of one partner: rates in calls a second, times in milliseconds."""
 
     dest: int
-    rate: float = 50.0  # that all senders together may call, over all endpoints
+    rate: float = 50.0  # that all senders together may call, over all endpoints,
+    listed: bool = True  # and whether discovery tells it
     told: float = 1.0  # share of refusals that tell a wait
     wait_ms: tuple[int, int] = (300, 800)
     width: int = 8  # calls that an endpoint serves at once
@@ -89,6 +91,10 @@
         gone = (now_us() - self.cold_from) / (1000 * figures.ramp_ms)
         return min(1.0, figures.cold_share + (1 - figures.cold_share) * gone) if self.cold_from else 1.0
 
+    async def _talk(self, stream: Stream, peer: str) -> None:
+        self._add("connected", self.town.names.get(peer, peer), "")
+        await super()._talk(stream, peer)
+
     async def answer(self, request: Request, peer: str) -> Reply | None:
         """One call."""
         who, message = self.town.names.get(peer, peer), request.headers.get("x-txn", "")
--- a/rowanrack/lab/plan.py
+++ b/rowanrack/lab/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
 import msgspec
@@ -102,10 +103,14 @@
     """Messages that come independently of each other."""
     found: list[Arrival] = []
     at_s, names = rng.expovariate(scenario.rate), scenario.sender_names
+    parts = [math.exp(rng.gauss(0, scenario.uneven)) for _ in names] if scenario.uneven else []
     while at_s < scenario.seconds:
         grade = rng.choices(scenario.grade, [g.share for g in scenario.grade])[0]
         dest = rng.choices(scenario.partner, [p.share for p in scenario.partner])[0].dest
         order = tuple(rng.sample(names, min(max(1, scenario.spread), len(names))))
+        if parts:
+            first = rng.choices(names, parts)[0]
+            order = (first, *(name for name in order if name != first))[: len(order)]
         given = f"m{len(found):06d}", grade.name, dest, grade.deadline_ms, order
         found.append(Arrival(int(at_s * SECOND), *given))
         at_s += rng.expovariate(scenario.rate)
--- a/rowanrack/lab/scenario.py
+++ b/rowanrack/lab/scenario.py
@@ -16,11 +16,11 @@
 SCENARIOS = Path(__file__).parent / "scenarios"
 SENDER = frozenset({"kill", "lose", "hang", "disk", "clock"})
 LINK = frozenset({"cut", "silent", "stall", "slow", "lossy"})
-PLACE = frozenset({"down", "shut", "failing", "mute", "drain"})
+PLACE = frozenset({"down", "shut", "failing", "mute", "drain", "gone"})
 DETACH = "detach"
 What = Literal[
     "kill", "lose", "hang", "disk", "clock", "cut", "silent", "stall", "slow", "lossy",
-    "down", "shut", "failing", "mute", "drain", "detach",
+    "down", "shut", "failing", "mute", "drain", "gone", "detach",
 ]  # fmt: skip
 Seconds = Annotated[float, Meta(ge=0)]
 FLEET = "fleet"  # the channel that all senders keep
@@ -121,6 +121,7 @@
     notes: bool = False
     covered: bool = False  # whether what a sender with an emptied folder took must still end
     spread: Whole = 4  # senders that a client tries, one after the other
+    uneven: Seconds = 0.0  # deviation of the logarithm of a sender's part of the messages
     channels: Channels | None = None
 
     @property
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 import sys
 import time
 import tomllib
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
@@ -262,9 +263,13 @@
     entries += [e(20_400, "state", "", place="p-1", note="up")]
     entries += [e(5000, "taken", "s0", m, value=10**9) for m in ("p-0/1000/0", "z", "o")]
     entries += [e(6000, "notice", "s0", "z", note="given_up")]
+    entries += [e(n, "told", "s0", place="p-2", note="DELETED" if n else "SERVING") for n in (0, 100)]
+    entries += [e(1000 * n, "connected", "s0", place="p-0") for n in range(1, 23)]
     found = run_figures(sorted(entries, key=lambda entry: entry.at))
     (row,) = found["spread"]
     assert (row["calls"], row["peak_at"], row["peak"], row["least"]) == (88, "p-1", 1.11, 0.89)
+    assert (row["endpoints"], row["away"], row["new"]) == (2, ["p-2"], 0.25)
+    assert 1.0 < row["chance_peak"] < 1.2 and row["chance_peak"] + row["chance_least"] == pytest.approx(2)
     herds = {(row["behind"], row["in"]): (row["calls"], row["at"]) for row in found["herds"]}
     assert herds["endpoint up", "1 s"] == (21, "p-1") and herds["endpoint up", "100 ms"] == (20, "p-1")
     assert herds["nothing", "100 ms"] == (9, "p-0")
@@ -284,6 +289,8 @@
     assert make(scenario, 7) != make(scenario, 8)
     for path in SCENARIOS.glob("*.toml"):
         assert make(read(path), 1).arrivals
+    first = Counter(arrival.order[0] for arrival in make(read(SCENARIOS / "spread200.toml"), 1).arrivals)
+    assert max(first.values()) > 4 * first.total() / 200  # callers are uneven
 
 
 PARTNER = '[[partner]]\nname = "shop"\ndest = 1\n'
