--- a/rowanrack/lab/plot.py
+++ b/rowanrack/lab/plot.py
@@ -19,13 +19,13 @@
     series = result["series"]
     seconds = len(series["handed_in"])
     figure, axes = plt.subplots(
-        3, 1, figsize=(9, 8), layout="constrained", sharex=True, gridspec_kw={"height_ratios": [3, 1.3, 1.3]}
+        3, 1, figsize=(9, 8.4), layout="constrained", sharex=True, height_ratios=[3, 1.3, 1.3]
     )
     places = list(series["calls"])
     rows = [series["calls"][place] for place in places]
     extent = (0.0, float(seconds), len(places) - 0.5, -0.5)
     shown = axes[0].imshow(rows, aspect="auto", extent=extent, cmap="Blues", interpolation="nearest")
-    axes[0].set_yticks(range(len(places)), places, fontsize=7)
+    axes[0].set_yticks(range(len(places)), places, fontsize=8)
     figure.colorbar(shown, ax=axes[0], label="calls a second, all senders", pad=0.01)
     both = zip(series["in_time"], series["handed_in"], strict=True)
     share = [good / of if of else 1.0 for good, of in both]
@@ -36,17 +36,18 @@
         axes[2].plot(*zip(*points, strict=True), marker=".", linewidth=0.8, label=f"channel {channel}")
     axes[2].set(ylabel="log's lag, s", xlabel="s from the first message", ylim=(0, None))
     if series["lag"]:
-        axes[2].legend(fontsize=6, ncols=6)
+        figure.legend(loc="outside lower center", fontsize=8, ncols=6)
     axes[2].set_xlim(left=0)
     for number, (since, until, name) in enumerate(spans(series["marks"], axes[2].get_xlim()[1])):
         for ax in axes[1:]:
             ax.axvspan(since, until, color=FAULT, alpha=0.12, linewidth=0)
         for at in {since, until}:
             axes[0].axvline(at, color=FAULT, linewidth=0.6)
-        height = 1.01 + 0.035 * (number % LANES)
-        axes[0].text(since, height, name, color=FAULT, fontsize=6, transform=axes[0].get_xaxis_transform())
+        height = 1.01 + 0.042 * (number % LANES)
+        axes[0].text(since, height, name, color=FAULT, fontsize=8, transform=axes[0].get_xaxis_transform())
     title = f"{result['senders']} senders, {result['taken']} messages taken, rules {result['rules']}"
-    axes[0].set_title(title, pad=14 + 8 * LANES)
+    title += f", {result['cores']} cores"
+    axes[0].set_title(title, pad=14 + 10 * LANES)
     figure.savefig(path, metadata={"Date": None})
     plt.close(figure)
 
