Let notes reach beyond 64 senders: all tell what is urgent, 16 by lot their work, beside the guess

Above 64 senders notes were off, unmeasured. Change: each sender tells all others refusals, shortages and returns for half of what notes may cost; one in replicas/16, by a lot drawn at its start from the seed, tells its work for the other half. The sample stands for all, and counts beside the guess from the age of own work, which weighs like 8 tellers. No transport changes: notes go to the address of all as before. Up to 64 senders nothing changes: with 40 and with 64 senders, histories of the model are the same as before.

Seen to fail: the lot taken out (all tell), the purse not halved, the guess left out, the sample not scaled.

--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -31,7 +31,7 @@
         super().__init__(replace(settings, replicas=some + 1))
         self.times = (settings.replicas - 1) / some
 
-    def crowd(self, dest: int, held: int, now: int) -> float | None:
+    def crowd(self, dest: int, held: int, now: int, guess: float = 1.0) -> float | None:
         """As the module's, by the part that is heard."""
         share = super().crowd(dest, held, now)
         return share and 1 + (share - 1) * self.times
--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -25,24 +25,31 @@
 LIVE_US = 5_000_000  # without a note from anybody, after which nothing is known of the others
 AGAIN_US = 5_000_000  # before a shortage of connections is told again
 UNIT_US = 10_000  # of waits in notes
-MOST_SENDERS = 64  # among which senders tell each other something: not measured beyond
+MOST_SENDERS = 64  # among which each tells of its work, since to hear of all of it is not too dear
+TELLERS = 16  # of more, so many by lot tell of theirs in the mean; what the others have is taken to be alike,
+GUESSED = 8.0  # and, as if that were so many tellers more, like the guess from the age of one's own
+URGENT = 0.5  # part of what may be spent that is for urgent facts there, which all tell
 STALE = NUMBERS // 2  # running numbers so far back are those of an older note
 
 
 def talks(settings: Settings) -> bool:
     """Whether senders tell each other something here."""
-    return settings.peers and 1 < settings.replicas <= MOST_SENDERS
+    return settings.peers and settings.replicas > 1
 
 
 class Hearsay:
-    """One sender's share in what senders tell each other."""
+    """One sender's share in what senders tell each other. Its lot lies in 0 to 1."""
 
-    def __init__(self, settings: Settings) -> None:
-        peers = settings.replicas - 1
+    def __init__(self, settings: Settings, lot: float = 0.0) -> None:
+        self._peers = peers = settings.replicas - 1
+        self._part = 1.0 if settings.replicas <= MOST_SENDERS else TELLERS / settings.replicas
+        self._teller = lot < self._part
         self.on = talks(settings)
         self._wait_most = max(c.deadline_us for c in settings.classes.values())
         self._earned = SPENT * PACKET / max(settings.peer_price * peers, 1e-9) if self.on else 0.0
-        self.beat_us = max(BEAT_US, BEAT_EACH_US * settings.replicas)
+        if self._part < 1:
+            self._earned *= URGENT + (1 - URGENT) / self._part * self._teller
+        self.beat_us = max(BEAT_US, BEAT_EACH_US * (settings.replicas if self._part == 1 else TELLERS))
         self._purse = min(PURSE, 8 * self._earned)
         self._number = 0
         self._held: dict[int, tuple[int, int]] = {}  # our own work that waits, and since when
@@ -65,7 +72,7 @@
 
     def holds(self, dest: int, held: int, since: int) -> None:
         """So many messages wait for a destination by now, the oldest since then."""
-        if held and self.on:
+        if held and self.on and self._teller:
             self._held[dest] = held, since
         else:
             self._held.pop(dest, None)
@@ -161,12 +168,19 @@
         elif not others:
             del self._others[dest], self._sum[dest]
 
-    def crowd(self, dest: int, held: int, now: int) -> float | None:
-        """By how many a destination's pace is shared, by all work known to wait there; None: not known."""
+    def crowd(self, dest: int, held: int, now: int, guess: float = 1.0) -> float | None:
+        """By how many a destination's pace is shared, by all work known to wait there; None: not known.
+
+        Where only some tell of theirs, the guess (of messages that wait, with one's own) counts too: who has
+        just heard of no work would take the whole pace otherwise.
+        """
         if self._heard_at is None or now - self._heard_at >= LIVE_US:
             return None
         for known, peer in self._lapse.due(now):
             if peer in self._others.get(known, ()):
                 self._believe(known, peer, 0)
-        own = max(1, held)
-        return (own + self._sum.get(dest, 0)) / own
+        own, others = max(1, held), float(self._sum.get(dest, 0))
+        if self._part < 1:
+            others = self._peers * (others + GUESSED * (guess - 1) / self._peers) / (
+                self._peers * self._part + GUESSED)
+        return (own + others) / own
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -131,7 +131,7 @@
         self.pace: float | None = self.weight if told else None
         self.most = self.weight if told else math.inf
         self.bucket, self.by_time, self.risen_at = Bucket(1.0), False, now
-        self.many = settings.replicas > MOST_SENDERS  # none hears of the others
+        self.many = settings.replicas > MOST_SENDERS  # each hears of some others' work, or of none
 
     def crowd(self, age_us: int) -> float:
         """How many forwarders have work here, this one among them, where work has waited so long."""
@@ -641,8 +641,8 @@
     def crowd(self, endpoint: Endpoint, since: int) -> tuple[float, bool]:
         """By how many a pace is shared, and whether that has been heard from them or is a guess."""
         held = len(self.destinations[endpoint.dest].hold)
-        heard = self.hearsay.crowd(endpoint.dest, held, self.now)
         guess = endpoint.gate.crowd(self.now - since)
+        heard = self.hearsay.crowd(endpoint.dest, held, self.now, guess)
         if endpoint.gate.many:  # guessed to have a message each, where this one has so many
             guess = max(1.0, guess / max(1, held))
         return heard or guess, heard is not None
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -64,7 +64,7 @@
         self.trust = Trust(settings)
         self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
         self.token, self.armed_for = 0, NEVER
-        self.asking, self.hearsay = Asking(settings), Hearsay(settings)
+        self.asking, self.hearsay = Asking(settings), Hearsay(settings, Random(f"{seed} tells").random())
 
     def stir(self, number: int) -> None:
         """Something happened at a destination: what was picked or weighed there stands no more."""
