Stay in the own zone where crossings are priced, each endpoint at an even part

Ruled out: that calls had no choice; evenness alone takes turns over all zones. At fault: `Forwarder.distance` knew a zone by its answer times only, which a sender of many cannot tell apart; neither `prices.cross_zone` nor `zone` of the settings was read (`wire._settings`). Change: zones.py says which part of an even one's calls each endpoint gets, so that all zones' senders together load each alike and as few calls cross as may be; turns are as long as the parts say; an endpoint without a part waits until the own ones have more out than the price weighs. What forgets unlisted endpoints decides nothing: moved to state.py.

--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -111,6 +111,9 @@
     refused_price: float = 0.0  # points for calls refused above a limit, by first try
     peers: bool = False  # whether forwarders may tell each other something,
     peer_price: float = 0.0  # and points for 256 bytes told to one, by first try
+    zone: str = ""  # where this forwarder stands: "" if that is not told,
+    zones: int = 1  # among so many
+    crossing_price: float = 0.0  # and points for a call to another one, by first try
     over_share_worth: float = 1.0
     max_come_back_us: int = 2_000_000
     keepalive_us: int = 5_000_000
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -19,6 +19,7 @@
 from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
 from rowanspindle.state import Call, State
 from rowanspindle.trust import LEAST_US
+from rowanspindle.zones import share_out
 
 SECOND = 1_000_000  # microseconds
 
@@ -36,6 +37,7 @@
 ZONE_CHANCE = 1.0  # and those of two zones
 MANY = 8  # forwarders, of whom each sees little of an endpoint; of fewer each learns soon what was chance
 SLOWNESS = 2.0  # in-flight calls that an answer time twice that of the quickest route weighs
+CROSSING = 25.0  # and that a point of the result weighs, which a call to another zone costs
 FEE = 25.0  # and that a point of the result weighs, which a route apart takes for each message
 
 SMOOTH = 0.15  # weight of a new answer time in the running mean and deviation (about the last dozen answers)
@@ -211,7 +213,8 @@
 
     def __init__(self, member: Member, gate: Gate, settings: Settings, turn: float, drawn: bool) -> None:
         self.target, self.zone, self.dest, self.kind = member.target, member.zone, member.dest, member.kind
-        self.gate, self.settings, self.turn = gate, settings, turn  # equal ranks take turns
+        self.gate, self.settings = gate, settings
+        self.turn, self.share = turn, 1.0  # equal ranks take turns, as often as their shares say
         self.listed, self.proved, self.drawn = True, False, drawn  # drawn: by lot, to be called first
         self.window = Window(gate.window.size, gate.window.most, FLOOR, CUT)
         self.calls: list[Call[Endpoint]] = []
@@ -419,12 +422,19 @@
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
                 self.digests[digest(member.target)] = endpoint
                 gate.routes += 1
+                self.moved.add(member.dest)
             else:
                 known.listed = True
                 self.stir(known.dest)
                 if not (known.gate.measured or known.gate.limit):
                     known.gate.weight = max(member.weight, 0.1)
-                known.gate.routes += self.unlisted.pop(known.target, None) is not None
+                if self.unlisted.pop(known.target, None) is not None:
+                    known.gate.routes += 1
+                    self.moved.add(known.dest)
+        for number in self.moved if self.settings.zone and self.settings.crossing_price else ():
+            routes = [e for e in self.destinations[number].endpoints.values() if e.listed]
+            share_out(routes, self.settings.zone, self.settings.zones, self.destinations[number].turn)
+        self.moved.clear()
 
     def measure(self, destination: Destination) -> None:
         """With no rough rate told, this forwarder's own answered calls stand in, as if all had as many.
@@ -440,34 +450,6 @@
             elif gate.measured:
                 gate.weight = max(gate.own.rate(self.now, self.usual_rate()) * self.settings.replicas, 0.1)
 
-    def unlist(self, endpoint: Endpoint) -> None:
-        """Send nothing new there. It is forgotten later: listed again, it keeps its told wait."""
-        if endpoint.listed:
-            endpoint.listed = False
-            self.stir(endpoint.dest)
-            self.unlisted[endpoint.target] = endpoint
-            endpoint.gate.routes -= 1
-            self.leaving.set(endpoint, self.now)
-
-    def forget(self) -> None:
-        """Drop what is unlisted with nothing out or to remember, and destinations that stand empty."""
-        for endpoint in self.leaving.due(self.now):
-            kept_until = max(endpoint.gate.opens_at, endpoint.failed_at + self.settings.ramp_us)
-            if endpoint.listed or endpoint.calls or self.unlisted.get(endpoint.target) is not endpoint:
-                continue  # listed again, or its last call's end looks here again
-            if self.now >= kept_until:
-                self.drop(endpoint)
-            else:
-                self.leaving.set(endpoint, kept_until)
-
-    def drop(self, endpoint: Endpoint) -> None:
-        """Forget an endpoint that was unlisted."""
-        del self.endpoints[endpoint.target], self.unlisted[endpoint.target]
-        self.digests.pop(digest(endpoint.target), None)
-        self.leaving.drop(endpoint)
-        del self.destinations[endpoint.dest].endpoints[endpoint.target]
-        self.tidy_destination(endpoint.dest)
-
     def outcome(self, event: Outcome) -> None:
         """An attempt has ended: learn from the call once, then settle the message."""
         call, message = self.attempts.pop((event.ref, event.leg), (None, None))
@@ -661,7 +643,7 @@
             seen = ((e.latency(now), e.usual.error() * self.many) for e in routes if e.usual.mean)
             quick = min(seen, key=sum, default=(1.0, 0.0))
             for passed in (e for e in routes if e.turn <= destination.turn):
-                passed.turn = destination.turn + self.rng.random()
+                passed.turn = destination.turn + self.rng.random() / (passed.share or 1.0)
             more = self.many and (sum(e.is_warm(now) for e in routes) + 1) * REUSE * SECOND <= (
                 destination.rate * self.settings.keepalive_us)
             routes.sort(key=lambda e: (e.rank(now, more) + self.distance(e, quick), e.turn))
@@ -686,6 +668,8 @@
         """
         apart = self.settings.kinds.get(endpoint.kind, Kind()).apart
         against = FEE * self.settings.zone_fees.get(endpoint.zone, 0.0) if apart else 0.0
+        if not endpoint.share:
+            against += CROSSING * self.settings.crossing_price
         if endpoint.usual.mean:
             usual = endpoint.latency(self.now), endpoint.usual.error()
             against += SLOWNESS * slower(usual, quick, CHANCE * self.many)
@@ -765,7 +749,8 @@
         """Start one call, with as many messages as travel together."""
         trial, gate = endpoint.out_since is not None, endpoint.gate
         if self.many:  # each of few keeps its lot: they spread by it, and by what each sees of all
-            destination.turn, endpoint.turn, endpoint.drawn = endpoint.turn, endpoint.turn + 1, False
+            destination.turn, endpoint.drawn = endpoint.turn, False
+            endpoint.turn += 1 / (endpoint.share or 1.0)
         call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if trial:
             self.trials[call] = None
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -3,17 +3,44 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Hashable, Sized
 from random import Random
-from typing import Generic, TypeVar
+from typing import Generic, Protocol, TypeVar
 
 from rowanspindle.api import Action, Settings
 from rowanspindle.asking import Asking
 from rowanspindle.hearsay import Hearsay
 from rowanspindle.held import GUESS, MEMORY_S, NEVER, KeyLine, Message, Place
+from rowanspindle.notes import digest
 from rowanspindle.order import Agenda, Bucket, Meter, Ranking, Usual
 from rowanspindle.trust import Trust
 
-E = TypeVar("E")
+
+class Shared(Protocol):
+    """What endpoints share, as far as it is kept here."""
+
+    routes: int
+    opens_at: int
+
+
+class Kept(Hashable, Protocol):
+    """An endpoint, as far as it is kept here."""
+
+    target: str
+    dest: int
+    listed: bool
+    failed_at: int
+
+    @property
+    def gate(self) -> Shared:
+        """What it shares with others of its destination."""
+
+    @property
+    def calls(self) -> Sized:
+        """Its calls that are out."""
+
+
+E = TypeVar("E", bound=Kept)
 G = TypeVar("G")
 
 SECOND = 1_000_000  # microseconds
@@ -58,6 +85,7 @@
         self.rests: Agenda[str] = Agenda()  # when a key has rested
         self.leaving: Agenda[E] = Agenda()  # when an unlisted endpoint may be forgotten
         self.unlisted: dict[str, E] = {}
+        self.moved: set[int] = set()  # destinations whose list has changed in this round
         self.answered: dict[E, None] = {}
         self.zones: dict[str, Usual] = {}
         self.own = Meter(NEVER, MEMORY_S, GUESS)
@@ -105,6 +133,35 @@
         bucket.tokens -= within
         return 1.0 if within else self.settings.over_share_worth
 
+    def unlist(self, endpoint: E) -> None:
+        """Send nothing new there. It is forgotten later: listed again, it keeps its told wait."""
+        if endpoint.listed:
+            endpoint.listed = False
+            self.stir(endpoint.dest)
+            self.moved.add(endpoint.dest)
+            self.unlisted[endpoint.target] = endpoint
+            endpoint.gate.routes -= 1
+            self.leaving.set(endpoint, self.now)
+
+    def forget(self) -> None:
+        """Drop what is unlisted with nothing out or to remember, and destinations that stand empty."""
+        for endpoint in self.leaving.due(self.now):
+            kept_until = max(endpoint.gate.opens_at, endpoint.failed_at + self.settings.ramp_us)
+            if endpoint.listed or endpoint.calls or self.unlisted.get(endpoint.target) is not endpoint:
+                continue  # listed again, or its last call's end looks here again
+            if self.now >= kept_until:
+                self.drop(endpoint)
+            else:
+                self.leaving.set(endpoint, kept_until)
+
+    def drop(self, endpoint: E) -> None:
+        """Forget an endpoint that was unlisted."""
+        del self.endpoints[endpoint.target], self.unlisted[endpoint.target]
+        self.digests.pop(digest(endpoint.target), None)
+        self.leaving.drop(endpoint)
+        del self.destinations[endpoint.dest].endpoints[endpoint.target]
+        self.tidy_destination(endpoint.dest)
+
     def release(self, message: Message) -> None:
         """Hold a message no longer."""
         destination = self.waiting[message.dest]
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -135,6 +135,9 @@
         "refused_price": extra.get("turned_away_price"),
         "peers": limits.get("peers"),
         "peer_price": doc.get("prices", {}).get("peer"),
+        "crossing_price": doc.get("prices", {}).get("cross_zone"),
+        "zone": doc.get("zone"),
+        "zones": len(doc.get("azs") or [""]),
     }
     return Settings(
         classes={
