Draw who calls a new endpoint first only where others have a connection that is kept

Seen: with 1,000 senders in the model, a place that joined got 1.33 and 1.36 times an even part of the next 30 s at 20 and 6 others, where chance gives 1.17 and 1.11: some are drawn to call it first, and without kept connections nothing speaks against it for the others, who take their turns there as well. At fault: `Forwarder.members` drew whether or not any endpoint of the destination was warm.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -415,8 +415,8 @@
                 apart = self.settings.kinds.get(member.kind, Kind()).apart
                 gate = (None if apart else destination.gate) or Gate(
                     self.settings, member.weight, self.usual_rate(), self.now)
-                drawn = self.many and destination.rate > 0 and (
-                    self.rng.random() * (len(destination.endpoints) + 1) < 1)
+                warm = self.many and any(e.is_warm(self.now) for e in destination.endpoints.values())
+                drawn = warm and self.rng.random() * (len(destination.endpoints) + 1) < 1
                 turn = destination.turn + self.rng.random()
                 destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, turn, drawn)
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
