Decide in the module that a call too late for its refusal does not go, not before its first byte

At fault: the condition in `Exchange.begin` of "Begin no call that would be given up before a refusal of it can come"; it is taken back, and `Forwarder.pick` passes such messages over instead, by the zone's usual time of a refusal.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -311,11 +311,8 @@
             self._waits.drop(name)
         self._waits.due(self.clock.now_us())  # those that are over go with it
 
-    def begin(self, execution: Execution, trip_us: int = 0) -> bool:
-        """Asked right before a call's first byte: whether it may still be sent. The store knows it first.
-
-        `trip_us` are the microseconds that a refusal from there usually needs.
-        """
+    def begin(self, execution: Execution) -> bool:
+        """Asked right before a call's first byte: whether it may still be sent. The store knows it first."""
         message = execution.message
         if execution.settled:
             return False
@@ -325,8 +322,6 @@
         barred = waiting or not self._owed(message) or not self.table.listed(execution.instance.name)
         # Or a repeat that waited for its connection until its key's time was over.
         barred = barred or self._key_lapsed(message)
-        # Or a call that would be given up with its answer on the way: a wait told there would go unheard.
-        barred = barred or message.deadline_us - self.clock.unix_us() <= trip_us
         # Guards against a second effect after a restart: what the store does not know must not begin.
         if barred or not self.store.begin(message, execution.leg):
             self.settle(execution, Result.MOOT if barred else UNRECORDED)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -16,14 +16,11 @@
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
 from rowanspindle import Result
-from rowanspindle.order import Usual
 
 log = logging.getLogger(__name__)
 
 IDLE_PART = 0.6  # of the idle time after which an instance may close a connection: ours go well before
 REPLY_LIMIT = 64 * 1024
-REFUSAL_DEVIATIONS = 2.0  # past the mean of a zone's refusals, by which nearly all have come
-REFUSAL_MOST_US = 500_000  # that a refusal is taken to need: slower ones come by chance, or from a queue
 REST_US = 200_000  # for the rest of an answer: the message's end is known by then
 
 
@@ -60,7 +57,6 @@
         self._idle_most = idle_most
         self._rare = RareLog(log)
         self._idle_us = int(exchange.settings.keepalive_us * IDLE_PART)
-        self._refusals: defaultdict[str, Usual] = defaultdict(lambda: Usual(0.15))  # by zone
 
     # What the exchange asks for.
 
@@ -97,14 +93,10 @@
                     caller = await self._take(batch.instance) or await self._open(batch.instance)
                 form = self.forms[waiting[0].message.front]
                 same = [e for e in waiting if self.forms[e.message.front] is form]
-                trip_us = self._refusal_us(batch.instance.zone)
-                part = [e for e in same[: form.part(same)] if self.exchange.begin(e, trip_us)]
+                part = [e for e in same[: form.part(same)] if self.exchange.begin(e)]
                 if not part:
                     continue
-                since = self.exchange.clock.now_us()
                 verdicts = await self._call(caller, form, part)
-                if all(verdict.result is Result.FULL for verdict in verdicts):
-                    self._refusals[batch.instance.zone].add(self.exchange.clock.now_us() - since)
                 if not caller.reusable:
                     caller.stream.abort()
                     caller = None
@@ -128,11 +120,6 @@
             if caller is not None:
                 caller.stream.abort()
 
-    def _refusal_us(self, zone: str) -> int:
-        """Within how many microseconds a refusal from there has come, as a rule; deliveries take longer."""
-        usual = self._refusals[zone]
-        return min(int(usual.mean + REFUSAL_DEVIATIONS * usual.deviation), REFUSAL_MOST_US)
-
     async def _call(self, caller: HttpCaller, form: CallForm, part: list[Execution]) -> list[Verdict]:
         """One call and what became of each execution in it."""
         now = self.exchange.clock.now_us()
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -41,6 +41,8 @@
 FEE = 25.0  # and that a point of the result weighs, which a route apart takes for each message
 
 SMOOTH = 0.15  # weight of a new answer time in the running mean and deviation (about the last dozen answers)
+REFUSAL_DEVIATIONS = 2.0  # deviations past the mean of a zone's refusals, by which nearly all have come,
+REFUSAL_MOST_US = 500_000  # and what that comes to at most: slower ones stood in a queue
 SILENCE_DEVIATIONS = 8.0  # deviations past the mean, and SILENCE_MEANS: a call beyond both is out too long
 SILENCE_MEANS = 5.0  # times the mean answer time
 LONE_CALL = 2.0  # times the silence that a single call out is allowed
@@ -527,6 +529,7 @@
                 endpoint.window.grow(len(endpoint.calls))
             case Result.FULL:
                 gate.window.cut(now, call.sent_at)
+                self.refusals.setdefault(endpoint.zone, Usual(SMOOTH)).add(event.latency_us)
                 short = not event.wait_us and self.trust.refused(kind, call.new, now)
                 known = call.sent_at <= gate.refused_at
                 self.hearsay.refused(endpoint.dest, event.wait_us, short, known, now)
@@ -655,10 +658,17 @@
             trial = 0 if route.out_since is None else TRIAL_ORDER.index(cls.effect)
             answer = now + int(route.usual.mean)
             for message in line.around(turns(cls, answer, drain_us, self.settings.halves)):
+                if message.deadline - now <= self.refusal_us(route):
+                    continue  # given up with its answer on the way, it hears no wait that this tells
                 key = trial, self.urgency(message, answer, drain_us)
                 if best is None or key > best:
                     best, destination.choice = key, (key[1], message, route)
 
+    def refusal_us(self, endpoint: Endpoint) -> float:
+        """Within how long a refusal from there has come, as a rule. A delivery takes longer."""
+        usual = self.refusals.get(endpoint.zone)
+        return min(usual.mean + REFUSAL_DEVIATIONS * usual.deviation, REFUSAL_MOST_US) if usual else 0.0
+
     def distance(self, endpoint: Endpoint, quick: tuple[float, float]) -> float:
         """What speaks against a route beside its calls, as calls in flight: its fee, its answer time against
         the quickest route's, and its zone's against the quickest zone's.
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -87,7 +87,8 @@
         self.unlisted: dict[str, E] = {}
         self.moved: set[int] = set()  # destinations whose list has changed in this round
         self.answered: dict[E, None] = {}
-        self.zones: dict[str, Usual] = {}
+        self.zones: dict[str, Usual] = {}  # how long answers of each take, and
+        self.refusals: dict[str, Usual] = {}  # refusals
         self.own = Meter(NEVER, MEMORY_S, GUESS)
         self.trust = Trust(settings)
         self.quota = {n: Bucket(r * QUOTA_BURST_S / settings.replicas) for n, r in settings.tenants.items()}
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -167,12 +167,3 @@
     wheel.at(5000, lambda: fired.append("b"))
     wheel.advance(5000)
     assert fired == ["b"] and "a timer failed" in caplog.text
-
-
-@pytest.mark.parametrize(("left_us", "goes"), [(99_000, False), (101_000, True)])
-def test_no_call_begins_whose_answer_cannot_come_in_time(tmp_path: Path, left_us: int, goes: bool) -> None:
-    """Given up with its answer on the way, it would never hear the wait that this tells."""
-    desk = Desk(tmp_path)
-    call = desk.submit("m1")
-    desk.now = call.message.deadline_us - left_us
-    assert desk.exchange.begin(call, 100_000) is goes and call.settled is not goes
--- a/tests/test_lowered.py
+++ b/tests/test_lowered.py
@@ -37,3 +37,16 @@
     forwarder.now += SECOND
     crowd, _ = forwarder.crowd(endpoint, caller.now)
     assert crowd == max(1.0, endpoint.gate.crowd(SECOND) / times)
+
+
+@pytest.mark.parametrize(("left_us", "goes"), [(150_000, False), (300_000, True)])
+def test_no_call_goes_that_would_be_given_up_before_a_refusal_comes(left_us: int, goes: bool) -> None:
+    """Its answer would be on the way by then, and a wait that this tells would be heard by nobody."""
+    caller = Caller(member("t1", weight=400.0))
+    for _ in range(20):
+        caller.end(caller.accept(), Result.OK)
+        refused = caller.accept()
+        caller.end(refused, Result.FULL, latency_us=200_000)
+        caller.wait(2 * SECOND)
+        caller.end(refused, Result.OK)
+    assert caller.is_out(caller.accept(left_us=left_us)) is goes
