Forget a destination whose last endpoint moves also where crossings are priced

Seen by reading: shares are dealt out for each destination whose list changed, and the look-up brought one back, empty, that had just been forgotten: a small leak with each endpoint that moves to another partner. At fault: `Forwarder.members`, `self.destinations[number]` on a mapping that makes what it lacks. The new test fails with the look-up as it was.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -433,9 +433,10 @@
                 if self.unlisted.pop(known.target, None) is not None:
                     known.gate.routes += 1
                     self.moved.add(known.dest)
-        for number in self.moved if self.settings.zone and self.settings.crossing_price else ():
-            routes = [e for e in self.destinations[number].endpoints.values() if e.listed]
-            share_out(routes, self.settings.zone, self.settings.zones, self.destinations[number].turn)
+        priced = self.settings.zone and self.settings.crossing_price
+        for place in (self.destinations[n] for n in self.moved if priced and n in self.destinations):
+            routes = [e for e in place.endpoints.values() if e.listed]
+            share_out(routes, self.settings.zone, self.settings.zones, place.turn)
         self.moved.clear()
 
     def measure(self, destination: Destination) -> None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -78,3 +78,11 @@
     gone = member("b2", zone="b", status=Status.DRAINING)
     forwarder.decide(4, [Members(Scope.DELTA, (gone, member("a1", zone="a")))])
     assert forwarder.endpoints["b1"].share == 0.0
+
+
+def test_a_destination_whose_last_endpoint_moves_is_forgotten() -> None:
+    """Its shares were dealt out anew, and that brought it back, empty, for good."""
+    forwarder = Forwarder(replace(BASE, **PRICED), 1)  # type: ignore[arg-type]
+    for dest in (1, 2):
+        forwarder.decide(dest, [Members(Scope.FULL, (member("b1", dest=dest, zone="b"),))])
+    assert list(forwarder.destinations) == [2]
