Say how far apart turns lie in one place, and weigh a refusal's time once a route

Read back: `1 / (share or 1.0)` stood in four places; a zone's time of a refusal was worked out anew for each message looked at, in the innermost loop of a pick; and three special cases of notes among many follow from one part, which is 1 for few. What `trust.py` says of senders that tell each other nothing was no longer so. No behaviour changes: the tests are as they were.

--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -47,9 +47,8 @@
         self.on = talks(settings)
         self._wait_most = max(c.deadline_us for c in settings.classes.values())
         self._earned = SPENT * PACKET / max(settings.peer_price * peers, 1e-9) if self.on else 0.0
-        if self._part < 1:
-            self._earned *= URGENT + (1 - URGENT) / self._part * self._teller
-        self.beat_us = max(BEAT_US, BEAT_EACH_US * (settings.replicas if self._part == 1 else TELLERS))
+        self._earned *= URGENT + (1 - URGENT) / self._part * self._teller
+        self.beat_us = max(BEAT_US, round(BEAT_EACH_US * settings.replicas * self._part))
         self._purse = min(PURSE, 8 * self._earned)
         self._number = 0
         self._held: dict[int, tuple[int, int]] = {}  # our own work that waits, and since when
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -229,6 +229,11 @@
         self.ramp = Bucket(0.0)
         self.least_us = SILENCE_AIMS * min(c.aim_us for c in settings.classes.values())
 
+    @property
+    def stride(self) -> float:
+        """How far apart its turns lie: one with half a share has half as many."""
+        return 1 / (self.share or 1.0)
+
     def part(self) -> float:
         """An even part of what the destination takes, in calls a second of all forwarders."""
         return self.gate.weight / max(1, self.gate.routes)
@@ -647,7 +652,7 @@
             seen = ((e.latency(now), e.usual.error() * self.many) for e in routes if e.usual.mean)
             quick = min(seen, key=sum, default=(1.0, 0.0))
             for passed in (e for e in routes if e.turn <= destination.turn):
-                passed.turn = destination.turn + self.rng.random() / (passed.share or 1.0)
+                passed.turn = destination.turn + self.rng.random() * passed.stride
             more = self.many and (sum(e.is_warm(now) for e in routes) + 1) * REUSE * SECOND <= (
                 destination.rate * self.settings.keepalive_us)
             routes.sort(key=lambda e: (e.rank(now, more) + self.distance(e, quick), e.turn))
@@ -657,9 +662,9 @@
             if (route := next((e for e in routes if zone in ("", e.zone)), None)) is None:
                 continue
             trial = 0 if route.out_since is None else TRIAL_ORDER.index(cls.effect)
-            answer = now + int(route.usual.mean)
+            answer, late = now + int(route.usual.mean), now + self.refusal_us(route)
             for message in line.around(turns(cls, answer, drain_us, self.settings.halves)):
-                if message.deadline - now <= self.refusal_us(route):
+                if message.deadline <= late:
                     continue  # given up with its answer on the way, it hears no wait that this tells
                 key = trial, self.urgency(message, answer, drain_us)
                 if best is None or key > best:
@@ -761,7 +766,7 @@
         trial, gate = endpoint.out_since is not None, endpoint.gate
         if self.many:  # each of few keeps its lot: they spread by it, and by what each sees of all
             destination.turn, endpoint.drawn = endpoint.turn, False
-            endpoint.turn += 1 / (endpoint.share or 1.0)
+            endpoint.turn += endpoint.stride
         call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if trial:
             self.trials[call] = None
--- a/rowanspindle/trust.py
+++ b/rowanspindle/trust.py
@@ -47,7 +47,7 @@
     def __init__(self, settings: Settings) -> None:
         self._most, self._one_call = settings.keepalive_us, settings.streams_per_conn == 1
         self._many = settings.replicas >= SHORT_SENDERS
-        self._fleet = settings.replicas > MOST_SENDERS  # one each fills any table, and no holder is told
+        self._fleet = settings.replicas > MOST_SENDERS  # one each fills any table
         self.us: defaultdict[str, float] = defaultdict(lambda: float(self._most))
         self._new: defaultdict[str, Refusals] = defaultdict(Refusals)
         self._kept: defaultdict[str, Refusals] = defaultdict(lambda: Refusals(*BEFORE))
@@ -83,9 +83,9 @@
 
         Answers endpoints that take few connections, and connections dropped unseen. Where one carries one
         call at a time tables fill from the start; elsewhere failures at endpoints of the kind must show it.
-        Who keeps one is never refused for want of one, and does not learn that others are: where senders are
-        too many to tell each other, none is kept. It costs handshakes, for nothing where there is room, and
-        after a crash until answers regain the trust.
+        Who keeps one is never refused for want of one, and learns only by notes that others are: among many
+        senders none is kept. It costs handshakes, for nothing where there is room, and after a crash until
+        answers regain the trust.
         """
         short = self._fleet or now < self._short.get(kind, 0)
         doubted = self._fleet or self.us[kind] < self._most or self._one_call
--- a/rowanspindle/zones.py
+++ b/rowanspindle/zones.py
@@ -19,6 +19,10 @@
     share: float  # calls that it is to have from here, over an even part
     turn: float
 
+    @property
+    def stride(self) -> float:
+        """How far apart its turns lie."""
+
 
 def parts(zones: Iterable[str], own: str, count: int) -> dict[str, float]:
     """For an endpoint of each zone: the calls that a sender in `own` makes there, over an even part.
@@ -40,5 +44,5 @@
         return
     known = parts((route.zone for route in routes), own, count)
     for route in routes:
-        was, route.share = route.share, known[route.zone]
-        route.turn = turn + (route.turn - turn) * (was or 1.0) / (route.share or 1.0)
+        was, route.share = route.stride, known[route.zone]
+        route.turn = turn + (route.turn - turn) * route.stride / was
