Have one timer of the loop's own, for the log's port, the lab and the tests

Read back: the log's port had got a second one beside the lab's, cast to what the wheel gives. What callers need of a timer is that it can be cancelled: `After` says so now, and `timing.after` is the one that does not pass through the core.

--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -21,14 +21,14 @@
 from rowanrack.channels.site import READ, Fleet, Site
 from rowanrack.channels.sync import Meetings
 from rowanrack.channels_io.links import HttpLinks
-from rowanrack.channels_io.server import SitesServer, beside
+from rowanrack.channels_io.server import SitesServer
 from rowanrack.channels_io.watching import Watching
 from rowanrack.channels_io.writer import LogThread, Notes
 from rowanrack.config import ChannelsConfig
 from rowanrack.core.exchange import Exchange
 from rowanrack.net.http import Reply
 from rowanrack.net.rare_log import RareLog
-from rowanrack.net.timing import pause
+from rowanrack.net.timing import after, pause
 from rowanrack.store.log_sqlite import SqliteLog
 
 log = logging.getLogger(__name__)
@@ -220,8 +220,9 @@
                 self.fleet.layouts.passed(self._unix())
                 self._begin(self._tidy())
             next_at = self.meetings.next_at(now)
-            until = min(look_at, look_at if self._needing else self._needs_at, next_at or look_at)
-            timer = beside(max(until - now, LEAST_US), self._wake.set)
+            needs_at = look_at if self._needing else self._needs_at
+            until = min(look_at, needs_at, next_at or look_at)
+            timer = after(max(until - now, LEAST_US), self._wake.set)
             await self._wake.wait()
             timer.cancel()
 
--- a/rowanrack/channels_io/server.py
+++ b/rowanrack/channels_io/server.py
@@ -2,16 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
-from typing import cast
 
 from rowanrack.channels_io.links import BODY_MOST, PATH
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import TOO_SLOW, HttpError, HttpServed, Reply
 from rowanrack.net.listener import Listener, State
 from rowanrack.net.stream import Stream
+from rowanrack.net.timing import after
 
 OWED_US = 5_000_000  # for a whole request: a batch over a slow link
 BUSY_S = 1  # told to a site that meets a log that is behind
@@ -19,11 +17,6 @@
 Answer = Callable[[bytes], Awaitable[bytes | None]]  # None: the log is behind, come again
 
 
-def beside(delay_us: int, action: Callable[[], None]) -> WheelTimer:
-    """A timer of the loop's own: one on the exchange's wheel costs a round of decisions when it is due."""
-    return cast(WheelTimer, asyncio.get_running_loop().call_later(delay_us / 1e6, action))
-
-
 class SitesServer(Listener):
     """Answers other sites; bad input ends only its own connection."""
 
@@ -32,7 +25,7 @@
 
     def __init__(self, exchange: Exchange, most: int, answer: Answer) -> None:
         super().__init__(most, exchange)
-        self.after, self._answer = beside, answer
+        self.after, self._answer = after, answer
 
     async def talk(self, stream: Stream) -> None:
         """Read a request, answer it, and the next one."""
--- a/rowanrack/fronts/platform/notices.py
+++ b/rowanrack/fronts/platform/notices.py
@@ -9,10 +9,9 @@
 from itertools import islice
 
 from rowanrack.core.messages import End, Ending, Message
-from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import CONNECT_US, FAILURES, Call, HttpCaller
 from rowanrack.net.stream import Stream
-from rowanrack.net.timing import After, pause, time_limit
+from rowanrack.net.timing import After, Timer, pause, time_limit
 
 log = logging.getLogger(__name__)
 
@@ -40,7 +39,7 @@
         self.caller: HttpCaller | None = None  # once it is open
         self.batch: dict[str, End] = {}  # what is written on it and not yet answered
         self.wanted = asyncio.Event()
-        self.timer: WheelTimer | None = None
+        self.timer: Timer | None = None
         self.task: asyncio.Task[None] | None = None
 
     @property
--- a/rowanrack/lab/fleet.py
+++ b/rowanrack/lab/fleet.py
@@ -27,9 +27,10 @@
 from rowanrack.lab.plan import Arrival
 from rowanrack.lab.role import ROOT, Role
 from rowanrack.lab.scenario import GRADES, Grade
-from rowanrack.lab.stand_in import after, reserve, sender_address
+from rowanrack.lab.stand_in import reserve, sender_address
 from rowanrack.net.http import Call, HttpCaller
 from rowanrack.net.stream import Stream
+from rowanrack.net.timing import after
 
 SERVING_S = 60.0  # for a sender to serve, with many starting at once
 TRIES = 3  # starts that find a port taken
--- a/rowanrack/lab/stand_in.py
+++ b/rowanrack/lab/stand_in.py
@@ -8,7 +8,6 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import HttpError, HttpServed, Reply, Request
 from rowanrack.net.stream import Stream, stream_protocol
 
@@ -23,13 +22,6 @@
     return held
 
 
-def after(delay_us: int, action: Callable[[], None]) -> WheelTimer:
-    """A timer for a caller that stands outside any sender."""
-    timer = WheelTimer(action)
-    asyncio.get_running_loop().call_later(delay_us / 1e6, lambda: timer.action and timer.action())
-    return timer
-
-
 def peer_of(stream: Stream) -> str:
     """The host that a connection comes from."""
     with socket.socket(fileno=os.dup(stream.descriptor)) as sock:
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -22,7 +22,7 @@
 from rowanrack.load.metered import Metered
 from rowanrack.net.rare_log import RareLog
 from rowanrack.net.stream import Stream, stream_protocol
-from rowanrack.net.timing import pause, time_limit
+from rowanrack.net.timing import After, pause, time_limit
 from rowanrack.net.turns import Rank, Turns, turns_of
 
 log = logging.getLogger(__name__)
@@ -75,7 +75,8 @@
     owed_us, spared_us = OWED_US, SPARED_US
 
     def __init__(self, most: int, exchange: Exchange) -> None:
-        self.most, self.after, self.exchange = most, exchange.after, exchange
+        self.most, self.exchange = most, exchange
+        self.after: After = exchange.after
         self.governor = exchange.governor
         self.streams: dict[Stream, tuple[State, int]] = {}  # each with the time; the latest change comes last
         self.draining = False
--- a/rowanrack/net/timing.py
+++ b/rowanrack/net/timing.py
@@ -1,4 +1,4 @@
-"""Time for asyncio code, from the one timer wheel."""
+"""Time for asyncio code, from the one timer wheel, or from the loop for what takes no part in the core."""
 
 from __future__ import annotations
 
@@ -8,16 +8,26 @@
 from contextlib import asynccontextmanager
 from typing import Protocol
 
-from rowanrack.core.wheel import WheelTimer
+
+class Timer(Protocol):
+    """What calls an action once."""
+
+    def cancel(self) -> None:
+        """The timer will not fire."""
 
 
 class After(Protocol):
-    """`Exchange.after`: a timer on the wheel."""
+    """`Exchange.after`: a timer on the wheel. Or `after`."""
 
-    def __call__(self, delay_us: int, action: Callable[[], None], /) -> WheelTimer:
+    def __call__(self, delay_us: int, action: Callable[[], None], /) -> Timer:
         """Call the action once the delay has passed."""
 
 
+def after(delay_us: int, action: Callable[[], None]) -> Timer:
+    """A timer of the running loop's own: one on the wheel costs a round of decisions when it is due."""
+    return asyncio.get_running_loop().call_later(delay_us / 1e6, action)
+
+
 class LoopClock:
     """The clock of the running event loop, and its wake-up call for the core."""
 
--- a/tests/contracts/test_links.py
+++ b/tests/contracts/test_links.py
@@ -69,7 +69,7 @@
 @asynccontextmanager
 async def over_http(folder: Path, twin: Twin = sound) -> AsyncIterator[World]:
     site, exchange = Site(), Desk(folder).exchange
-    exchange.after = after  # type: ignore[method-assign]
+    exchange.after = after  # type: ignore[method-assign, assignment]
     servers: list[SitesServer] = []
 
     async def back() -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -19,10 +19,10 @@
 from rowanrack.core.messages import End, Execution, Instance, Message, Verdict
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.lab.stand_in import Behaviour, Client, HttpServer
-from rowanrack.lab.stand_in import after as after  # for the tests
 from rowanrack.lab.stand_in import resp as resp
 from rowanrack.net.http import Call, HttpCaller, Reply, Request
 from rowanrack.net.stream import Stream
+from rowanrack.net.timing import after as after  # for the tests
 from rowanrack.net.turns import FairLoop
 from rowanspindle import Result, Scope, Settings, Status
 from rowanspindle.wire import parse_settings
