--- a/rowanrack/lab/figures.py
+++ b/rowanrack/lab/figures.py
@@ -14,6 +14,7 @@
 from rowanrack.lab.books import Entry, Page
 from rowanrack.lab.checker import NEVER, SECOND
 from rowanrack.lab.log_rules import LogChecker, misses
+from rowanrack.model import spread as model_spread
 
 PHASE_US = 30 * SECOND
 BEHIND_US = 2 * SECOND  # for so long what comes at an endpoint is put down to what was before
@@ -84,25 +85,24 @@
             if len(counts) < 2 or not (even := sum(counts.values()) / len(counts)):
                 continue
             most, least = max(counts, key=counts.__getitem__), min(counts, key=counts.__getitem__)
-            peak, low = by_lot(sum(counts.values()), len(counts))
+            peak, low = by_lot(sum(counts.values()), list(counts))
             new = count_in(opened.get(dest, ()), since, until) / sum(every.values())
             found.append(
                 {"from_s": (since - begin) // SECOND, "dest": dest, "calls": sum(every.values())}
                 | {"endpoints": len(counts), "away": away}
                 | {"peak": round(counts[most] / even, 2), "peak_at": most}
                 | {"least": round(counts[least] / even, 2), "least_at": least}
-                | {"chance_peak": round(peak / even, 2), "chance_least": round(low / even, 2)}
+                | {"chance_peak": round(peak, 2), "chance_least": round(low, 2)}
                 | {"new": round(new, 3)}
             )
     return found
 
 
-def by_lot(calls: int, endpoints: int) -> tuple[float, float]:
-    """The most and the least calls at one endpoint, in the mean, if each call chooses by lot."""
+def by_lot(calls: int, endpoints: list[str]) -> tuple[float, float]:
+    """The most and the least calls at one endpoint over an even part, in the mean, if each chooses by lot."""
     dice = Random(0)
-    drawn = [Counter(dice.choices(range(endpoints), k=calls)) for _ in range(DRAWS)]
-    most = fmean(max(counts.values()) for counts in drawn)
-    return most, fmean(min(counts[n] for n in range(endpoints)) for counts in drawn)
+    peaks, leasts = zip(*(model_spread.by_chance(dice, calls, endpoints) for _ in range(DRAWS)), strict=True)
+    return fmean(peaks), fmean(leasts)
 
 
 def connections(entries: Sequence[Entry]) -> dict[int, list[int]]:
