Take a sender's zone, the zones and the price of crossings from an operator's file too

Read back: the platform's settings had them, an operator's file was refused for them, so that a site of its own could not have what zones.py does. The test fails without the keys.

--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -93,6 +93,7 @@
     """What is paid for."""
 
     peer: Annotated[float, Meta(ge=0)] | None = None
+    cross_zone: Annotated[float, Meta(ge=0)] | None = None
 
 
 class SettingsTable(Part):
@@ -106,6 +107,8 @@
     tenants: list[Tenant] = []
     report: Report = msgspec.field(default_factory=Report)
     prices: Prices = msgspec.field(default_factory=Prices)
+    zone: str | None = None
+    azs: list[str] = []
     replicas_of_me: Count | None = None
     over_share_worth: Share | None = None
     weight_kind: Literal["silent", "nominal", "rough"] = "nominal"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -335,9 +335,12 @@
 
 def test_check_prints_what_is_in_effect_and_what_stands_as_usual(tmp_path: Path) -> None:
     path = tmp_path / "o.toml"
-    path.write_text(f"state='.'\n{SITE}")
+    zones = "settings.zone='a'\nsettings.azs=['a', 'b']\nsettings.prices.cross_zone=0.08\n"
+    path.write_text(f"state='.'\n{zones}{SITE}")
     command = [sys.executable, "-m", "rowanrack", "check", "--config", str(path), "--json"]
     shown = json.loads(subprocess.run(command, capture_output=True, timeout=60, check=True).stdout)
     assert shown["settings.most_held"] == {"value": 20, "default": False}
     assert shown["settings.replicas"] == {"value": 1, "default": True}
+    told = {name: shown[f"settings.{name}"]["value"] for name in ("zone", "zones", "crossing_price")}
+    assert told == {"zone": "a", "zones": 2, "crossing_price": 0.08}
     assert shown["settings.classes"]["value"]["order"]["effect"] == "unsafe"
