Have a layout pick its keepers from ranked sites, and a confirmation void its shard alone

Seen: behind a layout serving stopped at 200 senders for about 2 s, a third of the samples hashing (docs/lab.md). Found: Layouts.moves, called by Site._moves (needs, offer, _confirm: the log's thread alone; the loop's side asks for the shards of reads, no more), sorted 197 sites for 64 shards: 11,400 to 12,600 hashes, 35 to 60 ms, most of it Python around the hash; a second layout, with all hashes remembered, still took 12 to 18 ms for logarithms and sorting. And each KEPT cleared the holders of all channels, so that Heads.follow computed all of them anew: 0.1 ms with 6 channels, 3.3 ms with 1,000, 128 times a layout. Change: Lots ranks the sites of all layouts by shard, and a layout walks it until no site further down can score better, which is exact for any weights; the keepers are the same as before, also between versions. Site.needs has 1,600 hashes made ahead in a look. A KEPT voids its shard's channels; holders are kept by channel, and follow passes over those that are the same object. A KEPT that is known, or of no known layout, is no new turn. Ruled out: the loop's side (no hash for a layout and its 128 KEPT, one shard of each layout for a read). Not taken: one hash a site for all shards by blake3's long output (other versions would find other keepers); numpy (not in serving); the process-wide cache of lots (a sort for each shard stays). The tests fail with a walk that stops too early, rankings that are forgotten, or a KEPT that voids nothing or by another layout's shards.

--- a/rowanrack/channels/digests.py
+++ b/rowanrack/channels/digests.py
@@ -109,7 +109,9 @@
         if scope is not self._scope or scope.turn != self._turn:
             self._scope, self._turn = scope, scope.turn
             for channel, origins in self._channels.items():
-                if channel != FLEET and (holders := scope.holders(channel)) != self._held_by[channel]:
+                if channel == FLEET or (holders := scope.holders(channel)) is (was := self._held_by[channel]):
+                    continue
+                if holders != was:
                     for origin, (part, _) in origins.items():
                         self._add(channel, origin, part)  # xor: taken out
                     self._held_by[channel] = holders
--- a/rowanrack/channels/layout.py
+++ b/rowanrack/channels/layout.py
@@ -8,10 +8,10 @@
 
 import math
 from bisect import bisect_right, insort
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
-from itertools import count
+from itertools import count, islice
 from typing import Annotated, Any, NamedTuple
 
 import msgspec
@@ -24,6 +24,10 @@
 SHARDS_MOST, KEEPERS_MOST, SITES_MOST = 4096, 16, 4096
 PAST_US = 60_000_000  # by which a layout may begin before it was announced: as far as clocks may differ
 AHEAD_US = 366 * 86_400_000_000  # and by which it may be announced ahead
+RANKED = 64  # sites of all that are known that are remembered of a shard: the keepers are among the first
+KNOWN_MOST = 2 * SITES_MOST  # sites that are ranked; a layout that names more than these is sorted by itself
+ROUNDING = 1 - 1e-9  # by which a score must be behind to be so beyond doubt
+CHANNELS_MOST = 65_536  # whose holders are remembered
 REFUSED_MOST = 100  # refused events that are named; more are only counted
 TURNS = count(1)  # one for all layouts of a process: those that are read anew differ from the ones before
 NOWHERE = Place(-1, -1, "", "", 0)  # of the first layout, which no event announced
@@ -50,11 +54,54 @@
     layout: str
 
 
-@lru_cache(maxsize=65_536)
-def _lot(site: str, shard: int) -> float:
-    """A number above 0 and below 1 for a site and a shard: what a weight of 1 scores by."""
-    digest = blake3(f"{shard}/{site}".encode()).digest(length=8)
-    return ((int.from_bytes(digest, "big") >> 12) + 0.5) / 2**52
+class Lots:
+    """The sites of several layouts by their lots in each shard, of which a layout picks its own.
+
+    Guards against a hash for each site and shard of each layout: one that names the sites of the layout
+    before it costs none, and of a shard's ranking only the first few are looked at.
+    """
+
+    def __init__(self) -> None:
+        self._sites: dict[bytes, str] = {}
+        self._ranked: dict[int, tuple[int, list[tuple[float, str]]]] = {}  # by shard: of how many sites
+
+    def learn(self, sites: Iterable[str]) -> bool:
+        """Rank these sites, too; False if there are too many."""
+        for site in sites:
+            if len(self._sites) < KNOWN_MOST or site.encode() in self._sites:
+                self._sites[site.encode()] = site
+            else:
+                return False
+        return True
+
+    def missing(self, shard: int) -> int:
+        """How many sites are still to be hashed for a shard."""
+        return len(self._sites) - self._ranked.get(shard, (0, ()))[0]
+
+    def ranked(self, shard: int) -> list[tuple[float, str]]:
+        """The first sites of a shard with their lots, the highest first."""
+        upto, ranked = self._ranked.get(shard, (0, []))
+        if upto < len(self._sites):
+            drawn = sorted(_drawn(shard, islice(self._sites, upto, None)), reverse=True)[:RANKED]
+            news = [(_lot(each), self._sites[each[8:]]) for each in drawn]
+            ranked = sorted([*ranked, *news], reverse=True)[:RANKED]
+            self._ranked[shard] = len(self._sites), ranked
+        return ranked
+
+    def whole(self) -> bool:
+        """Whether what is ranked is all that there is."""
+        return len(self._sites) <= RANKED
+
+
+def _drawn(shard: int, sites: Iterable[bytes]) -> list[bytes]:
+    """The hash of each site and a shard, in front of the site's name."""
+    prefix = b"%d/" % shard
+    return [blake3(prefix + site).digest(length=8) + site for site in sites]
+
+
+def _lot(drawn: bytes) -> float:
+    """A number above 0 and below 1, which grows with the hash: what a weight of 1 scores by."""
+    return ((int.from_bytes(drawn[:8], "big") >> 12) + 0.5) / 2**52
 
 
 @lru_cache(maxsize=65_536)
@@ -72,7 +119,9 @@
     shards: int
     copies: int  # keepers of each shard, if there are that many sites
     sites: tuple[tuple[str, float], ...]
+    _lots: Lots = field(default_factory=Lots, compare=False, repr=False)
     _known: dict[int, tuple[str, ...]] = field(default_factory=dict, compare=False, repr=False)
+    _weights: dict[str, float] = field(default_factory=dict, compare=False, repr=False)
 
     @property
     def id(self) -> str:
@@ -86,10 +135,37 @@
     def keepers(self, shard: int) -> tuple[str, ...]:
         """The sites that keep a shard, the first choice first: weighted rendezvous hashing."""
         if (known := self._known.get(shard)) is None:
-            scores = sorted((w / math.log(_lot(site, shard)), site) for site, w in self.sites)
-            known = self._known[shard] = tuple(site for _, site in scores[: self.copies])
+            known = self._known[shard] = tuple(site for _, site in self._scores(shard)[: self.copies])
         return known
 
+    def _scores(self, shard: int) -> list[tuple[float, str]]:
+        """The scores of a shard's sites, the best (least) first; at least so many as keep it."""
+        if self._learnt():
+            scores, heaviest = list[tuple[float, str]](), max(self._weights.values())
+            for lot, site in self._lots.ranked(shard):
+                best = heaviest / math.log(lot)  # that any site from here on could score
+                if len(scores) >= self.copies and sorted(scores)[self.copies - 1][0] * ROUNDING < best:
+                    return sorted(scores)
+                if (weight := self._weights.get(site)) is not None:
+                    scores.append((weight / math.log(lot), site))
+            if self._lots.whole():
+                return sorted(scores)
+        lots = map(_lot, _drawn(shard, (site.encode() for site, _ in self.sites)))
+        return sorted((w / math.log(lot), site) for (site, w), lot in zip(self.sites, lots, strict=True))
+
+    def _learnt(self) -> bool:
+        if not self._weights and self._lots.learn(site for site, _ in self.sites):
+            self._weights.update(self.sites)
+        return bool(self._weights)
+
+    def prepare(self, hashes: int) -> None:
+        """Rank the sites of some shards ahead of need: a layout to come mostly names the same."""
+        for shard in range(self.shards if self._learnt() else 0):
+            if missing := self._lots.missing(shard):
+                self._lots.ranked(shard)
+                if (hashes := hashes - missing) <= 0:
+                    return
+
     def document(self) -> dict[str, Any]:
         """The payload of the event that announces it."""
         sites = [list(site) for site in self.sites]
@@ -117,7 +193,15 @@
     instead_of: tuple[str, ...] = ()  # keepers of then whose place it took
 
 
-def _read(event: Event) -> Layout:
+class Held(NamedTuple):
+    """Who is to hold the channels of some shards now."""
+
+    whole: dict[str, bool]  # by site: whether it has them whole
+    sites: frozenset[str]
+    channels: list[str]  # that were asked for
+
+
+def _read(event: Event, lots: Lots) -> Layout:
     """The layout that an event announces. Raises ValueError, or an error of msgspec, for a damaged one."""
     found = msgspec.msgpack.decode(event.data, type=Announced)
     if not event.at - PAST_US <= found.since_us <= event.at + AHEAD_US:
@@ -127,7 +211,7 @@
     if not all(math.isfinite(weight) for _, weight in found.sites):
         raise ValueError("`sites` has a weight that is no finite number")
     sites = tuple(sorted(found.sites))
-    return Layout(found.since_us, event.place, found.version, found.shards, found.keepers, sites)
+    return Layout(found.since_us, event.place, found.version, found.shards, found.keepers, sites, lots)
 
 
 class Layouts:
@@ -139,7 +223,9 @@
 
     def __init__(self, sites: Sequence[str]) -> None:
         self.sites = frozenset(sites)
-        first = Layout(0, NOWHERE, 0, SHARDS, KEEPERS, tuple((site, 1.0) for site in sorted(self.sites)))
+        self._lots = Lots()
+        even = tuple((site, 1.0) for site in sorted(self.sites))
+        first = Layout(0, NOWHERE, 0, SHARDS, KEEPERS, even, self._lots)
         self._history = [first]
         self._valid = [first]  # those that hold at some time
         self._starts = [0]
@@ -148,8 +234,10 @@
         self.refused_count = 0
         self._now_us = 0
         self._now = 0  # the place in `_valid` of the layout that holds now
-        self._held: dict[tuple[int, ...], dict[str, bool]] = {}
+        self._held: dict[tuple[int, ...], Held] = {}  # by shards
+        self._held_by: dict[str, Held] = {}  # the same by channel
         self._counts: tuple[int, ...] = (SHARDS,)
+        self._shards: dict[str, int] = {}  # by the id of an announced layout
         self.turn = next(TURNS)  # another whenever any answer may be another
         self.grown = self.turn  # another whenever a site may hold more than before
 
@@ -164,23 +252,34 @@
             return
         try:
             if event.kind == LAYOUT:
-                self._add(_read(event))
+                self._add(_read(event, self._lots))
             else:
                 kept = msgspec.msgpack.decode(event.data, type=Confirmed)
-                self._kept.add((event.site, kept.layout, kept.shard))
+                self._keep(event.site, kept)
         except (ValueError, msgspec.MsgspecError, RecursionError) as bad:
             if event.id not in self._refused:
                 self.refused_count += 1
                 if len(self._refused) < REFUSED_MOST:
                     self._refused[event.id] = f"{event.kind}: {bad}"
+
+    def _keep(self, site: str, kept: Confirmed) -> None:
+        """Who may drop what can be another for the channels of one shard of one layout, if for any."""
+        if (told := (site, kept.layout, kept.shard)) in self._kept:
             return
-        self._turn()
+        self._kept.add(told)
+        if (shards := self._shards.get(kept.layout)) is not None:
+            place = self._counts.index(shards)
+            for key in [key for key in self._held if key[place] == kept.shard]:
+                for channel in self._held.pop(key).channels:
+                    del self._held_by[channel]
+            self.turn = next(TURNS)
 
     def _add(self, layout: Layout) -> None:
         place = bisect_right(self._history, _order(layout), key=_order)
         if _order(self._history[place - 1]) == _order(layout):
             return
         insort(self._history, layout, key=_order)
+        self._shards[layout.id] = layout.shards
         self._valid = list({each.since_us: each for each in self._history}.values())
         self._starts = [each.since_us for each in self._valid]
         self._counts = tuple(sorted({each.shards for each in self._history}))
@@ -188,11 +287,15 @@
         self._turn(True)
 
     def _turn(self, grows: bool = False) -> None:
-        self._held.clear()
+        self._forget()
         self.turn = next(TURNS)
         if grows:
             self.grown = self.turn
 
+    def _forget(self) -> None:
+        self._held.clear()
+        self._held_by.clear()
+
     @property
     def view(self) -> str:
         """Which layout holds now: two sites with the same events may differ in it, by their clocks."""
@@ -206,6 +309,10 @@
             self._now = now
             self._turn(grows)
 
+    def prepare(self, hashes: int) -> None:
+        """Do work for a layout to come ahead of it, about so many hashes; none once all is done."""
+        self._valid[self._now].prepare(hashes)
+
     def at(self, us: int) -> Layout:
         """The layout that is valid at a time."""
         return self._valid[max(0, bisect_right(self._starts, us) - 1)]
@@ -233,39 +340,45 @@
                 return False
         return False
 
-    def _holders(self, channel: str) -> dict[str, bool]:
-        """Who is to hold a channel now, and whether it has it whole.
+    def _holders(self, channel: str) -> Held:
+        if (held := self._held_by.get(channel)) is None:
+            if len(self._held_by) >= CHANNELS_MOST:
+                self._forget()
+            hashed = _hashed(channel)
+            key = tuple([hashed % count for count in self._counts])
+            if (held := self._held.get(key)) is None:
+                held = self._held[key] = self._hold(channel)
+            self._held_by[channel] = held
+            held.channels.append(channel)
+        return held
 
-        Keepers by the layout that holds now and by those to come; while one of now has not confirmed, those
-        by the layout before as well, and so on back.
+    def _hold(self, channel: str) -> Held:
+        """Keepers by the layout that holds now and by those to come; while one of now has not confirmed,
+        those by the layout before as well, and so on back.
         """
-        hashed = _hashed(channel)
-        key = tuple(hashed % count for count in self._counts)
-        if (held := self._held.get(key)) is None:
-            sites = {s for layout in self._valid[self._now :] for s in layout.keepers(layout.shard(channel))}
-            for layout in reversed(self._valid[: self._now + 1]):
-                shard = layout.shard(channel)
-                sites.update(layout.keepers(shard))
-                if self._settled(layout, shard):
-                    break
-            held = self._held[key] = {site: self._whole(site, channel) for site in sites}
-        return held
+        sites = {s for layout in self._valid[self._now :] for s in layout.keepers(layout.shard(channel))}
+        for layout in reversed(self._valid[: self._now + 1]):
+            shard = layout.shard(channel)
+            sites.update(layout.keepers(shard))
+            if self._settled(layout, shard):
+                break
+        return Held({site: self._whole(site, channel) for site in sites}, frozenset(sites), [])
 
     def holders(self, channel: str) -> frozenset[str]:
         """The sites that are to hold a channel now: keepers, those to come, those that may not drop it."""
-        return frozenset(self._holders(channel))
+        return self._holders(channel).sites
 
     def wants(self, site: str, channel: str, origin: str) -> bool:
         """Whether a site is to have what an origin wrote on a channel: a `Scope` for `sync`."""
-        return channel == FLEET or site == origin or site in self._holders(channel)
+        return channel == FLEET or site == origin or site in self._holders(channel).sites
 
     def whole(self, site: str, channel: str) -> bool:
         """Whether a site has a channel whole, and is to hold it."""
-        return channel == FLEET or self._holders(channel).get(site, False)
+        return channel == FLEET or self._holders(channel).whole.get(site, False)
 
     def may_drop(self, site: str, channel: str) -> bool:
         """Whether a site may forget what others wrote on a channel: its new keepers all have it whole."""
-        return channel != FLEET and site not in self._holders(channel)
+        return channel != FLEET and site not in self._holders(channel).sites
 
     def moves(self, site: str) -> list[Move]:
         """The shards that a site keeps now, or will by a layout to come, and has not confirmed.
@@ -308,7 +421,7 @@
         then = layout.keepers(layout.shard(channel))
         if channel == FLEET:
             return [Keeper(s, True) for s in dict.fromkeys((*then, *sorted(self.sites))) if s in self.sites]
-        held = self._holders(channel)
+        held = self._holders(channel).whole
         there = sum(site in self.sites for site in held)
         found: dict[str, Keeper] = {}
         for sites in self._onward(channel, start):
--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -21,6 +21,7 @@
 FOREVER_US = 1 << 62
 SYNC, READ = b"S", b"R"  # the first byte of a call between sites: an exchange, or a part of a read
 ASK_BEHIND_US = 10_000_000  # who could not be counted, or was not met, for so long is asked
+HASHES = 1_600  # that a look makes ahead of the next layout: 2 to 4 ms
 TIDY_PART = 0.8  # of the room on disk, to which retention goes back: what is written meanwhile fits
 
 
@@ -113,6 +114,7 @@
         for a while; who is to take over a shard asks those that had it.
         """
         self._pass()
+        self.layouts.prepare(HASHES)
         log, now = self.log, self._time.now_us()
         log.owing()
         pairs = {site: log.pair(site) for site in log.members if site != self.name}
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable
 from random import Random
@@ -9,11 +10,12 @@
 
 import msgspec
 import pytest
+from blake3 import blake3
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from rowanrack.channels.events import FLEET, KEPT, LAYOUT, Event, packed
-from rowanrack.channels.layout import NOWHERE, Layout, Layouts
+from rowanrack.channels.layout import NOWHERE, RANKED, Layout, Layouts
 
 NOW = 1_000_000_000
 
@@ -22,7 +24,7 @@
     return Event(FLEET, site, "1", number, at, 0, kind, data if isinstance(data, bytes) else packed(data))
 
 
-def layout(number: int, since: int, sites: str, site: str = "a", version: int = 0, **more: Any) -> Event:
+def layout(number: int, since: int, sites: str, /, site: str = "a", version: int = 0, **more: Any) -> Event:
     doc = {"version": version or number, "from": since, "shards": 64, "keepers": 2,
            "sites": [[name, 1] for name in sites]} | more  # fmt: skip
     return event(number, LAYOUT, doc, site, since)
@@ -56,14 +58,17 @@
 @settings(max_examples=40, deadline=None, derandomize=True)
 @given(TOLD, st.integers(0, 60), st.randoms(use_true_random=False))
 def test_two_sites_agree_whatever_came_first(told: list[Any], gone: int, chance: Random) -> None:
-    events = [layout(n, NOW + t[0] * 10, t[2], t[3], t[1]) for n, t in enumerate(told, 1)]
+    events = [layout(n, NOW + t[0] * 10, t[2], t[3], t[1], shards=40 + n % 2) for n, t in enumerate(told, 1)]
     first = fed(events, NOW + gone)
     mixed = 2 * (events + confirmed(first, "b") + confirmed(first, "c")[::2]) + [event(1, LAYOUT, b"", "z")]
-    agreed = view(fed(mixed, NOW + gone))
+    agreed = view(once := fed(mixed, NOW + gone))
     chance.shuffle(mixed)
-    other = fed(mixed, NOW)
-    other.passed(NOW + gone)
+    other = fed([], NOW)
+    for n, each in enumerate(mixed):  # what is remembered between them is not to stay
+        fed([each], NOW + gone * (n > len(mixed) // 2), more=other)
+        held = [other._holders(str(channel))[:2] for channel in range(40)]
     assert view(other) == agreed and len(other.history()) == 1 + len(events)
+    assert held == [once._holders(str(channel))[:2] for channel in range(40)]
 
 
 def test_of_two_layouts_of_one_time_the_later_place_holds_and_both_stay() -> None:
@@ -81,6 +86,55 @@
     assert set(moved) == {"d"} and 0.15 < len(moved) / 4096 < 0.25
 
 
+def scored(layout: Layout, shard: int) -> tuple[str, ...]:
+    """Weighted rendezvous hashing as it is written down: other versions must find the same keepers."""
+    scores = list[tuple[float, str]]()
+    for site, weight in layout.sites:
+        drawn = blake3(f"{shard}/{site}".encode()).digest(length=8)
+        scores.append((weight / math.log(((int.from_bytes(drawn) >> 12) + 0.5) / 2**52), site))
+    return tuple(site for _, site in sorted(scores)[: layout.copies])
+
+
+@pytest.mark.parametrize("weights", [(1.0,), (1.0, 2.5), (0.01, 1.0, 40.0, 0.5)])
+def test_a_layout_finds_by_rankings_the_keepers_that_sorting_all_would(weights: tuple[float, ...]) -> None:
+    chance = Random(1)
+    layouts = Layouts([f"s{n}" for n in range(2 * RANKED)])
+    for number, count in enumerate((2 * RANKED, RANKED, 3, 5 * RANKED, 1), 1):
+        sites = [[f"s{n}", chance.choice(weights)] for n in chance.sample(range(5 * RANKED), count)]
+        told: dict[str, Any] = {"sites": sites, "shards": 24, "keepers": chance.randint(1, 16)}
+        layouts.saw(layout(number, NOW + number, "a", **told))
+    chance.shuffle(all_of := layouts.history() * 2)
+    for each in all_of:
+        assert all(each.keepers(shard) == scored(each, shard) for shard in range(24))
+
+
+def test_a_layout_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It took each of 200 senders 12,600 hashes at once, whoever had to know of it."""
+    hashes = [0]
+
+    def counted(data: bytes) -> Any:
+        hashes[0] += 1
+        return blake3(data)
+
+    monkeypatch.setattr("rowanrack.channels.layout.blake3", counted)
+    names = [f"s{n}" for n in range(200)]
+    told = layout(1, NOW, "", sites=[[name, 1] for name in [*names[3:], "new"]])
+    log, loop = Layouts(names), Layouts(names)
+    while hashes[0] < 64 * 200:
+        began = hashes[0]
+        log.prepare(1600)
+        assert 0 < hashes[0] - began <= 1600
+    for each in (log, loop):
+        hashes[0] = 0
+        fed([told], NOW, more=each)
+        if each is log:
+            moves = [(site, move) for site in [*names, "new"] for move in each.moves(site)]
+            assert len(moves) == 128 and hashes[0] <= 64  # the new site's
+        fed([event(n, KEPT, move.payload(), site) for n, (site, move) in enumerate(moves, 5)], NOW, more=each)
+        each.keepers("one", NOW)
+        assert hashes[0] <= 64 + 202  # the loop's side ranks the one shard that is asked for
+
+
 def test_an_old_keeper_holds_until_each_new_one_has_confirmed() -> None:
     layouts = fed([layout(1, NOW, "cd")])
     channel = next(str(n) for n in range(99) if {k.site for k in layouts.keepers(str(n), 0)} >= {"a", "b"})
