Forget what a former keeper had left of a channel before it keeps it again

Traced (holders, heads and words of each site, step by step): `c` got d's event as a keeper by a layout that two newer ones had ended meanwhile, unknown to both; d lost its disk before it met `b`, the keeper of then. `c` learned that it keeps the channel no more, so it neither gave the event nor was asked for it, and had not tidied; each site's promise counted at `b` by right, as a former keeper shares nothing. The ninth layout made `c` a keeper again, and it brought what it had left. Ruled out: promises that count too soon (all had met b, with the same layouts).

At fault: `Heads.follow` and `Site.tidy`: what may be dropped stayed if the channel came back before retention ran.

Now what is left of others is dropped as the channel is kept again (`Log.follow`), as `tidy` may have done at any time before; it is fetched from those that have it whole. A log follows its layouts as it is opened, too, so that a restart between the two does not hide it. What nobody else has goes, as it went with `tidy`.

Not taken: former keepers that hand over what they had left. It would keep such an event, but needs digests of streams that one side does not hold, and the order held back for each former keeper, though any may have tidied.

--- a/rowanrack/channels/digests.py
+++ b/rowanrack/channels/digests.py
@@ -81,6 +81,7 @@
         self.own_changes = 0  # how often that was
         self.own: dict[Stream, int] = {}  # own streams by their last changes, in the order of these
         self.wrote: dict[str, None] = {}  # channels with such streams, or whose holders changed, likewise
+        self.again: list[str] = []  # channels kept anew, with events of others left from before
         self._changed: dict[Stream, None] = {}
         self._digests: dict[Stream, int] = {}
         self._groups: dict[int, dict[Stream, None]] = {}
@@ -136,6 +137,8 @@
                         self._add(channel, origin, part)
                     if self.site in origins:
                         self.wrote[channel] = None
+                    if self.site in holders - was and origins.keys() - {self.site}:
+                        self.again.append(channel)
         for stream in self._changed:
             self._follow(stream, scope)
         self._changed.clear()
--- a/rowanrack/channels/log.py
+++ b/rowanrack/channels/log.py
@@ -505,6 +505,17 @@
                 self.store.drop(channel, stream)
                 del self._heads[stream]
 
+    def follow(self, scope: Scope) -> None:
+        """Go by who keeps what now. What was left of a channel that others kept meanwhile is forgotten.
+
+        They may have called its order settled past that, as an origin that could bring it lost its disk.
+        """
+        self.scope = scope
+        self._heads.follow(scope)
+        while self._heads.again:
+            self.drop(self._heads.again.pop())
+            self._heads.follow(scope)
+
     # Until when it is settled.
 
     def promise(self) -> Promise:
@@ -638,7 +649,7 @@
     def owing(self) -> int:
         """Note who is to have what we wrote since the last question; which round of writes this was."""
         assert self.scope is not None
-        self._heads.follow(self.scope)
+        self.follow(self.scope)
         self._see_scope()
         if self._heads.wrote:
             self._writes += 1
--- a/rowanrack/channels/site.py
+++ b/rowanrack/channels/site.py
@@ -80,6 +80,8 @@
         """Open the log and take in what it holds of the fleet. Raises LogError."""
         self.log.open()
         self._saw(self.log.read(FLEET, None, FOREVER_US, FOREVER_US))
+        self._pass()
+        self.log.follow(self.layouts)  # what is kept is known by what was on disk, before more comes
 
     def close(self) -> None:
         """Let go of the store."""
--- a/rowanrack/channels/sync.py
+++ b/rowanrack/channels/sync.py
@@ -210,7 +210,7 @@
             talk.behind = reply.last
             if reply.last is None:
                 if talk.groups.pop(0) == 0:
-                    log.tracked.follow(scope)
+                    log.follow(scope)
                     talk.fleet = log.tracked.fleet
                 if not talk.groups and not talk.bad:
                     return _last(talk, scope, request)
@@ -413,7 +413,7 @@
 
 
 def _digests(log: Log, peer: str, scope: Scope) -> dict[int, int]:
-    log.tracked.follow(scope)
+    log.follow(scope)
     return log.tracked.shared(peer)
 
 
@@ -421,7 +421,7 @@
     log: Log, peer: str, scope: Scope, group: int, behind: Stream | None, last: Stream | None = None
 ) -> list[Stream]:
     """The streams of a group that both hold, in order, behind one and up to another."""
-    log.tracked.follow(scope)
+    log.follow(scope)
     return sorted(
         stream
         for stream in log.tracked.group(group)
--- a/tests/test_channels_settled.py
+++ b/tests/test_channels_settled.py
@@ -112,7 +112,7 @@
     assert (a.settled_until("7")[0] >= before) is counts
 
 
-@pytest.mark.parametrize("seed", range(24))
+@pytest.mark.parametrize("seed", [*range(24), 190])  # 190: a former keeper's left-overs, as it keeps again
 def test_nothing_lands_before_what_was_called_settled_whoever_keeps_it(seed: int) -> None:
     """Also across restarts, clocks set back, and, in every other run, one disk that is lost."""
     chance, times = random.Random(seed), {name: Hands() for name in NAMES}
