Measure how soon after a layout 200 senders settle the order: 6 s

Measured (`benchmarks.channels.after_layout`, virtual time, 6 channels, 0.9 events a second each, a layout without every tenth sender announced 5 s ahead, one process): the order is settled past the layout's begin at all keepers after 6.25 s at 200 senders and 5.25 s at 40. First settled 6.0 s after the start at both, as before.

Supposed: each of the 128 confirmations changes `Layouts.turn`, and exchanges under way are void. In the model an exchange takes no time, so that cannot show; with bodies that took 0.1 s at 100 senders, 134 of 2,811 exchanges ended so by the begin (5%), settled after 7.0 s; at 40 with 0.1 s 112 of 1,345, 6.25 s; with 0.4 s 83 of 488 at worst (17%) and 108 of 904 in all, 8.5 s. Under 15 s each time, so a counter that changes with holders only was not added.

--- a/benchmarks/channels.py
+++ b/benchmarks/channels.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from rowanrack.channels.events import FLEET, packed
+from rowanrack.channels.events import FLEET, LAYOUT, packed
 from rowanrack.channels.log import Noted
 from rowanrack.channels.site import Site
 from rowanrack.channels.sync import Meetings
@@ -205,6 +205,43 @@
     return round(sum(values) / len(values) / SECOND, 1), round(max(values) / SECOND, 1)
 
 
+def after_layout(senders: int, channels: int = 6, rate: float = 0.9, warm_s: float = 15) -> dict[str, Any]:
+    """A layout without every tenth sender is announced 5 s ahead, while each writes so often.
+
+    How many seconds after its begin the order is settled past that at all keepers of then; meetings a second,
+    begun and answered, and their KiB, for each sender, from the announcement to 20 s behind the begin.
+    """
+    play = Play(senders)
+    live = list(play.sites)
+
+    def busy(name: str) -> None:
+        play.write(name, str(play.random.randrange(channels)))
+        play.at(int(play.random.expovariate(rate) * SECOND), lambda: busy(name))
+
+    for name in live:
+        play.at(play.random.randrange(int(SECOND / rate)), lambda name=name: busy(name))  # type: ignore[misc]
+    play.run(warm_s)
+    play.met, now, since = Met(), play.clock.now, play.clock.now + 5 * SECOND
+    sites = [[name, 1.0] for name in live if int(name[-4:]) % 10]
+    doc = {"version": 1, "from": since, "shards": 64, "keepers": 2, "sites": sites}
+    play.sites[live[0]].write([Noted(FLEET, LAYOUT, packed(doc), now)])
+    play.stirred(live[0])
+    settled: int | None = None
+    while play.clock.now < since + 20 * SECOND:
+        play.run(0.25)
+        if settled is None and play.clock.now > since:
+            laid = play.sites[live[0]].layouts.at(since)
+            keepers = [(k, c) for c in map(str, range(channels)) for k in laid.keepers(laid.shard(c))]
+            if all(play.sites[k].log.settled_until(c)[0] > since for k, c in keepers):
+                settled = play.clock.now - since
+    share = senders * 25
+    return {
+        "settled_s": settled and settled / SECOND,
+        "meetings_s": round(2 * play.met.count / share, 2),
+        "kib_s": round(2 * play.met.size / 1024 / share, 1),
+    }
+
+
 def nothing_new_us(senders: int, channels: int = 20, rounds: int = 200) -> float:
     """CPU of a meeting of two keepers that have the same: so many channels, each written by all."""
     play = Play(senders)
@@ -229,6 +266,8 @@
     """Print what a meeting with nothing new costs, then a line for each size."""
     for senders in (3, 40, 200):
         print(f"a meeting with nothing new, {senders} senders: {nothing_new_us(senders):.0f} us")
+    for senders in (40, 200):
+        print(f"after a layout, {senders} senders:", after_layout(senders))
     for senders in (3, 40, 200, 1000):
         for dead in dict.fromkeys((0, senders // 10)):
             print(f"nothing written, {dead} dead:", spread(senders, 30 if senders > 200 else 60, dead))
