Tell where a read of more than its limit goes on, and ask past an emptied keeper

- A page said how many earlier events it leaves out and not where they are: a caller who went on at the first event's time got those of that microsecond again, and never left one that holds more than `limit`.
The answer now has `earlier`, the target of the read that goes on: `at` may be a place (time, tick, sender, incarnation, number), as of which, without the event itself, the keeper walks and folds (PartAsked.before; a keeper of an older version that passes it over is refused by _check).
A limit still makes a read incomplete: it is a part.
Not taken: a number of events to pass over, which a merge moves.
- Read._advance ended at the first answer of a keeper that is whole by the layouts.
One that came back emptied is so with nothing, its order unknown: 503 "nobody can answer: ... no repeat left" or an empty answer, with the other keeper never asked.
It now counts as enough only with a settled time; else others are asked at once, and it is taken if none can be.

Ruled out: a wrong `no keeper with all of it` around a layout.

Tests fail with each line undone: the settled time in _advance, the end without waiting, `seen` of fleet, the cut at a place, its check, and time for place in `earlier`.

--- a/rowanrack/channels/reads.py
+++ b/rowanrack/channels/reads.py
@@ -14,7 +14,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import Annotated, Any, Protocol
-from urllib.parse import parse_qsl
+from urllib.parse import parse_qsl, urlencode
 
 import msgspec
 from msgspec import Meta
@@ -41,12 +41,16 @@
 
 
 class PartAsked(msgspec.Struct, frozen=True, array_like=True):
-    """What is asked of a keeper: the last `limit` events from `since_us` up to and including `until_us`."""
+    """What is asked of a keeper: the last `limit` events from `since_us` up to and including `until_us`.
+
+    With `before`, whose time `until_us` then is, those up to that place without it, and the state there.
+    """
 
     channel: str
     since_us: Annotated[int, Meta(ge=0)]
     until_us: Annotated[int, Meta(ge=0, le=TIME_MOST)]
     limit: Annotated[int, Meta(ge=1, le=LIMIT_MOST)]
+    before: Place | None = None
 
 
 class PartGiven(msgspec.Struct, frozen=True, array_like=True):
@@ -55,7 +59,7 @@
     channel: str
     site: str
     whole: bool  # by its own word it keeps the channel whole
-    seen: bool  # it has, or had, an event of the channel
+    seen: bool  # it has, or had, an event of the channel, or that is `fleet`
     settled_until: int
     held_by: list[str]  # the sites that were not heard from
     count: int  # events from `since_us` to `until_us`, those past the limit among them
@@ -83,6 +87,7 @@
     at_us: int | None = None
     from_us: int = 0
     limit: int = LIMIT
+    before: Place | None = None  # as of there, and without it; `at_us` is its time
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +127,9 @@
     answer: Answer
 
 
+_PLACE = re.compile("([0-9]{1,19})/([0-9]{1,18})/(.+)/([^/]+)/([0-9]{1,18})")
+
+
 def parse(target: str) -> Query:
     """The query in a request's target. Raises ValueError with a text for the caller: it answers 400."""
     path, _, rest = target.partition("?")
@@ -129,6 +137,7 @@
     if path == channel or not re.fullmatch(r"fleet|0|[1-9][0-9]{0,18}", channel):
         raise ValueError(f"the path names no channel: {PATH}NUMBER or {PATH}{FLEET}")
     found: dict[str, int] = {}
+    before: Place | None = None
     try:
         pairs = parse_qsl(rest, keep_blank_values=True, strict_parsing=True, max_num_fields=8) if rest else []
     except ValueError:
@@ -138,13 +147,16 @@
             raise ValueError(f"unknown parameter {key[:32]!r}: there are at, from and limit")
         if key in found:
             raise ValueError(f"{key} is given twice")
+        if key == "at" and (place := _PLACE.fullmatch(text)) is not None:
+            text, tick, site, life, number = place.groups()
+            before = Place(int(text), int(tick), site, life, int(number))
         if text.startswith("-"):
             raise ValueError(f"{key} must not be negative")
         if not re.fullmatch("[0-9]{1,19}", text) or int(text) > TIME_MOST:
             what = "a number from 1 to 1000" if key == "limit" else "a time in Unix microseconds"
             raise ValueError(f"{key} is not {what}: {text[:32]!r}")
         found[key] = int(text)
-    query = Query(channel, found.get("at"), found.get("from", 0), found.get("limit", LIMIT))
+    query = Query(channel, found.get("at"), found.get("from", 0), found.get("limit", LIMIT), before)
     if not 1 <= query.limit <= LIMIT_MOST:
         raise ValueError(f"limit must lie in 1 to {LIMIT_MOST}")
     if query.at_us is not None and query.from_us > query.at_us:
@@ -152,17 +164,26 @@
     return query
 
 
+def _earlier(part: PartAsked, first: Event) -> str:
+    """The target of a read that goes on in front of an event: the page before this one."""
+    asked = {"at": "/".join(map(str, first.place)), "from": part.since_us, "limit": part.limit}
+    if not part.since_us:
+        del asked["from"]
+    return f"{PATH}{part.channel}?{urlencode(asked, safe='/')}"
+
+
 def give(log: PartLog, layouts: Layouts, asked: PartAsked) -> PartGiven:
     """A site's answer to a part: its last events, and the state folded over all from `since_us` on."""
     channel, until_us = asked.channel, asked.until_us
     past = Past(channel, until_us)
     last: deque[Event] = deque(maxlen=asked.limit)
-    walked_until, count = _walk(log, channel, asked.since_us, until_us, past, last)
+    walked_until, count = _walk(log, channel, asked, past, last)
     settled, held_by = log.settled_until(channel)
     gaps = list(log.gaps(channel))
-    seen = bool(count or gaps) or bool(log.read(channel, None, TIME_MOST, 1))
+    seen = channel == FLEET or bool(count or gaps) or bool(log.read(channel, None, TIME_MOST, 1))
     if channel != FLEET:
-        fleet_until, _ = _walk(log, FLEET, 0, until_us, past, None)
+        fleet = msgspec.structs.replace(asked, since_us=0)
+        fleet_until, _ = _walk(log, FLEET, fleet, past, None)
         fleet_settled, fleet_held = log.settled_until(FLEET)
         walked_until = min(walked_until, fleet_until)
         # Who wrote on it would have met us: where nothing was, what is known of the fleet will do.
@@ -173,16 +194,19 @@
 
 
 def _walk(
-    log: PartLog, channel: str, since_us: int, until_us: int, past: Past, last: deque[Event] | None
+    log: PartLog, channel: str, asked: PartAsked, past: Past, last: deque[Event] | None
 ) -> tuple[int, int]:
     """Show the past a channel's events; up to where that went, and how many they were."""
-    since, count = Place(since_us, -1, "", "", 0), 0
+    since, until_us, before, count = Place(asked.since_us, -1, "", "", 0), asked.until_us, asked.before, 0
     while page := log.read(channel, since, until_us, PAGE):
-        for event in page:
+        within = page if before is None else [event for event in page if event.place < before]
+        for event in within:
             past.saw(event)
         if last is not None:
-            last.extend(page)
-        since, count = page[-1].place, count + len(page)
+            last.extend(within)
+        since, count = page[-1].place, count + len(within)
+        if len(within) < len(page):
+            break
         if count >= WALK_MOST and log.read(channel, since, until_us, 1):
             return since.at, count
     return until_us, count
@@ -254,7 +278,7 @@
     def read(self, query: Query, layouts: Layouts, now_us: int, unix_us: int) -> Read:
         """Begin a read; its `next` says what to do."""
         at = unix_us if query.at_us is None else query.at_us
-        part = PartAsked(query.channel, min(query.from_us, at), at, query.limit)
+        part = PartAsked(query.channel, min(query.from_us, at), at, query.limit, query.before)
         keepers = layouts.keepers(query.channel, at)
         return Read(self, part, keepers, layouts.at(at).version, now_us)
 
@@ -322,6 +346,8 @@
         raise ValueError("of another site or channel")
     if any(e.channel != part.channel or not part.since_us <= e.at <= part.until_us for e in given.events):
         raise ValueError("an event of another channel or time")
+    if part.before is not None and places and places[-1] >= part.before:
+        raise ValueError("an event behind the place that was asked for")
     if places != sorted(places) or len(places) != min(given.count, part.limit):
         raise ValueError("events out of order or too few")
     msgspec.json.encode(given.state)
@@ -354,7 +380,7 @@
 
     def _advance(self, now_us: int, actions: list[Ask | Wait | Done]) -> int | None:
         """Ask whom it is time to ask. When to look again; None: it is time to answer."""
-        if now_us >= self.deadline or any(given.whole for given in self.given.values()):
+        if now_us >= self.deadline or any(g.whole and g.settled_until for g in self.given.values()):
             return None
         silent = self._silences(now_us)
         if silent is not None:
@@ -364,7 +390,8 @@
             self._fallback = False
             self._send(self.router.settings.site, now_us, actions)
             del self._tries[self.router.settings.site]
-        if wake is None and not any(self in out.readers for out in self._outs()):
+        enough = wake is None or any(given.whole and given.seen for given in self.given.values())
+        if enough and not any(self in out.readers for out in self._outs()):
             return None
         return self.deadline if wake is None else min(wake, self.deadline)
 
@@ -449,9 +476,7 @@
             return Answer(503, text=f"nobody can answer for channel {self.part.channel}: {why}"[:500],
                           retry_after_s=seconds)  # fmt: skip
         missing = self._missing(best, now_us)
-        keepers = [
-            {"site": k.site, "whole": k.whole, "instead_of": list(k.instead_of)} for k in self.keepers
-        ]
+        keepers = [{"site": k.site, "whole": k.whole, "instead_of": list(k.instead_of)} for k in self.keepers]
         document = {
             "channel": self.part.channel,
             "at": self.part.until_us,
@@ -463,6 +488,7 @@
             "missing": [{"what": what, "why": why} for what, why in missing],
             "gaps": [_shown_gap(gap) for gap in best.gaps],
             "events": [_shown(event) for event in best.events],
+            "earlier": _earlier(self.part, best.events[0]) if best.count > len(best.events) else None,
             "state": best.state,
         }
         return Answer(200, document)
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -219,10 +219,13 @@
         assert answer.document["answered_by"] == "b" and play.router.known("a").failures
 
 
-def answer_of(log: Logged, query: Query, whole: bool = True) -> Answer:
+def answer_of(log: Logged, query: Query, whole: bool = True, *more: Logged) -> Answer:
     layouts = LAYOUTS if whole else Layouts(["x"])
-    reply = lambda ask, _: (MS, msgspec.msgpack.encode(give(log, layouts, ask.part)))  # noqa: E731
-    sites = {"a": bad(MS, 10**7), "b": bad(MS, 10**7)} | {log.site: reply}
+
+    def reply(log: Logged) -> Behaviour:
+        return lambda ask, _: (MS, msgspec.msgpack.encode(give(log, layouts, ask.part)))
+
+    sites = {"a": bad(MS, 10**7), "b": bad(MS, 10**7)} | {each.site: reply(each) for each in (log, *more)}
     ((_, answer),) = Play(sites, [(0, query)]).done.values()
     return answer
 
@@ -267,13 +270,59 @@
     assert gone.status == 503 and gone.retry_after_s == 10 and gone.body().startswith(b"nobody can answer")
 
 
+def test_a_keeper_whose_order_is_not_known_ends_no_read_while_the_other_may_have_all() -> None:
+    for held in ([], EVENTS[:2]):
+        emptied = Logged("a", held, until=0)
+        answer = answer_of(emptied, Query("7", 50), True, Logged("b", EVENTS)).document
+        assert answer["answered_by"] == "b" and answer["complete"]
+    reply = msgspec.msgpack.encode(give(Logged("a", EVENTS, until=0), LAYOUTS, PartAsked("7", 0, 50, 200)))
+    play = Play({"a": lambda ask, turn: (MS, reply), "b": bad(MS, 10**6)}, [(0, Query("7", 50))])
+    ((end, alone),) = play.done.values()  # it does not wait for the other to be open again
+    assert end < START + 9 * MS and "not heard from: late" in alone.document["missing"][0]["why"]
+
+
+def test_fleet_is_there_before_its_first_event() -> None:
+    assert answer_of(Logged("a", []), Query(FLEET, 50)).document["complete"]
+    unsure = answer_of(Logged("a", [], until=0), Query(FLEET, 50), True, Logged("me", [], until=0)).document
+    assert not unsure["events"] and unsure["missing"][0]["what"] == "events from 1 to 50"
+
+
+@pytest.mark.parametrize("limit", [1, 3, 7])
+def test_pages_go_back_over_two_keepers_with_no_settled_event_twice_or_missed(limit: int) -> None:
+    crowd = [Event("7", f"s&{n % 3}/", "1~2.x", n, 20, n % 2, "taken", packed({})) for n in range(1, 12)]
+    events = sorted([*EVENTS, *crowd, event(45, "taken", {})], key=lambda e: e.place)
+    logs = [Logged(name, [*events], until=30) for name in "ab"]
+    target: str | None = f"/_channels/7?at=50&from=2&limit={limit}"
+    told: list[Answer] = []
+    while target is not None:
+        told.append(answer_of(logs[len(told) % 2], parse(target)))
+        target = told[-1].document["earlier"]
+        assert len(told) <= len(events)
+        for log in logs[: 2 * (len(told) == 1)]:  # a merge: one lands in front of where we are, one behind
+            log.events += [event(31, "taken", {}, site="late"), event(46, "taken", {}, site="late")]
+    shown = [e for answer in reversed(told) for e in answer.document["events"]]
+    assert [e["id"] for e in shown if e["at"] <= 30] == [e.id for e in events if 2 <= e.at <= 30]
+    assert len({e["id"] for e in shown}) == len(shown) and "1 to 50" in str(told[0].document["missing"])
+    assert [each["why"] for each in told[-1].document["missing"]] == ["from was given"]
+    assert told[-1].document["state"]["counts"]["taken"] == len(told[-1].document["events"])
+
+
+def test_a_keeper_that_takes_no_place_for_a_time_is_not_believed() -> None:
+    query = parse("/_channels/7?at=5/0/a/1/5")
+    timed = PartAsked("7", 0, 5, 200)  # as who knows no `before` reads it
+    old: Behaviour = lambda ask, turn: good(MS)(Ask(ask.keeper, timed, 1), turn)  # noqa: E731
+    ((_, answer),) = Play({"a": old, "b": good(MS)}, [(0, query)]).done.values()
+    assert answer.document["answered_by"] == "b" and len(answer.document["events"]) == 4
+
+
 QUERIES = {
     "7": Query("7"), "fleet?at=5": Query(FLEET, 5), "7?at=9&from=3&limit=1000": Query("7", 9, 3, 1000),
     "": "no channel", "07": "no channel", "x/y": "no channel", "7?at=-5": "negative", "7?at=": "at is not",
     "7?at=1.5": "at is not a time", "7?at=1_0": "at is not", "7?at=%D9%A1": "at is not", "7?at": "no NAME",
     "7?at=" + "9" * 20: "at is not", "7?limit=0": "1 to 1000", "7?limit=1001": "1 to 1000",
     "7?limit=x": "limit is not", "7?at=1&at=2": "twice", "7?" + "a=1&" * 50: "no NAME", "7?to=1": "unknown",
-    "7?at=3&from=4": "later",
+    "7?at=3&from=4": "later", "7?at=9/4/a%26b/1~2/3": Query("7", 9, before=Place(9, 4, "a&b", "1~2", 3)),
+    "7?at=9/4/3": "at is not", "7?from=9/4/a/b/3": "from is not",
 }  # fmt: skip
 
 
