Count a read once for each reason, and 404 as never seen, in the lab's figures

Seen at 200 senders: 27 times "no keeper with all of it" among 91 reads, and 4 by nobody. `why_incomplete` counted entries of `missing`, and a read of its sender's own copy has one for that and one for each keeper that gave nothing; `nobody` held every status but 200, so also 404.

By the plan (computed from its layouts) no fault hits a keeper of the six channels and the layout leaves all twelve as they are, so every such read has three entries: 27 are nine reads.

A reason counts once for a read, 404 is `never_seen`. The test fails with the old figures. Not run: the lab.

--- a/rowanrack/lab/figures.py
+++ b/rowanrack/lab/figures.py
@@ -308,7 +308,7 @@
             settled[channel] = round((min(good) - asked) / SECOND, 2)
     reads = [page for page in pages if page.why == "run"]
     lags = sorted(late for _, _, late in looks(entries, pages))
-    why = Counter(reason(one) for page in reads for one in page.missing)
+    why = Counter(each for page in reads for each in {reason(one) for one in page.missing})
     detached = [e for e in entries if e.what == "detach"]
     return {
         "events": sum(kinds.values()),
@@ -320,7 +320,8 @@
         "settled_s_by_channel": settled,
         "complete": sum(page.complete for page in reads),
         "incomplete": sum(page.status == 200 and not page.complete for page in reads),
-        "nobody": sum(page.status != 200 for page in reads),
+        "never_seen": sum(page.status == 404 for page in reads),
+        "nobody": sum(page.status not in (200, 404) for page in reads),
         "why_incomplete": dict(sorted(why.items())),
         "lag_ms_p50": lags[len(lags) // 2] // 1000 if lags else None,
         "lag_ms_most": lags[-1] // 1000 if lags else None,
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -26,7 +26,7 @@
 from rowanrack.lab.books import Entry, Page
 from rowanrack.lab.books import read as books
 from rowanrack.lab.checker import Checker, figures
-from rowanrack.lab.figures import run_figures
+from rowanrack.lab.figures import log_figures, run_figures
 from rowanrack.lab.fleet import Figures, Fleet, Partner
 from rowanrack.lab.links import Relays, UdpLink
 from rowanrack.lab.log_rules import LogChecker
@@ -407,6 +407,17 @@
     return Page(**given, limit=99, why=why, series=sum(by.encode()))
 
 
+def test_a_read_counts_once_for_a_reason_and_never_seen_is_an_answer() -> None:
+    missing = [{"what": f"what {who}", "why": "no answer yet"} for who in ("others wrote", "k1 keeps")]
+    pages = [
+        page([], why="run", complete=False, missing=missing),
+        page([], why="run", complete=False, status=404),
+    ]
+    log = log_figures([], pages, LogChecker([], pages))
+    assert log["why_incomplete"] == {"no keeper with all of it": 1}
+    assert (log["incomplete"], log["never_seen"], log["nobody"]) == (1, 1, 0)
+
+
 def happened(message: str, at_ms: int) -> list[Entry]:
     taken = e(at_ms, "taken", "s0", message, value=10**9, note="once")
     return [msgspec.structs.replace(taken, dest=1), *called(at_ms + 10, message)]
@@ -481,7 +492,8 @@
     log = result["log"]
     assert log["by_kind"]["layout"] == log["by_kind"]["detached"] == 1
     assert all(count >= 2 for count in log["keepers_asked"].values()) and log["events"] > 500
-    assert log["complete"] and log["complete"] + log["incomplete"] + log["nobody"] == 21
+    ends = [log[key] for key in ("complete", "incomplete", "never_seen", "nobody")]
+    assert ends[0] and sum(ends) == 21
     assert {row["dest"] for row in result["spread"]} == {1, 2} and result["endings"]["delivered"]
     paths = tmp_path.glob("fleet/s*/site.toml")
     files = {path.parent.name: tomllib.loads(path.read_text()) for path in paths}
