Look at a connection once more right before a call's first byte

What the endpoint sends in between (a second copy of its last answer, half a line, noise) was read as the answer to the new call: an unsafe message counted as delivered that nobody had run, or was failed. An endpoint that ended the connection just then made it "may have run". Ruled out: bytes that come behind an answer, or while the connection stands idle; h11's trailing data, the watch of the idle connection and `reusable` see those. At fault: HttpCaller.call wrote without a look. It looks now, with nothing between the look and the write. A kept connection that is of no use ends the attempt as one that never ran and says nothing of the endpoint; a new one, as one that could not connect. Calls to discovery and between senders pass the same look.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -39,6 +39,10 @@
     """The connection broke before the call's last byte was written: it has never run."""
 
 
+class StaleConnectionError(CallNotSentError):
+    """A kept connection had ended, or bytes came in on it, before the call's first byte."""
+
+
 class CallBrokenError(Exception):
     """The connection broke after that, before an answer: the call may have run."""
 
@@ -138,6 +142,7 @@
         self.stream, self._host, self._limit = stream, host, body_limit
         self._after, self._rest_us = after, rest_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT)
+        self._used = False  # whether it has carried a call
         self._raw = bytearray()  # the answer from its first line on, until its head has been read
 
     @property
@@ -147,6 +152,11 @@
 
     async def call(self, call: Call) -> Reply:
         """Make one call. Nothing here ever sends it a second time."""
+        if not self.reusable:
+            # Guards against what comes in between the choice of a connection and its use: it is no answer to
+            # this call, but would be read as one.
+            stale = StaleConnectionError if self._used else CallNotSentError
+            raise stale("the connection ended, or bytes came in, ahead of the call")
         try:
             await self.stream.send(self._wire(call))
         except OSError as error:
@@ -158,6 +168,7 @@
         self.stream.send_now(self._wire(call))
 
     def _wire(self, call: Call) -> bytes:
+        self._used = True
         head = [("Host", self._host), *call.headers, ("Content-Length", str(len(call.body)))]
         return b"".join(
             self._h11.send(event) or b""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -11,7 +11,14 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Batch, Execution, Instance, Verdict
 from rowanrack.core.wheel import WheelTimer
-from rowanrack.net.http import Call, CallBrokenError, CallNotSentError, HttpCaller, Reply
+from rowanrack.net.http import (
+    Call,
+    CallBrokenError,
+    CallNotSentError,
+    HttpCaller,
+    Reply,
+    StaleConnectionError,
+)
 from rowanrack.net.rare_log import RareLog
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
@@ -126,6 +133,8 @@
         left_us = max(e.started_us + e.timeout_us - now for e in part)
         try:
             return form.verdicts(part, await caller.call(form.call(part, max(1000, left_us))))
+        except StaleConnectionError:
+            result = Result.MOOT  # says nothing of the endpoint: only the kept connection was of no use
         except CallNotSentError:
             result = Result.CONNECT_FAILED
         except CallBrokenError as error:
