Measure a kept connection's age when it is taken, not only by its timer

Read: InstancePool._take trusted the timer that ends an idle connection. The timer fires in a round, and a round's calls start in a later turn of the loop: when that turn comes late (300 ms against keepalive_us of 200 ms), a connection past its time was handed out, and what is written to it may end as a reset, "may have run". Ruled out: a round itself (the wheel advances before the module decides), and an endpoint whose end has arrived (the look before the first byte sees it). It matters for an end still on its way. At fault: the condition in _take. It asks the clock as well now, after its last wait. Measured: the new test lets the clock go on by 0.7 s between the round and the call (keepalive_us 1 s). Without the change the old connection carries the call (2 calls on 1 connection); with it the call goes out on a new one.

--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -47,8 +47,8 @@
 class Idle:
     """A connection that waits for its next call; whatever arrives meanwhile ends it."""
 
-    def __init__(self, instance: Instance, caller: HttpCaller) -> None:
-        self.instance, self.caller = instance, caller
+    def __init__(self, instance: Instance, caller: HttpCaller, now_us: int) -> None:
+        self.instance, self.caller, self.since_us = instance, caller, now_us
         self.watch = asyncio.create_task(caller.stream.fill_quietly())
         self.timer: WheelTimer | None = None
 
@@ -165,7 +165,9 @@
                 idle.caller.stream.abort()
                 raise
             moved = (instance.host, instance.port) != (idle.instance.host, idle.instance.port)
-            if idle.watch.cancelled() and idle.caller.reusable and not moved:
+            # Guards against a timer that fires late: by then the endpoint may have closed it unseen.
+            expired = self.exchange.clock.now_us() - idle.since_us >= self._idle_us
+            if idle.watch.cancelled() and idle.caller.reusable and not (moved or expired):
                 return idle.caller
             idle.caller.stream.abort()
         return None
@@ -175,7 +177,7 @@
             # Guards the instance, and our descriptors: nothing new goes to one that drains or is gone.
             caller.stream.abort()
             return
-        idle = Idle(instance, caller)
+        idle = Idle(instance, caller, self.exchange.clock.now_us())
         waiting = self.idle[instance.name]
         waiting.append(idle)
         self._aged[idle] = None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from rowanrack.core.messages import Ending, Execution
+from rowanrack.core.messages import Batch, Ending, Execution
 from rowanspindle import Result, Scope
 from tests.rig import Rig, instance, on_loop
 
@@ -83,3 +83,24 @@
         assert (await rig.ended("m2")).ending is Ending.DELIVERED
         assert rig.results == [Result.OK, Result.MOOT, Result.OK]
         assert (endpoint.calls, len(endpoint.writers)) == (2, 2)
+
+
+@on_loop
+async def test_a_connection_is_too_old_by_the_clock_however_late_its_timer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Between a round, which fires timers, and the call that it starts, the loop may be held up."""
+    async with Rig(tmp_path, keepalive_us=1_000_000) as rig, scripted(rig) as endpoint:
+        client, pool, clock = await rig.client(), rig.sender.pool, rig.sender.exchange.clock
+        await client.submit("m1")
+        await rig.ended("m1")
+        start, now_us = pool.start, clock.now_us
+
+        def start_late(batch: Batch) -> None:
+            monkeypatch.setattr(clock, "now_us", lambda: now_us() + 700_000)
+            start(batch)
+
+        monkeypatch.setattr(pool, "start", start_late)
+        await client.submit("m2")
+        assert (await rig.ended("m2")).ending is Ending.DELIVERED
+        assert (endpoint.calls, len(endpoint.writers)) == (2, 2)
