Let an answer that has come in go before the time-out of its call

Read: Exchange._drop ended an attempt by its time-out or a cancel, and InstancePool.abandon cancelled the call's task, whether or not the answer stood in the kernel or in asyncio's reader already: the reader's callback runs in one turn of the loop, the task that reads in the next, and timers fire between the two. Under load the time-out and the answer often come in one turn. A delivered message was failed, or tried again where it may be. Ruled out: a cancel that reaches the task behind its read (nothing is awaited between the answer and settle), and the end of a batch (it waits for its last message as before). At fault: Exchange._drop asked nobody. The port InstanceSide says how far a call has come (Progress), from the connection itself; while an answer or the connection's end has begun to come in, the call is looked at again every 50 ms, four times at most, and then closed as before. A message whose own time is up is still ended at once, and a 1xx that has been read does not count. The model's port answers SENT, which is its behaviour of before.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from rowanrack.core.figures import Figures
-from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Verdict
+from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Progress, Verdict
 from rowanrack.core.name_table import Change, NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.governor import Governor
@@ -53,6 +53,8 @@
 # An execution that the store did not record. The wait guards the attempts that a message has: without it each
 # round would send it, and stop it, anew.
 UNRECORDED = Verdict(Result.MOOT, wait_us=500_000)
+ANSWER_US = 50_000  # between looks at an answer that had begun to come in when its call's time was up
+ANSWER_LOOKS = 4
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -110,6 +112,9 @@
     def close_idle(self, name: str) -> None:
         """Close the idle connections to an instance."""
 
+    def progress(self, batch: Batch) -> Progress:
+        """How far a call has come, asked right before it is given up."""
+
 
 class Observer(Protocol):
     """Who is told of everything that happens, and changes nothing."""
@@ -550,13 +555,24 @@
             self.settle(execution, Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT)
         else:
             self.settle(execution, result)
-        left = [e for e in execution.batch.executions if not e.settled]
-        if any(e.given_up is None for e in left):
+        self._give_up(execution.batch)
+
+    def _give_up(self, batch: Batch, looks: int = ANSWER_LOOKS) -> None:
+        """Close a call that nobody waits for any more, unless its end has come in and is only not read yet.
+
+        Guards a message that is delivered already: under load its time-out and its answer often come in one
+        turn of the loop. The looks are bounded, for an answer that never ends.
+        """
+        left = [e for e in batch.executions if not e.settled]
+        if self.side is None or any(e.given_up is None for e in left):
+            return
+        progress = self.side.progress(batch) if left else Progress.SENT
+        if progress is Progress.ENDING and looks:
+            self.after(ANSWER_US, lambda: self._give_up(batch, looks - 1))
             return
-        if self.side is not None:
-            self.side.abandon(execution.batch)
-        for other in left:
-            self.settle(other, other.given_up or result)
+        self.side.abandon(batch)
+        for execution in left:
+            self.settle(execution, execution.given_up or Result.CANCELLED)
 
     def _finish(self, ref: int, end: End) -> None:
         message = self._refs.get(ref)
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -21,6 +21,13 @@
     OVER = "over"
 
 
+class Progress(Enum):
+    """How far a call has come that is about to be given up."""
+
+    SENT = "sent"
+    ENDING = "ending"  # an answer, or the connection's end, has begun to come in
+
+
 @dataclass(frozen=True, slots=True)
 class End:
     """The one end of a message; a refusal says when to come again."""
--- a/rowanrack/model/calls.py
+++ b/rowanrack/model/calls.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from rowanrack.core.messages import Batch, Execution, Verdict
+from rowanrack.core.messages import Batch, Execution, Progress, Verdict
 from rowanrack.model.history import Entry
 from rowanrack.model.partner import Answer, Place, State, Visit
 from rowanspindle import Result
@@ -74,6 +74,10 @@
             place, seen = self.sender.places[execution.instance.name], visit
             self.engine.after(self._one_way(place), lambda: self._gone(seen))
 
+    def progress(self, batch: Batch) -> Progress:
+        """Here a call is written at once, and its answer is heard in the moment in which it comes."""
+        return Progress.SENT
+
     def close_idle(self, name: str) -> None:
         """Close the idle connections to a place."""
         for line in self.idle.pop(name, []):
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from rowanrack.core.messages import Progress
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import After, time_limit
 
@@ -150,6 +151,13 @@
         """Whether the connection may carry another call: all is read, and no more than that has come."""
         return self._h11.our_state is h11.IDLE and not self.stream.ended and not self.stream.unread
 
+    @property
+    def progress(self) -> Progress:
+        """How far the present call has come, in this very moment: the task that makes it may know less."""
+        if self._raw or self.stream.closing or self.stream.unread:
+            return Progress.ENDING
+        return Progress.SENT
+
     async def call(self, call: Call) -> Reply:
         """Make one call. Nothing here ever sends it a second time."""
         if not self.reusable:
@@ -169,6 +177,7 @@
 
     def _wire(self, call: Call) -> bytes:
         self._used = True
+        self._raw.clear()
         head = [("Host", self._host), *call.headers, ("Content-Length", str(len(call.body)))]
         return b"".join(
             self._h11.send(event) or b""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, Execution, Instance, Verdict
+from rowanrack.core.messages import Batch, Execution, Instance, Progress, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import (
     Call,
@@ -60,6 +60,7 @@
         self.exchange, self.forms = exchange, forms
         self.idle: defaultdict[str, list[Idle]] = defaultdict(list)
         self.tasks: dict[Batch, asyncio.Task[None]] = {}
+        self._callers: dict[Batch, HttpCaller] = {}  # of calls that are out
         self._aged: dict[Idle, None] = {}  # all idle connections, the one that is idle longest first
         self._idle_most = idle_most
         self._rare = RareLog(log)
@@ -77,6 +78,11 @@
         if (task := self.tasks.pop(batch, None)) is not None:
             task.cancel()
 
+    def progress(self, batch: Batch) -> Progress:
+        """How far the call that is out has come."""
+        caller = self._callers.get(batch)
+        return Progress.SENT if caller is None else caller.progress
+
     def close_idle(self, name: str) -> None:
         """Close the idle connections to an instance."""
         for idle in self.idle.pop(name, []):
@@ -131,6 +137,8 @@
         """One call and what became of each execution in it."""
         now = self.exchange.clock.now_us()
         left_us = max(e.started_us + e.timeout_us - now for e in part)
+        batch = part[0].batch
+        self._callers[batch] = caller
         try:
             return form.verdicts(part, await caller.call(form.call(part, max(1000, left_us))))
         except StaleConnectionError:
@@ -140,6 +148,8 @@
         except CallBrokenError as error:
             self._rare.warning("%s: %s, the call may have run", part[0].instance.name, error)
             result = Result.RESET
+        finally:
+            del self._callers[batch]
         return [Verdict(result)] * len(part)
 
     async def _open(self, instance: Instance) -> HttpCaller:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,6 +11,7 @@
 import pytest
 
 from rowanrack.core.messages import Batch, Ending, Execution
+from rowanrack.net.stream import CountingReader
 from rowanspindle import Result, Scope
 from tests.rig import Rig, instance, on_loop
 
@@ -104,3 +105,57 @@
         await client.submit("m2")
         assert (await rig.ended("m2")).ending is Ending.DELIVERED
         assert (endpoint.calls, len(endpoint.writers)) == (2, 2)
+
+
+def give_up(rig: Rig) -> None:
+    """The time-out of the one attempt that is out."""
+    exchange = rig.sender.exchange
+    (attempt,) = [a for message in exchange.messages.values() for a in message.out.values()]
+    exchange._drop(attempt, Result.TIMEOUT)
+
+
+@pytest.mark.parametrize("read", [False, True])
+@on_loop
+async def test_an_answer_that_has_come_in_goes_before_the_time_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, read: bool
+) -> None:
+    """A delivered message was failed, since the call's task had not had its turn."""
+    async with Rig(tmp_path) as rig, scripted(rig, b"") as endpoint:
+        await (await rig.client()).submit("m1", "print-order")
+        await endpoint.asked.wait()
+        if read:
+            feed = CountingReader.feed_data
+
+            def feed_and_give_up(reader: CountingReader, data: bytes) -> None:
+                feed(reader, data)
+                if bytes(data) == OK_BYTES:
+                    give_up(rig)
+
+            monkeypatch.setattr(CountingReader, "feed_data", feed_and_give_up)
+        endpoint.write_now(OK_BYTES)
+        if not read:
+            give_up(rig)
+        assert (await rig.ended("m1")).ending is Ending.DELIVERED and rig.results == [Result.OK]
+
+
+@pytest.mark.parametrize(
+    ("begun", "rest", "result"),
+    [
+        (b"HTTP/1.1 20", b"0 OK\r\nContent-Length: 0\r\n\r\n", Result.OK),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\n", b"ab", Result.FULL),
+        (b"HTTP/1.1 20", b"", Result.RESET),  # never whole
+        (b"HTTP/1.1 102 Processing\r\n\r\n", b"", Result.TIMEOUT),  # says nothing yet
+    ],
+)
+@on_loop
+async def test_an_answer_that_has_begun_is_waited_for_but_not_for_long(
+    tmp_path: Path, begun: bytes, rest: bytes, result: Result
+) -> None:
+    async with Rig(tmp_path) as rig, scripted(rig, b"") as endpoint:
+        await (await rig.client()).submit("m1", "print-order", d=20_000)
+        await endpoint.asked.wait()
+        endpoint.write_now(begun)
+        give_up(rig)
+        asyncio.get_running_loop().call_soon(endpoint.write_now, rest)
+        async with asyncio.timeout(2):  # far less than the attempt's time
+            await rig.until(lambda: rig.results[:1] == [result])
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Verdict
+from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Progress, Verdict
 from rowanrack.core.wheel import TimerWheel
 from rowanrack.store.journal import Journal
 from rowanspindle import Fail, Result, Scope, Status
@@ -27,6 +27,7 @@
         self.now = 1000 * SECOND
         self.calls: list[Execution] = []
         self.abandoned: list[Execution] = []
+        self.how_far = Progress.SENT
         self.ends: dict[str, End] = {}
         self.journal = Journal(folder, 3_000_000, self.unix_us)
         self.journal.open()
@@ -51,6 +52,10 @@
     def abandon(self, batch: Batch) -> None:
         self.abandoned += batch.executions
 
+    def progress(self, batch: Batch) -> Progress:
+        assert batch.executions
+        return self.how_far
+
     def close_idle(self, name: str) -> None:
         assert name
 
--- a/tests/test_settings_range.py
+++ b/tests/test_settings_range.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Verdict
+from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Progress, Verdict
 from rowanrack.store.journal import Journal
 from rowanspindle import Effect, Result, Scope, Settings, Status
 from rowanspindle.wire import parse_settings
@@ -120,6 +120,10 @@
     def abandon(self, batch: Batch) -> None:
         self.over(batch)
 
+    def progress(self, batch: Batch) -> Progress:
+        assert batch in self.open
+        return Progress.SENT
+
     def over(self, batch: Batch) -> None:
         self.open.discard(batch)
         self.out.pop(batch, None)
