Count a call given up before its last byte as one that has never run

Read: a call whose body the kernel has not taken whole (an endpoint that reads slowly or hangs with its window shut) was settled as timed out when it was given up, "may have run", though its last byte never went out: an unsafe message was failed for nothing. And the connection was closed only in the task's next turn: in between the transport could still write what it had buffered, behind the attempt's end. Ruled out, line by line in asyncio's transport: that the last byte is with the kernel and `Stream.send` then says "never sent". A write that goes through at once is followed by no wait; the reader's callback comes before the writer's in a turn, and the woken task before the next turn's callbacks. At fault: Exchange._drop, which looked only at `begun`, and InstancePool.abandon, which left the closing to the task. Progress.UNSENT now says that the kernel lacks bytes (of the send, the ring or the transport's buffer); abandon closes the connection in the same call, and the attempt is settled as one that could not connect (moot, if it was cancelled). Measured: with small kernel buffers and bodies of 16,000 and 60,000 bytes both cases fail without the change, also when only the closing is left to the task (6,144 bytes came behind the end); without the transport's buffer in the count the case of 16,000 fails. A call given up right behind its last byte stays one that may have run: that test fails if `unsent` is always true. All pass with the change.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -46,6 +46,7 @@
 log = logging.getLogger(__name__)
 
 MAYBE_RAN = frozenset({Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED})
+UNSENT = {Result.TIMEOUT: Result.CONNECT_FAILED, Result.CANCELLED: Result.MOOT}  # of a call that never ran
 GUARD_US = 100_000  # past a message's time: the module has ended it by then, unless it failed
 LONG_AGO_US = 1 << 60
 HEARD_US = 10_000  # for which a note may wait for others
@@ -551,10 +552,8 @@
         """
         if execution.begun:
             execution.given_up = result
-        elif result in MAYBE_RAN:
-            self.settle(execution, Result.CONNECT_FAILED if result is Result.TIMEOUT else Result.MOOT)
         else:
-            self.settle(execution, result)
+            self.settle(execution, UNSENT.get(result, result))
         self._give_up(execution.batch)
 
     def _give_up(self, batch: Batch, looks: int = ANSWER_LOOKS) -> None:
@@ -572,7 +571,8 @@
             return
         self.side.abandon(batch)
         for execution in left:
-            self.settle(execution, execution.given_up or Result.CANCELLED)
+            result = execution.given_up or Result.CANCELLED
+            self.settle(execution, UNSENT.get(result, result) if progress is Progress.UNSENT else result)
 
     def _finish(self, ref: int, end: End) -> None:
         message = self._refs.get(ref)
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -24,6 +24,7 @@
 class Progress(Enum):
     """How far a call has come that is about to be given up."""
 
+    UNSENT = "unsent"  # the kernel lacks its last byte: given up now, it never runs
     SENT = "sent"
     ENDING = "ending"  # an answer, or the connection's end, has begun to come in
 
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -156,7 +156,7 @@
         """How far the present call has come, in this very moment: the task that makes it may know less."""
         if self._raw or self.stream.closing or self.stream.unread:
             return Progress.ENDING
-        return Progress.SENT
+        return Progress.UNSENT if self.stream.unsent else Progress.SENT
 
     async def call(self, call: Call) -> Reply:
         """Make one call. Nothing here ever sends it a second time."""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -74,7 +74,13 @@
         task.add_done_callback(lambda _: self.tasks.pop(batch, None))
 
     def abandon(self, batch: Batch) -> None:
-        """Give the call up: its connection is closed, which tells the instance."""
+        """Give the call up: its connection is closed, which tells the instance.
+
+        It is closed here and not in the call's task, whose turn comes later: a last byte that still goes out
+        in between would make a call of what is settled as never sent.
+        """
+        if (caller := self._callers.get(batch)) is not None:
+            caller.stream.abort()
         if (task := self.tasks.pop(batch, None)) is not None:
             task.cancel()
 
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -41,6 +41,7 @@
     def __init__(self, reader: CountingReader, writer: asyncio.StreamWriter, limit: int = RING_LIMIT) -> None:
         self._reader, self._writer = reader, writer
         self._read = 0
+        self._held_back = 0  # bytes of the present `send` that no buffer holds yet
         self.inward, self.outward = RingBuffer(limit), RingBuffer(limit)
         # `flush` then returns only when the kernel has every byte: the proof that a call was written whole.
         writer.transport.set_write_buffer_limits(high=0)
@@ -95,16 +96,22 @@
 
     async def send(self, data: bytes) -> None:
         """Write it all; on return the kernel has the last byte."""
-        at = 0
+        at, self._held_back = 0, len(data)
         while at < len(data) or len(self.outward):
             step = min(self.outward.room, len(data) - at)
             self.outward.write(data[at : at + step])
             at += step
+            self._held_back -= step
             self._writer.write(self.outward.read(CHUNK))
             await self._writer.drain()
         if self.closing:
             raise ConnectionResetError("closed while writing")
 
+    @property
+    def unsent(self) -> bool:
+        """Whether the kernel lacks a byte of what is being written. Not known once the connection is lost."""
+        return bool(self._held_back + len(self.outward) + self._writer.transport.get_write_buffer_size())
+
     def send_now(self, data: bytes) -> None:
         """Write between two sends without waiting: the kernel gets it in this very call, if it has room.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,7 +11,7 @@
 import pytest
 
 from rowanrack.core.messages import Batch, Ending, Execution
-from rowanrack.net.stream import CountingReader
+from rowanrack.net.stream import CountingReader, Stream
 from rowanspindle import Result, Scope
 from tests.rig import Rig, instance, on_loop
 
@@ -159,3 +159,86 @@
         asyncio.get_running_loop().call_soon(endpoint.write_now, rest)
         async with asyncio.timeout(2):  # far less than the attempt's time
             await rig.until(lambda: rig.results[:1] == [result])
+
+
+@asynccontextmanager
+async def unread_listener(
+    rig: Rig, monkeypatch: pytest.MonkeyPatch, size: int = 60_000
+) -> AsyncIterator[socket.socket]:
+    """The only endpoint: its connections come up, nothing is read, and the kernels hold little."""
+    connect = Stream.connect
+
+    async def connect_small(host: str, port: int) -> Stream:
+        stream = await connect(host, port)
+        stream._writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return stream
+
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        rig.sender.exchange.list_instances(Scope.FULL, [instance("raw", listener.getsockname()[1])])
+        client = await rig.client()
+        monkeypatch.setattr(Stream, "connect", connect_small)
+        begun = asyncio.Event()
+        after_begin(rig, begun.set)
+        await client.submit("m1", "print-order", body=bytes(size))
+        await begun.wait()
+        yield listener
+
+
+def drain(connection: socket.socket) -> int:
+    """Read all that can be read now; returns how much."""
+    size = 0
+    connection.settimeout(0.2)
+    try:
+        while data := connection.recv(1 << 16):
+            size += len(data)
+    except TimeoutError:
+        pass
+    return size
+
+
+@pytest.mark.parametrize("size", [16_000, 60_000])  # under and over what the transport gets at once
+@on_loop
+async def test_a_call_given_up_before_its_last_byte_has_never_run(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, size: int
+) -> None:
+    """An unsafe message was failed for nothing; and its last bytes could still go out behind its end."""
+    async with Rig(tmp_path) as rig, unread_listener(rig, monkeypatch, size) as listener:
+        connection, _ = listener.accept()
+        with connection:
+            assert drain(connection) < size
+            asyncio.get_running_loop().call_soon(give_up, rig)  # in the turn in which there is room again
+            for _ in range(3):
+                await asyncio.sleep(0)
+            assert drain(connection) == 0
+        assert rig.results == [Result.CONNECT_FAILED]
+        (message,) = rig.sender.exchange.messages.values()
+        assert not message.unsettled
+
+
+@on_loop
+async def test_a_call_given_up_right_behind_its_last_byte_may_have_run(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The kernel has it all, and the task that writes does not know yet."""
+    async with Rig(tmp_path) as rig, unread_listener(rig, monkeypatch) as listener:
+        connection, _ = listener.accept()
+        resume = asyncio.StreamReaderProtocol.resume_writing
+        sizes: list[int] = []
+
+        def resume_and_give_up(protocol: asyncio.StreamReaderProtocol) -> None:
+            resume(protocol)
+            (caller,) = rig.sender.pool._callers.values()
+            if not caller.stream.unsent:
+                give_up(rig)
+
+        monkeypatch.setattr(asyncio.StreamReaderProtocol, "resume_writing", resume_and_give_up)
+        with connection:
+            connection.setblocking(False)
+            loop = asyncio.get_running_loop()
+            while data := await loop.sock_recv(connection, 1 << 16):
+                sizes.append(len(data))
+        assert sum(sizes) > 60_000 and rig.results == [Result.TIMEOUT]
+        assert (await rig.ended("m1")).ending is Ending.FAILED
