Keep what an OTLP answer's status says, whatever stands beside it

Read and probed: a Retry-After whose date no calendar holds (the year 9999 in a western zone, a year of 20 digits) raised OverflowError, and a JSON name with half of a surrogate pair makes protobuf's C code raise SystemError; nobody caught either. A refusal then counted as "may have run" and an unsafe message was failed; a message delivered with 200 was failed likewise. A client that sent such JSON had its connection closed with no answer. Ruled out, by the same probe: 14 other dates, 22 other JSON bodies and 20,000 random protobuf ones; Content-Length of 5,000 digits (h11 refuses it). At fault: retry_after_us and parse_message, which list what they catch. Both lists are whole now. Measured: the four new cases fail without the change (three answered 500, one not at all) and pass with it.

--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -25,10 +25,10 @@
         seconds = float(text[:9])
     else:
         try:
-            at = parsedate_to_datetime(text)
-        except ValueError:
+            seconds = (parsedate_to_datetime(text).astimezone(now.tzinfo) - now).total_seconds()
+        except (ValueError, OverflowError):
+            # Guards a refusal against a date that no calendar holds: the attempt would count as one that ran.
             return 0
-        seconds = (at.astimezone(now.tzinfo) - now).total_seconds()
     return int(max(0.0, min(seconds, WAIT_MOST_S)) * 1_000_000)
 
 
--- a/rowanrack/fronts/otlp/signals.py
+++ b/rowanrack/fronts/otlp/signals.py
@@ -108,6 +108,17 @@
     }
 
 
+UNREADABLE = (
+    DecodeError,
+    json_format.ParseError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    SystemError,  # protobuf's C code, on a name with half of a surrogate pair
+)
+
+
 def parse_message(into: Message, body: bytes, kind: str) -> Message:
     """Read a message in either encoding. Raises OtlpError if it cannot be read."""
     try:
@@ -115,7 +126,7 @@
             json_format.ParseDict(_ids_from_hex(json.loads(body)), into, ignore_unknown_fields=True)
         else:
             into.ParseFromString(body)
-    except (DecodeError, json_format.ParseError, ValueError, TypeError, AttributeError, RecursionError):
+    except UNREADABLE:
         raise OtlpError(400, "the body cannot be read") from None
     return into
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -11,9 +11,11 @@
 import pytest
 
 from rowanrack.core.messages import Batch, Ending, Execution
+from rowanrack.net.http import Reply
 from rowanrack.net.stream import CountingReader, Stream
 from rowanspindle import Result, Scope
-from tests.rig import Rig, instance, on_loop
+from tests.rig import Rig, answers, instance, on_loop
+from tests.test_otlp import logs
 
 OK_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
@@ -242,3 +244,29 @@
                 sizes.append(len(data))
         assert sum(sizes) > 60_000 and rig.results == [Result.TIMEOUT]
         assert (await rig.ended("m1")).ending is Ending.FAILED
+
+
+@pytest.mark.parametrize(
+    ("reply", "result"),
+    [
+        (Reply(503, {"Retry-After": "Fri, 31 Dec 9999 23:59:59 -1200"}), Result.FULL),
+        (Reply(429, {"Retry-After": "Mon, 01 Jan 99999999999999999999 00:00:00 GMT"}), Result.FULL),
+        (Reply(200, {"Content-Type": "application/json"}, b'{"\\ud800":1}'), Result.OK),
+    ],
+)
+@on_loop
+async def test_an_otlp_answer_keeps_its_meaning_whatever_stands_beside_its_status(
+    tmp_path: Path, reply: Reply, result: Result
+) -> None:
+    """What could not be read made the attempt one that may have run: an unsafe message was failed."""
+    async with Rig(tmp_path, answers(reply, Reply(200, {}))) as rig:
+        assert (await rig.export(logs())).status == 200
+        assert rig.results[0] is result
+
+
+@on_loop
+async def test_an_export_request_that_protobuf_fails_on_is_answered(tmp_path: Path) -> None:
+    """Its connection was closed with no answer."""
+    async with Rig(tmp_path) as rig:
+        reply = await rig.export(b'{"\\ud800":1}', content_type="application/json")
+        assert reply.status == 400
