Count the rest of an answer from when it came, not from when it is read

Read: HttpCaller gives the rest of a head or body 200 ms by a timer. When the loop is held up for that long, the timer fires while the rest stands in the kernel or the reader, and asyncio's time-out cancels the task that was about to read it. A refusal (429, 503) that had come whole counted as cut off, "may have run", and an unsafe message was failed. Ruled out: the usual order, in which the reader's callback precedes the timer in its turn; the woken task then ends the time-out first. It takes a turn in which the bytes come behind the poll, or a round run out of its turn. At fault: time_limit, which knew only the clock. Its caller may now say that what it waits for is there: the limit is then looked at again every 50 ms, four times at most. Opening a connection keeps the plain limit; nothing has run then. Measured: the new test writes the rest and fires the timer in one step.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -199,7 +199,7 @@
         headers, body, whole = plain_headers(head.headers), bytearray(), True
         if head.status_code in BODILESS or FRAMED & headers.keys():
             try:
-                async with time_limit(self._after, self._rest_us):
+                async with time_limit(self._after, self._rest_us, self._has_unread):
                     whole = await self._rest(body, int(headers.get("content-length", "0")))
             except (OSError, TimeoutError, h11.RemoteProtocolError):
                 whole = False
@@ -209,13 +209,16 @@
             raise CallBrokenError(f"answered {head.status_code} with a spoilt body")
         return Reply(head.status_code, headers, bytes(body), whole)
 
+    def _has_unread(self) -> bool:
+        return self.stream.unread
+
     async def _head(self) -> h11.Event | type[h11.PAUSED]:
         """The head of the answer behind any 1xx, whenever it comes; once begun it must come whole."""
         for _ in range(AHEAD_MOST):
             self._raw[:] = self._h11.trailing_data[0]
             if not self._raw:
                 await self._receive()
-            async with time_limit(self._after, self._rest_us):
+            async with time_limit(self._after, self._rest_us, self._has_unread):
                 head = await self._event()
             if not isinstance(head, h11.InformationalResponse):
                 return head
--- a/rowanrack/net/timing.py
+++ b/rowanrack/net/timing.py
@@ -8,6 +8,9 @@
 from contextlib import asynccontextmanager
 from typing import Protocol
 
+LATE_US = 50_000  # between looks at what has come in time and is read late
+LATE_LOOKS = 4
+
 
 class Timer(Protocol):
     """What calls an action once."""
@@ -79,10 +82,25 @@
 
 
 @asynccontextmanager
-async def time_limit(after: After, limit_us: int) -> AsyncIterator[None]:
-    """Raise TimeoutError in the block once the limit has passed."""
+async def time_limit(
+    after: After, limit_us: int, there: Callable[[], bool] = lambda: False
+) -> AsyncIterator[None]:
+    """Raise TimeoutError in the block once the limit has passed.
+
+    While `there` says that what the block waits for has come and is only not read yet, it is the loop that is
+    late: the limit is then put off, for a bounded time.
+    """
+    timer: Timer
     async with asyncio.timeout(None) as scope:
-        timer = after(limit_us, lambda: scope.reschedule(0))
+
+        def expire(looks: int = LATE_LOOKS) -> None:
+            nonlocal timer
+            if looks and there():
+                timer = after(LATE_US, lambda: expire(looks - 1))
+            else:
+                scope.reschedule(0)
+
+        timer = after(limit_us, expire)
         try:
             yield
         finally:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -12,6 +12,7 @@
 
 from rowanrack.core.messages import Batch, Ending, Execution
 from rowanrack.net.http import Reply
+from rowanrack.net.pool import REST_US
 from rowanrack.net.stream import CountingReader, Stream
 from rowanspindle import Result, Scope
 from tests.rig import Rig, answers, instance, on_loop
@@ -270,3 +271,30 @@
     async with Rig(tmp_path) as rig:
         reply = await rig.export(b'{"\\ud800":1}', content_type="application/json")
         assert reply.status == 400
+
+
+@pytest.mark.parametrize(
+    ("begun", "rest"),
+    [
+        (b"HTTP/1.1 503 N", b"o\r\nContent-Length: 0\r\n\r\n"),
+        (b"HTTP/1.1 503 No\r\nContent-Length: 2\r\n\r\n", b"ab"),
+    ],
+)
+@on_loop
+async def test_the_rest_of_an_answer_counts_from_when_it_came_not_when_it_is_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, begun: bytes, rest: bytes
+) -> None:
+    """A loop that was held up took a refusal, which had come whole, for an answer that was cut off."""
+    async with Rig(tmp_path) as rig, scripted(rig, b"") as endpoint:
+        exchange, clock = rig.sender.exchange, rig.sender.exchange.clock
+        await (await rig.client()).submit("m1", "print-order", d=20_000)
+        await endpoint.asked.wait()
+        (caller,) = rig.sender.pool._callers.values()
+        endpoint.write_now(begun)
+        while bytes(caller._raw) != begun:
+            await asyncio.sleep(0)
+        now_us = clock.now_us
+        endpoint.write_now(rest)
+        monkeypatch.setattr(clock, "now_us", lambda: now_us() + REST_US + 50_000)
+        exchange.pump()  # fires the timer of the rest
+        await rig.until(lambda: rig.results[:1] == [Result.FULL])
