Test a connection that comes up in the turn in which its attempt is given up

Read: Stream.connect, asyncio's create_connection and time_limit, for a cancel in each of their waits; no fault found. The new test forces the time-out between the connection's coming up and its task's turn: it is closed unused, and the message goes out once. It passes on the code as it stands.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -26,7 +26,7 @@
 
     def __init__(self, answer: bytes) -> None:
         self.answer, self.calls, self.writers = answer, 0, list[asyncio.StreamWriter]()
-        self.asked = asyncio.Event()
+        self.asked, self.port = asyncio.Event(), 0
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection until it ends."""
@@ -54,8 +54,8 @@
     endpoint = ScriptedEndpoint(answer)
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     async with server:
-        port = server.sockets[0].getsockname()[1]
-        rig.sender.exchange.list_instances(Scope.FULL, [instance("raw", port)])
+        endpoint.port = server.sockets[0].getsockname()[1]
+        rig.sender.exchange.list_instances(Scope.FULL, [instance("raw", endpoint.port)])
         yield endpoint
 
 
@@ -298,3 +298,27 @@
         monkeypatch.setattr(clock, "now_us", lambda: now_us() + REST_US + 50_000)
         exchange.pump()  # fires the timer of the rest
         await rig.until(lambda: rig.results[:1] == [Result.FULL])
+
+
+@on_loop
+async def test_a_connection_that_comes_up_behind_its_attempt_is_closed_unused(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The time-out falls into the turn in which the connection has come up and its task does not know."""
+    async with Rig(tmp_path) as rig, scripted(rig) as endpoint:
+        made = asyncio.StreamReaderProtocol.connection_made
+        client = await rig.client()
+
+        def made_and_give_up(protocol: asyncio.StreamReaderProtocol, transport: asyncio.Transport) -> None:
+            made(protocol, transport)
+            if transport.get_extra_info("peername")[1] == endpoint.port:
+                monkeypatch.undo()
+                give_up(rig)
+
+        monkeypatch.setattr(asyncio.StreamReaderProtocol, "connection_made", made_and_give_up)
+        await client.submit("m1", "print-order")
+        assert (await rig.ended("m1")).ending is Ending.DELIVERED
+        assert rig.results == [Result.CONNECT_FAILED, Result.OK]
+        async with asyncio.timeout(2):
+            await endpoint.writers[0].wait_closed()
+        assert endpoint.calls == 1
