Let a keyed repeat go that has to stay in its zone, while its key holds

Read: Exchange.begin stops a repeat whose key's time is over, and asks _ran_us for the age of the first attempt. For a class whose repeats stay in one zone _ran_us answers "long ago", which is meant for a message found at the start: where it ran first is not known then. Asked by begin, it stopped each repeat of such a class as moot, at once, however young its key: in a trial the message used its six attempts up within 25 ms, one call among them, and was failed. Ruled out: the module, which remembers the zone and repeats there; and the time across a restart, which stays as it was (a new row of that test: such a message is still not sent again after a restart). At fault: _key_lapsed. It asks for the plain age now, and only adopt for the one that knows of restarts.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -233,20 +233,25 @@
         )
 
     def _ran_us(self, message: Message) -> int:
-        """How long ago the first execution that may have run began."""
+        """How long ago the first attempt that may have run began, for a message that is adopted."""
+        cls = self.settings.classes.get(message.cls)
+        # Guards a keyed repeat across a restart: where it may go is not known any more.
+        if message.unsettled and cls is not None and cls.same_zone:
+            return LONG_AGO_US
+        return self._first_begun_us(message)
+
+    def _first_begun_us(self, message: Message) -> int:
+        """How long ago the first attempt that may have run began, as far as is known; 0 without one."""
         if not message.unsettled:
             return 0
-        since, cls = min(message.unsettled.values()), self.settings.classes.get(message.cls)
-        # Guards a keyed repeat across a restart: where it may go, or for how long, is not known any more.
-        if not since or (cls is not None and cls.same_zone):
-            return LONG_AGO_US
-        return max(0, self.clock.unix_us() - since)
+        since = min(message.unsettled.values())
+        return max(0, self.clock.unix_us() - since) if since else LONG_AGO_US
 
     def _key_lapsed(self, message: Message) -> bool:
         """Whether a keyed message may go no more: its repeat would not be dropped."""
         cls = self.settings.classes.get(message.cls)
         keyed = cls is not None and cls.effect is Effect.KEYED and bool(message.unsettled)
-        return keyed and cls is not None and self._ran_us(message) >= cls.key_ttl_us
+        return keyed and cls is not None and self._first_begun_us(message) >= cls.key_ttl_us
 
     def known(self, message_id: str) -> Message | End | None:
         """A message that was handed in before: itself while it is owed, then its end while that is kept."""
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -5,10 +5,11 @@
 import json
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from rowanrack.core.messages import Message
+from rowanrack.core.messages import End, Ending, Message
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.mapping import Source
 from rowanrack.fronts.platform.resp import RespError
@@ -124,12 +125,17 @@
     again.close()
 
 
-@pytest.mark.parametrize(("gone_s", "goes"), [(3, True), (5, False)])
+ZONED = SETTINGS | {"grades": [g | {"group": "zone"} for g in SETTINGS["grades"]]}
+
+
+@pytest.mark.parametrize(
+    ("gone_s", "goes", "given"), [(3, True, SETTINGS), (5, False, SETTINGS), (1, False, ZONED)]
+)
 def test_a_repeat_after_a_restart_stays_inside_the_time_of_its_key(
-    tmp_path: Path, gone_s: int, goes: bool
+    tmp_path: Path, gone_s: int, goes: bool, given: dict[str, Any]
 ) -> None:
     """The time counted from the restart, so that a repeat could take effect twice."""
-    desk = Desk(tmp_path)
+    desk = Desk(tmp_path, given)
     message = replace(keyed(), deadline_us=desk.now + 15 * SECOND, legs=1)
     message.unsettled = {0: desk.now - gone_s * SECOND}
     desk.journal.take(message)
@@ -152,6 +158,19 @@
     assert len(desk.calls) == 2 and not desk.exchange.begin(desk.calls[1])
 
 
+def test_a_repeat_inside_one_zone_goes_while_its_key_holds(tmp_path: Path) -> None:
+    """Only a restart loses where the first attempt ran; without one each repeat was stopped for nothing."""
+    desk = Desk(tmp_path, ZONED)
+    desk.exchange.submit(replace(keyed(), deadline_us=desk.now + 15 * SECOND))
+    desk.run(10_000)
+    assert desk.exchange.begin(desk.calls[0])
+    desk.exchange.settle(desk.calls[0], Result.ERROR)
+    desk.run(SECOND)
+    assert desk.exchange.begin(desk.calls[1])
+    desk.exchange.settle(desk.calls[1], Result.OK)
+    assert desk.ends == {"m1": End(Ending.DELIVERED)}
+
+
 def test_otlp_takes_the_key_from_its_map_else_the_id() -> None:
     mapping = replace(MAPPING, cls=Source(default="entry-fee"), key=Source(header="x-key"))
 
