Look at a key's time again once the store has recorded the attempt

A key that ended in between let a repeat out that would not be dropped. Ruled out: the wait for the connection, which comes before begin; a told wait and the list, which cannot change while begin runs. Not covered: the records of others in the same batch, which follow the look. At fault: the one look ahead of the store. A second one follows it, and the attempt is recorded as never run. Measured: the new test lets 4 s pass in the store; without the change the repeat begins, with it it does not.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -337,8 +337,12 @@
         if barred or not self.store.begin(message, execution.leg):
             self.settle(execution, Result.MOOT if barred else UNRECORDED)
             return False
+        late = self._key_lapsed(message)  # while the store took its time
         message.unsettled[execution.leg] = self.clock.unix_us()
         execution.begun = True
+        if late:
+            self.settle(execution, Result.MOOT)
+            return False
         self.figures.forwarded(message.cls)
         self._no_longer_unbegun(execution)
         for observer in self.observers:
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -158,6 +158,27 @@
     assert len(desk.calls) == 2 and not desk.exchange.begin(desk.calls[1])
 
 
+def test_a_repeat_whose_key_ends_while_the_store_records_it_does_not_go(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A journal that is compacted, or a slow disk, holds the sender up between the look and the call."""
+    desk = Desk(tmp_path)
+    desk.exchange.submit(replace(keyed(), deadline_us=desk.now + 15 * SECOND))
+    desk.run(10_000)
+    assert desk.exchange.begin(desk.calls[0])
+    desk.exchange.settle(desk.calls[0], Result.ERROR)
+    desk.run(SECOND)
+    record = Journal.begin
+
+    def record_late(journal: Journal, message: Message, leg: int) -> bool:
+        desk.now += 4 * SECOND
+        return record(journal, message, leg)
+
+    monkeypatch.setattr(Journal, "begin", record_late)
+    assert not desk.exchange.begin(desk.calls[1])
+    assert list(desk.calls[1].message.unsettled) == list(desk.journal.owed["m1"].unsettled) == [0]
+
+
 def test_a_repeat_inside_one_zone_goes_while_its_key_holds(tmp_path: Path) -> None:
     """Only a restart loses where the first attempt ran; without one each repeat was stopped for nothing."""
     desk = Desk(tmp_path, ZONED)
