Test what comes in on a new connection ahead of its first call

Without the look before the first byte the message counts as delivered by the greeting; with it the attempt ends as one that could not connect, and the next one delivers.

--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -110,6 +110,29 @@
         assert (endpoint.calls, len(endpoint.writers)) == (2, 2)
 
 
+@on_loop
+async def test_what_comes_in_on_a_new_connection_ahead_of_its_first_call_is_no_answer(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    connect = Stream.connect
+    async with Rig(tmp_path) as rig, scripted(rig) as endpoint:
+
+        async def connect_and_be_greeted(host: str, port: int) -> Stream:
+            monkeypatch.undo()
+            stream = await connect(host, port)
+            while not endpoint.writers:
+                await asyncio.sleep(0)
+            endpoint.write_now(OK_BYTES)
+            return stream
+
+        client = await rig.client()
+        monkeypatch.setattr(Stream, "connect", connect_and_be_greeted)
+        await client.submit("m1", "print-order")
+        assert (await rig.ended("m1")).ending is Ending.DELIVERED
+        assert rig.results == [Result.CONNECT_FAILED, Result.OK]
+        assert (endpoint.calls, len(endpoint.writers)) == (1, 2)
+
+
 def give_up(rig: Rig) -> None:
     """The time-out of the one attempt that is out."""
     exchange = rig.sender.exchange
