Confirm a whole list with a lower version before it replaces what is known

Read in DiscoveryWatch._take: changes with a lower version were confirmed by the whole list, but a whole list with a lower version was believed at once. When it is stale, what drained meanwhile is listed again and gets calls until the next answer (0.1 s later at best).

Ruled out: answers cannot overtake each other on the one connection, so a stale one comes from discovery itself, or from another one behind a move. Changes with the same version and other content are taken over as before, and harm nothing.

At fault: the condition 'scope is Scope.DELTA and seq < self.seq'. Any answer with a lower version is in doubt now: the whole list is asked for without an index, and the second is believed as it comes, as discovery may have begun anew. Where lists are pushed, the first answer counts only once it is out of doubt.

test_a_stale_answer_does_not_bring_back_what_drained[whole] fails without the change (i0 is listed again); with it both cases pass, and so do the tests of the list's clock, of reloading and of the sources.

--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -79,7 +79,7 @@
         self._task: asyncio.Task[None] | None = None
         self._moved_at: int | None = None
         self._unsure = False  # whether its next call may fail too
-        self._anew = False  # whether versions have begun anew
+        self._in_doubt = False  # whether the last answer may be stale: the whole list is asked for
         self._answered = asyncio.Event()
         self._rare = RareLog(log)
         self.failed = 0  # tries since the move
@@ -144,22 +144,32 @@
             wait_ms = 0
         asked_at = self.exchange.clock.now_us()
         async with time_limit(self.exchange.after, wait_ms * 1000 + GRACE_US):
-            target = "/v1/servers" if self._anew else f"/v1/servers?index={self.seq}&wait={wait_ms}"
+            target = "/v1/servers" if self._in_doubt else f"/v1/servers?index={self.seq}&wait={wait_ms}"
             _, doc = await self._line.get_json(target)
-        seq, scope, entries = parse_list(doc)
-        news = self._take(seq, scope, entries)
+        news = self._take(*parse_list(doc))
         self._unsure = False
-        self._answered.set()
+        if not self._in_doubt:
+            self._answered.set()
         # Guards discovery, and this core, against answers that do not wait: within 200 ms the watch goes on.
         if not news and self.exchange.clock.now_us() - asked_at < wait_ms * 1000:
             await pause(self.exchange.after, AGAIN_US)
 
     def _take(self, seq: int, scope: Scope, entries: list[Instance]) -> bool:
         """Take a list over, and only then its version; whether it held news."""
-        self._anew = scope is Scope.DELTA and seq < self.seq
-        if self._anew:  # what has changed by another count is not known: the whole list is asked for next
-            self._rare.warning("discovery: its versions have begun anew: %d after %d", seq, self.seq)
+        self._in_doubt = self._doubts(seq, scope)
+        if self._in_doubt:
             return False
         self.exchange.list_instances(scope, entries)
         last, self.seq = self.seq, seq
         return seq > last and bool(entries)
+
+    def _doubts(self, seq: int, scope: Scope) -> bool:
+        """Whether an answer is to be confirmed by the whole list, which is then believed as it comes.
+
+        With a lower version it may be stale, or discovery's versions have begun anew: what has changed by
+        another count is not known.
+        """
+        if seq >= self.seq or (self._in_doubt and scope is Scope.FULL):
+            return False
+        self._rare.warning("discovery: version %d after %d: asking for the whole list", seq, self.seq)
+        return True
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -101,6 +101,7 @@
         self.calls: list[tuple[float, int, str]] = []  # when, at which port, and what was asked
         self.opened: set[int] = {OLD, NEW}
         self.known_s: float | None = None
+        self.forgotten = False  # whether what had been known was listed again later
         self.tries = 0
         self._waiting: list[tuple[Wire, int]] = []
         self.outage: Outage | None = None
@@ -165,8 +166,10 @@
         await pass_time(self.desk, self.began + round(until_s * SECOND), self._look)
 
     def _look(self) -> None:
-        if self.known_s is None and not self.exchange.table.listed("i0"):
+        listed = self.exchange.table.listed("i0")
+        if self.known_s is None and not listed:
             self.known_s = self.now_s
+        self.forgotten |= self.known_s is not None and listed
 
     @property
     def times(self) -> list[float]:
@@ -427,6 +430,29 @@
     )
 
 
+def stale(scope: str) -> Part:
+    """An answer from before the change, which comes after it."""
+
+    def part(_keeper: Keeper, wire: Wire, _index: int | None, _wait: int) -> None:
+        whole = scope == "whole"
+        wire.feed(framed(json.dumps({"seq": 5, "whole": whole, "hosts": [entry("i0", 1)]}).encode()))
+
+    return part
+
+
+@pytest.mark.parametrize("scope", ["whole", "changes"])
+@in_time
+async def test_a_stale_answer_does_not_bring_back_what_drained(
+    keeper: Callable[..., Keeper], scope: str
+) -> None:
+    """A whole list with a lower version was believed at once: what drained got calls until the next one."""
+    kept = keeper(watches, stale(scope))
+    await kept.run(20)
+    assert kept.known_s is not None and kept.known_s <= 3.01 and not kept.forgotten
+    assert [target for _, _, target in kept.calls].count("/v1/servers") == 1
+    assert kept.watch.seq == 6
+
+
 @in_time
 async def test_an_answer_without_news_ahead_of_its_time_does_not_spin(keeper: Callable[..., Keeper]) -> None:
     """Discovery that heeds no wait was asked as fast as it answered."""
