Leave an unreadable entry out of discovery's list instead of freezing the whole list

Read in parse_list: one entry that cannot be read (a health word that is not known, a missing field, a rate that is no number) made its whole answer a failure. It was asked for again, failed again, and for as long as the entry stood in the list no drain of any other endpoint became known.

Ruled out: a whole list of which no entry can be read stays a failure, and the old list stays in force (as the contract of the sources wants); so does an answer that is no list. The configuration's own list stays strict.

At fault: the one try around all entries.

--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from contextlib import suppress
+from dataclasses import dataclass
 from typing import Any
 
 from rowanrack.core.exchange import Exchange
@@ -46,24 +47,55 @@
     return rate
 
 
-def parse_list(doc: Any) -> tuple[int, Scope, list[Instance]]:
-    """The version, the scope and the entries of a list in discovery's form."""
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """An answer of discovery: a version, a scope, the entries, and why others could not be read."""
+
+    seq: int
+    scope: Scope
+    entries: list[Instance]
+    unreadable: list[str]
+
+
+def parse_entry(host: Any) -> Instance:
+    """One entry in discovery's form. Raises one of UNREADABLE."""
+    return Instance(
+        str(host["host"]),
+        *parse_address(host["dial"]),
+        str(host["site"]),
+        str(host["class"]),
+        int(host["block"]),
+        STATUSES[host["health"]],
+        rate_of(host.get("share", 0)),
+    )
+
+
+def read_list(doc: Any) -> ServerList:
+    """A list in discovery's form; a whole one of which no entry can be read is a ListError."""
+    entries, unreadable = list[Instance](), list[str]()
     try:
-        entries = [
-            Instance(
-                str(h["host"]),
-                *parse_address(h["dial"]),
-                str(h["site"]),
-                str(h["class"]),
-                int(h["block"]),
-                STATUSES[h["health"]],
-                rate_of(h.get("share", 0)),
-            )
-            for h in doc["hosts"]
-        ]
-        return int(doc["seq"]), Scope.FULL if doc["whole"] else Scope.DELTA, entries
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        seq, scope, hosts = int(doc["seq"]), Scope.FULL if doc["whole"] else Scope.DELTA, list(doc["hosts"])
+    except UNREADABLE as error:
         raise ListError(f"unreadable list: {error!r}") from None
+    for host in hosts:
+        try:
+            entries.append(parse_entry(host))
+        except UNREADABLE as error:
+            unreadable.append(repr(error))
+    if unreadable and not entries and scope is Scope.FULL:
+        raise ListError(f"unreadable list: {unreadable[0]}")
+    return ServerList(seq, scope, entries, unreadable)
+
+
+def parse_list(doc: Any) -> tuple[int, Scope, list[Instance]]:
+    """The version, the scope and the entries of a list that has to be readable in every entry."""
+    told = read_list(doc)
+    if told.unreadable:
+        raise ListError(f"unreadable list: {told.unreadable[0]}")
+    return told.seq, told.scope, told.entries
 
 
 class DiscoveryWatch:
@@ -79,7 +111,7 @@
         self._task: asyncio.Task[None] | None = None
         self._moved_at: int | None = None
         self._unsure = False  # whether its next call may fail too
-        self._in_doubt = False  # whether the last answer may be stale: the whole list is asked for
+        self._in_doubt = False  # whether the last answer may be stale or spoilt: the whole list is asked for
         self._answered = asyncio.Event()
         self._rare = RareLog(log)
         self.failed = 0  # tries since the move
@@ -144,32 +176,44 @@
             wait_ms = 0
         asked_at = self.exchange.clock.now_us()
         async with time_limit(self.exchange.after, wait_ms * 1000 + GRACE_US):
-            target = "/v1/servers" if self._in_doubt else f"/v1/servers?index={self.seq}&wait={wait_ms}"
+            confirms = self._in_doubt
+            target = "/v1/servers" if confirms else f"/v1/servers?index={self.seq}&wait={wait_ms}"
             _, doc = await self._line.get_json(target)
-        news = self._take(*parse_list(doc))
+        news = self._take(read_list(doc))
+        if self._in_doubt and not confirms:
+            self._unsure = True  # the whole list comes at once: its silence is no wait
+            return
         self._unsure = False
-        if not self._in_doubt:
-            self._answered.set()
+        self._answered.set()
         # Guards discovery, and this core, against answers that do not wait: within 200 ms the watch goes on.
         if not news and self.exchange.clock.now_us() - asked_at < wait_ms * 1000:
             await pause(self.exchange.after, AGAIN_US)
 
-    def _take(self, seq: int, scope: Scope, entries: list[Instance]) -> bool:
+    def _take(self, told: ServerList) -> bool:
         """Take a list over, and only then its version; whether it held news."""
-        self._in_doubt = self._doubts(seq, scope)
+        self._in_doubt = self._doubts(told)
         if self._in_doubt:
             return False
-        self.exchange.list_instances(scope, entries)
-        last, self.seq = self.seq, seq
-        return seq > last and bool(entries)
-
-    def _doubts(self, seq: int, scope: Scope) -> bool:
+        if told.unreadable:
+            count, first = len(told.unreadable), told.unreadable[0]
+            self._rare.warning("discovery: %d entries are left out, unreadable: %s", count, first)
+        self.exchange.list_instances(told.scope, told.entries)
+        last, self.seq = self.seq, told.seq
+        return told.seq > last and bool(told.entries)
+
+    def _doubts(self, told: ServerList) -> bool:
         """Whether an answer is to be confirmed by the whole list, which is then believed as it comes.
 
         With a lower version it may be stale, or discovery's versions have begun anew: what has changed by
-        another count is not known.
+        another count is not known. An entry that cannot be read may be spoilt on the way.
         """
-        if seq >= self.seq or (self._in_doubt and scope is Scope.FULL):
+        if self._in_doubt and told.scope is Scope.FULL:
+            return False
+        if told.seq < self.seq:
+            reason = f"version {told.seq} after {self.seq}"
+        elif told.unreadable:
+            reason = f"an entry is unreadable: {told.unreadable[0]}"
+        else:
             return False
-        self._rare.warning("discovery: version %d after %d: asking for the whole list", seq, self.seq)
+        self._rare.warning("discovery: the whole list is asked for: %s", reason)
         return True
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -24,12 +24,12 @@
 from rowanrack.net.http import Reply
 from rowanrack.net.ring import RingBuffer
 from rowanrack.net.stream import Stream
-from rowanspindle import Settings, Status
+from rowanspindle import Scope, Settings, Status
 from rowanspindle.asking import Asking
 from rowanspindle.held import NEVER
 from rowanspindle.wire import parse_settings
 from tests import rig as shared
-from tests.rig import SETTINGS, Rig, entry, on_loop
+from tests.rig import SETTINGS, Rig, entry, instance, on_loop
 from tests.rig import silent as silent_endpoint
 from tests.test_core import SECOND, Desk
 
@@ -453,6 +453,38 @@
     assert kept.watch.seq == 6
 
 
+@pytest.mark.parametrize("bad", [{"health": "STARTING"}, {"dial": "x"}, {"share": None}, {"block": {}}])
+@in_time
+async def test_an_entry_that_cannot_be_read_is_left_out(
+    keeper: Callable[..., Keeper], bad: dict[str, Any]
+) -> None:
+    """It froze the whole list for as long as it stood there. What was known of it counts no more."""
+    kept = keeper(news_s=5.0)
+    kept.hosts["i1"] = (5, entry("i1", 2))
+    kept.exchange.list_instances(Scope.FULL, [instance("i0", 1), instance("i1", 2)])
+    kept.at(3.0, lambda: kept.change(entry("i1", 2) | bad))
+    kept.at(4.0, lambda: kept.change(entry("i2", 3)))
+    await kept.run(4.5)
+    assert kept.exchange.table.names() == {"i0", "i2"}
+    await kept.run(20)
+    assert kept.known_s is not None and kept.known_s <= 5.2
+    assert kept.tries == 1 and len(kept.calls) <= 9
+    kept.change(entry("i1", 2))
+    await kept.run(21)
+    assert kept.exchange.table.listed("i1")
+
+
+@pytest.mark.parametrize(("then", "most_s"), [((), 3.05), ((silent,), 5.1)])
+@in_time
+async def test_an_entry_that_is_spoilt_on_the_way_takes_nothing_away(
+    keeper: Callable[..., Keeper], then: tuple[Part, ...], most_s: float
+) -> None:
+    kept = keeper(tells(lambda doc: framed(doc.replace(b"DRAINING", b"DRAWNING"))), *then)
+    await kept.run(20)
+    assert kept.known_s is not None and kept.known_s <= most_s
+    assert kept.exchange.table.names() == {"i0"}
+
+
 @in_time
 async def test_an_answer_without_news_ahead_of_its_time_does_not_spin(keeper: Callable[..., Keeper]) -> None:
     """Discovery that heeds no wait was asked as fast as it answered."""
