Find a silent Consul query in time, and ask again within 1.75 s of a failure

Read in ConsulSource, as a sibling of discovery's watch: after failures the next query came up to 8 s later, and one from the start, which Consul answers at once, was given up only after 68 s when it fell silent, as if it were a query that waits. What has changed counts as told 6 s after its keeper could be reached, and what a silent query misses 2 s behind its wait.

Ruled out: Consul adds up to a sixteenth to a wait (63.75 s in all); the wait on the wire stays 60 s. A service that vanishes from the catalogue ends its query and its entries together, with no step between.

At fault: RETRY_MOST_US and GRACE_US. Two pauses and one more silent query take 1.75 + 2 + 1.75 s now; a query that waits is given up 2 s behind 63.75 s.

Two checks of the sources' contract, for discovery and Consul alike: without the change Consul fails both, and with either half of the change the first; with it the tests of the sources and of Consul pass.

--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -23,8 +23,9 @@
 log = logging.getLogger(__name__)
 
 WAIT_S = 60  # for which a query may block
-GRACE_US = 8_000_000  # past that: Consul adds up to a sixteenth of the wait
-RETRY_LEAST_US, RETRY_MOST_US = 500_000, 8_000_000
+ANSWER_US = 2_000_000  # for an answer that Consul need not wait for; it adds up to a sixteenth to a wait
+# After a failure: twice, and with one more query between that falls silent, news are known within 6 s.
+RETRY_LEAST_US, RETRY_MOST_US = 500_000, 1_750_000
 LIST_LIMIT = 4 << 20
 MAINTENANCE = ("_node_maintenance", "_service_maintenance")
 
@@ -163,6 +164,7 @@
             line.close()
 
     async def _ask(self, line: HttpLine, path: str, index: int) -> tuple[int, Any]:
-        async with time_limit(self.exchange.after, WAIT_S * 1_000_000 + GRACE_US):
+        wait_us = WAIT_S * 1_000_000 * 17 // 16 if index else 0  # from the start it answers at once
+        async with time_limit(self.exchange.after, wait_us + ANSWER_US):
             headers, doc = await line.get_json(f"{path}index={index}&wait={WAIT_S}s")
         return next_index(index, headers.get("x-consul-index", "")), doc
--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -390,6 +390,29 @@
     assert source.listed() == source.names("c")
 
 
+async def after_failures_news_are_known_within_6_s(source: Source) -> None:
+    """However long it has failed, and if the first call after that falls silent."""
+    if not isinstance(source, Asked):
+        return
+    for how in ("broken", "refused", "busy", "no JSON", "no list"):
+        await source.says(Entry("a"))
+        for _ in range(6):
+            await source.fails(how)
+        back = source.desk.now
+        await source.call()
+        await source.says(Entry(how))
+        assert source.listed() == source.names([how]) and source.desk.now - back <= 6 * SECOND, how
+
+
+async def a_call_that_falls_silent_is_given_up_soon_behind_its_wait(source: Source) -> None:
+    if isinstance(source, Asked):
+        await source.says(Entry("a"))
+        wire, target = await source.call()
+        wait_s = float(target.partition("wait=")[2].removesuffix("s")) * (1 if "60s" in target else 0.001)
+        await source.passes(wait_s * 17 / 16 + 2)  # Consul's waits last up to a sixteenth longer
+        assert wire.ended
+
+
 async def answers_that_do_not_wait_are_not_followed_in_haste(source: Source) -> None:
     if isinstance(source, Asked):
         await source.says(Entry("a"))
@@ -435,6 +458,8 @@
     what_moves_gets_nothing_that_was_meant_for_its_old_place,
     the_same_list_changes_nothing,
     what_fails_leaves_the_old_list_in_force,
+    after_failures_news_are_known_within_6_s,
+    a_call_that_falls_silent_is_given_up_soon_behind_its_wait,
     answers_that_do_not_wait_are_not_followed_in_haste,
     lower_versions_are_a_restart,
     of_two_that_name_one_each_may_leave_it_out,
