Ask within half of the drain grace for a failed watch where lists are pushed

Read in platform_config: where lists are pushed, what the agent gets when discovery returns counts as told at once, whether or not a watch is open. A failed watch was asked for again up to 1.25 s later, but a drained endpoint may get calls for the drain grace only (500 or 250 ms).

Ruled out: a process that starts while discovery is down begins with the list it has after two refusals, and then goes by the same pause; a watch that the agent keeps open needs none. Where discovery is asked nothing changes.

At fault: PUSHED_WITHIN_US, 4 s whatever the settings say. It follows the settings' drain_grace_us now, 250 ms where they name none; 0.1 s stays the least.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -21,7 +21,10 @@
     from rowanrack.site_file import InstanceTable, SiteFile
 
 
-PUSHED_WITHIN_US = 4_000_000  # where lists are pushed: a watch that failed is asked for after a quarter of it
+# Where lists are pushed, what the agent gets when discovery returns counts as told at once. A failed watch is
+# asked for after a quarter of the time for asking, spread by a quarter: so within half of the drain grace.
+PUSHED_WITHIN_GRACES = 1.6
+DRAIN_GRACE_US = 250_000  # where the settings name none
 
 
 class ConfigError(Exception):
@@ -170,7 +173,8 @@
         settings = parse_settings(json.dumps(raw))
         # Where lists are pushed, they come on a watch here too; only the clock is another.
         if pushed := not settings.on_request:
-            within_us = min(settings.ask_within_us, PUSHED_WITHIN_US)
+            grace_us = raw.get("rules", {}).get("drain_grace_us", DRAIN_GRACE_US)
+            within_us = min(settings.ask_within_us, max(1, int(PUSHED_WITHIN_GRACES * grace_us)))
             settings = replace(settings, on_request=True, ask_within_us=within_us)
         seq, _, known = parse_list(doc["known"])
         limits = doc.get("limits", {})
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from rowanrack.config import PlatformConfig, platform_config
+from rowanrack.config import Config, PlatformConfig, platform_config
 from rowanrack.fronts.platform import discovery
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
 from rowanrack.net.http import Reply
@@ -558,16 +558,31 @@
 @pytest.mark.parametrize("mode", ["pushed", "on_request"])
 def test_a_sender_on_sockets_asks_in_either_mode(tmp_path: Path, mode: str) -> None:
     """Where lists are pushed no watch was ever opened: the list of the configuration stayed for good."""
-    doc = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2"}
-    doc |= {"known": {"seq": 1, "whole": True, "hosts": []}}  # type: ignore[dict-item]
-    doc["settings"] = SETTINGS | {"membership_mode": mode}  # type: ignore[assignment]
-    (tmp_path / "c.json").write_text(json.dumps(doc))
-    config = platform_config({"ROUTER_CONFIG": str(tmp_path / "c.json"), "ROUTER_STATE": str(tmp_path)})
+    config = config_of(tmp_path, mode, {})
     assert config.settings.on_request and config.platform is not None
     assert config.platform.pushed is (mode == "pushed")
     assert Asking(config.settings).at == 0
-    if mode == "pushed":
-        assert config.settings.ask_within_us <= 4 * SECOND  # asked again within 1.25 s
+
+
+@pytest.mark.parametrize(("grace_ms", "most_s"), [(500, 0.25), (250, 0.125), (1, 0.125), (None, 0.125)])
+def test_where_lists_are_pushed_a_failed_watch_is_asked_for_within_half_of_the_drain_grace(
+    tmp_path: Path, grace_ms: int | None, most_s: float
+) -> None:
+    """What the agent gets when discovery returns counts at once: it was asked again after up to 1.25 s."""
+    config = config_of(tmp_path, "pushed", {} if grace_ms is None else {"drain_grace_us": grace_ms * 1000})
+    asking = Asking(config.settings)
+    for _ in range(12):
+        asking.failed(0, Random(1))
+        assert 0.1 * SECOND <= asking.at <= most_s * SECOND
+
+
+def config_of(folder: Path, mode: str, rules: dict[str, int]) -> Config:
+    """The configuration of a sender on the platform where lists come in this mode."""
+    settings = SETTINGS | {"membership_mode": mode, "rules": rules}
+    known = {"seq": 1, "whole": True, "hosts": list[Any]()}
+    doc = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "known": known}
+    (folder / "c.json").write_text(json.dumps(doc | {"settings": settings}))
+    return platform_config({"ROUTER_CONFIG": str(folder / "c.json"), "ROUTER_STATE": str(folder)})
 
 
 @pytest.mark.parametrize(("within_us", "most_s"), [(1, 0.13), (4 * SECOND, 1.25), (40 * SECOND, 3.5)])
