Take only the failing event out of a round on which the decision module fails

Read: `Exchange._round` gave the module all events of a round at once and dropped them all when it raised. At a start that was the whole endpoint list with every owed message: the sender had no endpoint, and each message ended as failed when its time was up. What the module had decided before it raised was dropped too, although it counts on that: a send that was lost held one of its slots from then on, and no timer of the module was armed any more.

Checked and ruled out: feeding all events once more would hold a message twice that had been accepted; a new module would know nothing of the calls that are out, of told waits and of slots in use.

At fault: the `try` around `decide` in `_round`, which knew neither how far the events were read nor what had been decided. The events now say how far they were read (`EventFeed`); what was decided is done, the events behind the failing one are given to the module, and a round that fails on no event is tried again a second later. A message that its guard timer ends is withdrawn from the module, which might else send it.

test_an_event_that_the_module_fails_on_takes_no_other_with_it fails without it at each of three places (both other messages end as failed instead of delivered), test_what_was_decided_before_the_module_failed_is_done too (no delivery). With it both pass, and so does test_core.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -11,6 +11,7 @@
 from dataclasses import replace
 from typing import Protocol
 
+from rowanrack.core.event_feed import EventFeed
 from rowanrack.core.figures import Figures
 from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Progress, Verdict
 from rowanrack.core.name_table import Change, NameTable
@@ -39,6 +40,7 @@
     Tell,
     Timer,
     Watch,
+    Withdrawn,
 )
 from rowanspindle.notes import Note
 from rowanspindle.order import Agenda
@@ -56,6 +58,7 @@
 UNRECORDED = Verdict(Result.MOOT, wait_us=500_000)
 ANSWER_US = 50_000  # between looks at an answer that had begun to come in when its call's time was up
 ANSWER_LOOKS = 4
+DECIDE_AGAIN_US = 1_000_000  # after a round that the decision module could not finish, before the next try
 OVERDUE_US = 20_000  # by which a round is late before whoever comes next runs it
 
 
@@ -453,18 +456,7 @@
         self.wheel.advance(now)
         batch, self._events = self._events, []
         if batch and not self.frozen:
-            try:
-                actions = self.forwarder.decide(now, batch)
-            except Exception:
-                # The messages of this batch stay owned: their guard timers end them in time.
-                log.exception("the decision module failed on %d events", len(batch))
-                actions = []
-            for action in actions:
-                try:
-                    self._do(action, now)
-                except Exception:
-                    # As above; the actions behind it are still done.
-                    log.exception("%s failed", action)
+            self._decide(now, EventFeed(batch))
             self._start_batches()
         self.round_over()
         if not self.store.recording():
@@ -473,6 +465,36 @@
         if due is not None:
             self._wake_at(due)
 
+    def _decide(self, now: int, events: EventFeed) -> None:
+        """Let the module decide, and do what it says. An event that it fails on takes no other one with it.
+
+        What it had decided before a failure is done, since it counts on that: a send that it believes to be
+        out would hold a slot for ever. The message of the event stays owned, and its guard timer ends it.
+        """
+        while True:
+            before = self.forwarder.actions
+            try:
+                self._carry_out(self.forwarder.decide(now, events), now)
+                return
+            except Exception:
+                log.exception("the decision module failed on event %d of %d", events.read, len(events))
+            decided = self.forwarder.actions
+            self._carry_out(decided if decided is not before else [], now)
+            if not events.read:
+                # No event is at fault. The round is tried again later: without that no timer of the module
+                # would be armed any more.
+                self.after(DECIDE_AGAIN_US, lambda: self._put(Timer(self.forwarder.token)))
+                return
+            events = events.unread()
+
+    def _carry_out(self, actions: list[Action], now: int) -> None:
+        for action in actions:
+            try:
+                self._do(action, now)
+            except Exception:
+                # The messages stay owned, and the actions behind it are still done.
+                log.exception("%s failed", action)
+
     def _put(self, event: Event) -> None:
         """Queue an event for the next tick."""
         self._events.append(event)
@@ -601,6 +623,7 @@
         if self._owed(message):
             log.error("message %s had no end when its time was up", message.id)
             self._end(message, End(Ending.FAILED))
+            self._put(Withdrawn(message.ref))  # should the module hold it, it would send what has ended
 
     def _end(self, message: Message, end: End) -> None:
         """The one place where a message ends."""
--- /dev/null
+++ b/tests/test_restart.py
@@ -0,0 +1,74 @@
+"""A restart with settings that do not fit what is owed, and a decision module that fails on one event."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from rowanrack.core.messages import Ending
+from rowanrack.net.http import Reply
+from rowanspindle import Accept, Forwarder
+from rowanspindle.wire import parse_settings
+from tests.rig import SETTINGS, Rig, answers, instance, on_loop
+
+OK = answers(Reply(200, {}))
+
+
+async def restart(rig: Rig, doc: dict[str, Any]) -> None:
+    """The next process on the rig's folder, with other settings."""
+    rig.sender.close()
+    rig.settings = parse_settings(json.dumps(doc))
+    await rig.start()
+
+
+async def owed(rig: Rig, *ids: str) -> None:
+    """Messages that are taken and cannot go: the only endpoint of their destination has gone."""
+    rig.once_listed(99)
+    client = await rig.client()
+    for message_id in ids:
+        assert await client.submit(message_id, d=1500, dest=99) == b"+OK\r\n"
+    rig.known = (instance("back", rig.servers[0].port, 99),)  # for the next process
+
+
+@pytest.mark.parametrize("failing", [1, 2, 3])
+@on_loop
+async def test_an_event_that_the_module_fails_on_takes_no_other_with_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, failing: int
+) -> None:
+    accept = Forwarder.accept
+
+    def picky(forwarder: Forwarder, event: Accept) -> None:
+        if event.ref == failing:
+            raise ZeroDivisionError
+        accept(forwarder, event)
+
+    async with Rig(tmp_path, OK) as rig:
+        await owed(rig, "m1", "m2", "m3")
+        monkeypatch.setattr(Forwarder, "accept", picky)
+        await restart(rig, SETTINGS)
+        await rig.platform.notice(f"m{failing}")
+        counts = rig.sender.exchange.counts
+        assert (counts[Ending.DELIVERED], counts[Ending.FAILED]) == (2, 1)
+        assert list(rig.platform.notices) == [f"m{failing}"]
+
+
+@on_loop
+async def test_what_was_decided_before_the_module_failed_is_done(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The send was lost, and the module took its slot to be in use from then on."""
+
+    def broken(_forwarder: Forwarder) -> None:
+        monkeypatch.undo()
+        raise ZeroDivisionError
+
+    async with Rig(tmp_path, OK) as rig:
+        monkeypatch.setattr(Forwarder, "close_idle", broken)  # behind the dispatch
+        await (await rig.client()).submit("m1", d=1500)
+        assert (await rig.ended("m1")).ending is Ending.DELIVERED
+        await (await rig.client()).submit("m2")
+        assert (await rig.ended("m2")).ending is Ending.DELIVERED
+        assert (1, 0) not in rig.sender.exchange.forwarder.attempts
