Give an owed message back whose class the settings do not know any more

Read and tried: a sender that starts with other settings than the process before it. An owed message without a key, whose class is keyed by now, was called out and after a reset called again: the endpoint cannot drop such a repeat, and a refusal of it told the client that coming again is safe.

Checked and ruled out: a tenant that is gone counts in full, a destination that is gone is handed back at its time, a lower try limit and a class that is unsafe by now are heeded by `Forwarder.hopeless`.

Such a message ends at once now: refused if it surely has not run, else failed.

test_a_class_that_is_gone_takes_nothing_else_with_it fails without it (given_up instead of handed_back, after its whole time), test_what_came_without_a_key_is_not_called_as_keyed too (a call, then handed_back instead of given_up for what had run). With it they pass, and so do test_core and test_keys.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -213,13 +213,19 @@
         return None
 
     def adopt(self, message: Message) -> None:
-        """Own a message that the store holds already: just taken, or found at the start."""
+        """Own a message that the store holds already: just taken, or found at the start.
+
+        One found at the start ends at once where the settings do not say any more what a repeat would do.
+        """
         self._next_ref += 1
         message.ref = self._next_ref
         left_us = max(0, message.deadline_us - self.clock.unix_us())
         self.messages[message.id] = self._refs[message.ref] = message
         for observer in self.observers:
             observer.taken(message, left_us)
+        if not self._repeats_known(message):
+            self._give_back(message)
+            return
         message.guard = self.after(left_us + GUARD_US, lambda: self._overdue(message))
         self._put(
             Accept(
@@ -235,6 +241,18 @@
             )
         )
 
+    def _repeats_known(self, message: Message) -> bool:
+        """Whether the settings say what a repeat of a message would do. Fronts take no other; a start may
+        find one whose class is gone, or that came without a key while its class was not keyed."""
+        cls = self.settings.classes.get(message.cls)
+        return cls is not None and (bool(message.key) or cls.effect is not Effect.KEYED)
+
+    def _give_back(self, message: Message) -> None:
+        """End a message that cannot be called out: refused if it surely has not run, else failed."""
+        log.warning("message %s is given back: class %s, front %s", message.id, message.cls, message.front)
+        ran = bool(message.unsettled)
+        self._end(message, End(Ending.FAILED) if ran else End(Ending.REFUSED, self._retry_us()))
+
     def _ran_us(self, message: Message) -> int:
         """How long ago the first attempt that may have run began, for a message that is adopted."""
         cls = self.settings.classes.get(message.cls)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from copy import deepcopy
 from pathlib import Path
 from typing import Any
 
@@ -12,11 +13,20 @@
 from rowanrack.net.http import Reply
 from rowanspindle import Accept, Forwarder
 from rowanspindle.wire import parse_settings
-from tests.rig import SETTINGS, Rig, answers, instance, on_loop
+from tests.rig import SETTINGS, Rig, answers, instance, on_loop, silent
 
 OK = answers(Reply(200, {}))
 
 
+def regraded(**changes: Any) -> dict[str, Any]:
+    """The settings with `album-update` changed; without it where the effect is None."""
+    doc = deepcopy(SETTINGS)
+    doc["grades"][0].update(changes)
+    if doc["grades"][0]["effect"] is None:
+        del doc["grades"][0]
+    return doc
+
+
 async def restart(rig: Rig, doc: dict[str, Any]) -> None:
     """The next process on the rig's folder, with other settings."""
     rig.sender.close()
@@ -24,6 +34,26 @@
     await rig.start()
 
 
+@on_loop
+async def test_a_class_that_is_gone_takes_nothing_else_with_it(tmp_path: Path) -> None:
+    """The module failed on the message, and with it went the list and all that was owed beside it."""
+    async with Rig(tmp_path, silent) as rig:
+        rig.once_listed(99)
+        client = await rig.client()
+        await client.submit("begun")
+        await rig.servers[0].asked(1)
+        await client.submit("untried", dest=99)
+        await client.submit("order", "print-order", dest=99)
+        await client.submit("fee", "entry-fee", key="k")
+        await rig.servers[0].asked(2)
+        rig.servers[0].behave = OK
+        await restart(rig, regraded(effect=None))
+        assert (await rig.platform.notice("untried"))["outcome"] == "handed_back"
+        assert (await rig.platform.notice("begun"))["outcome"] == "given_up"
+        await rig.until(lambda: rig.sender.exchange.counts[Ending.DELIVERED] == 1)
+        assert list(rig.sender.exchange.messages) == ["order"]
+
+
 async def owed(rig: Rig, *ids: str) -> None:
     """Messages that are taken and cannot go: the only endpoint of their destination has gone."""
     rig.once_listed(99)
@@ -33,6 +63,24 @@
     rig.known = (instance("back", rig.servers[0].port, 99),)  # for the next process
 
 
+@pytest.mark.parametrize(("tried", "outcome"), [(False, "handed_back"), (True, "given_up")])
+@on_loop
+async def test_what_came_without_a_key_is_not_called_as_keyed(
+    tmp_path: Path, tried: bool, outcome: str
+) -> None:
+    """Taken while its class was safe, its repeat went out without a key: nobody could have dropped it."""
+    async with Rig(tmp_path, answers(None, Reply(200, {}))) as rig:
+        if tried:
+            rig.servers[0].behave = silent
+            await (await rig.client()).submit("m1")
+            await rig.servers[0].asked(1)
+        else:
+            await owed(rig, "m1")
+        await restart(rig, regraded(effect="dedup", key_ttl_us=4_000_000))
+        assert (await rig.platform.notice("m1"))["outcome"] == outcome
+        assert len(rig.servers[0].requests) == tried
+
+
 @pytest.mark.parametrize("failing", [1, 2, 3])
 @on_loop
 async def test_an_event_that_the_module_fails_on_takes_no_other_with_it(
