Deliver what is owed of a front that the new configuration has not set up any more

Tried: a message that came by OTLP, was out at a kill, and was found by a process without the OTLP front. Each attempt opened a connection and then failed on the missing form of the call (KeyError in the log), which counted as a failed connection: the message used up its attempts and the endpoint was put out, for the messages of the other front as well.

Checked and ruled out: the form of the platform's calls is always there; an end without a listener is recorded and told to nobody, which is right for a client whose connection is gone.

At fault: `Sender.start` and `Sender._owned`, which owned all messages whatever their front. Both go by `recovery.own` now: OTLP's form is loaded where a message needs it, and a message of a front that this version does not know is given back at once.

test_what_came_by_a_front_that_is_gone_is_delivered_and_blames_nobody fails without it (no second call, KeyError 'otlp' five times in the log); with it it passes, and so do test_parts, test_platform and test_otlp.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -35,6 +35,7 @@
 from rowanrack.net.peers import PeerPort
 from rowanrack.net.pool import CallForm, InstancePool
 from rowanrack.net.timing import LoopClock, pause
+from rowanrack.recovery import own
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope
@@ -212,8 +213,7 @@
         self._owned(taken)
 
     def _owned(self, taken: list[Message]) -> None:
-        for message in taken:
-            self.exchange.adopt(message)
+        own(self.exchange, self.forms, taken)
         if self.notices is not None:
             for message_id in self.journal.absorbed:
                 ended = self.journal.ends.get(message_id)
@@ -241,8 +241,7 @@
             self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
         if self.watch is not None and self.config.platform is not None and self.config.platform.pushed:
             await self.watch.first()  # before anything is sent: it counts as told
-        for message in owed:
-            self.exchange.adopt(message)
+        own(self.exchange, self.forms, owed)
         self.exchange.pump()
         for front, (host, port) in self.fronts:
             try:
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -212,10 +212,11 @@
         self.adopt(message)
         return None
 
-    def adopt(self, message: Message) -> None:
+    def adopt(self, message: Message, served: bool = True) -> None:
         """Own a message that the store holds already: just taken, or found at the start.
 
-        One found at the start ends at once where the settings do not say any more what a repeat would do.
+        One found at the start ends at once where this process cannot answer for its calls: its front is not
+        served any more, or the settings have changed so that nothing says what a repeat would do.
         """
         self._next_ref += 1
         message.ref = self._next_ref
@@ -223,7 +224,7 @@
         self.messages[message.id] = self._refs[message.ref] = message
         for observer in self.observers:
             observer.taken(message, left_us)
-        if not self._repeats_known(message):
+        if not served or not self._repeats_known(message):
             self._give_back(message)
             return
         message.guard = self.after(left_us + GUARD_US, lambda: self._overdue(message))
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -202,6 +202,7 @@
         self.servers = [HttpStandIn(b) for b in behaviours]
         doc = SETTINGS | (given or {}) | {"limits": SETTINGS["limits"] | limits}
         self.settings: Settings = parse_settings(json.dumps(doc))
+        self.changes: dict[str, Any] = {}  # to the configuration, from the next start on
         self.known: tuple[Instance, ...] = ()
         self.results, self.ends = list[Result](), list[tuple[str, End]]()
         self._news = asyncio.Event()
@@ -225,7 +226,7 @@
             otlp=OtlpConfig((host, 0), 256 * 1024, MAPPING),
             mgmt=(host, 0),
         )
-        self.sender = Sender(config)
+        self.sender = Sender(replace(config, **self.changes))
         await self.sender.start()
         exchange, settle = self.sender.exchange, self.sender.exchange.settle
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from copy import deepcopy
 from pathlib import Path
@@ -14,6 +15,7 @@
 from rowanspindle import Accept, Forwarder
 from rowanspindle.wire import parse_settings
 from tests.rig import SETTINGS, Rig, answers, instance, on_loop, silent
+from tests.test_otlp import logs
 
 OK = answers(Reply(200, {}))
 
@@ -54,6 +56,20 @@
         assert list(rig.sender.exchange.messages) == ["order"]
 
 
+@on_loop
+async def test_what_came_by_a_front_that_is_gone_is_delivered_and_blames_nobody(tmp_path: Path) -> None:
+    """Each attempt counted as a failed connection: six were used up, and the endpoint was put out."""
+    async with Rig(tmp_path, silent) as rig:
+        export = asyncio.ensure_future(rig.export(logs(), x_class="album-update", x_left_ms="3000"))
+        await rig.servers[0].asked(1)
+        export.cancel()
+        rig.servers[0].behave, rig.changes = OK, {"otlp": None}
+        await restart(rig, SETTINGS)
+        assert (await rig.servers[0].asked(2))[1].target == "/v1/logs"
+        await rig.until(lambda: rig.sender.exchange.counts[Ending.DELIVERED] == 1)
+        assert rig.sender.exchange.ejected == 0
+
+
 async def owed(rig: Rig, *ids: str) -> None:
     """Messages that are taken and cannot go: the only endpoint of their destination has gone."""
     rig.once_listed(99)
