Read settings with nulls, with whole numbers written as 2e6, and with short lists of kinds

No division by zero, no loop, nobody who never sends; but the reader of the settings failed on three legal forms:

- An optional object that is null (extra, rules, prices, kinds) ended the start, while tenants, azs and report could be null; a null group of a class made it bound to its zone.
- JSON may write a whole number as 2e6 or 2000000.0.
A most_held that is no number (1e999) was taken.
- The shorter of batch_by_kind and kind_apart cut off what the other told of the kinds behind it.

At fault: `wire._settings`, which passed figures on as they came and zipped the three lists; the same for the null limits and seed in `config.platform_config`.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -26,6 +26,10 @@
 PUSHED_WITHIN_GRACES = 1.6
 DRAIN_GRACE_US = 250_000  # where the settings name none
 
+TICK_US = 5_000  # resolution of timers where none is given,
+DISK_MB = 3.0  # and the room for the journal,
+SOCKETS = 1024  # and the descriptors
+
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text is one clear line."""
@@ -160,6 +164,12 @@
     return doc
 
 
+def given(doc: Mapping[str, Any], key: str, default: Any) -> Any:
+    """What a document says under a key that may be absent or null."""
+    value = doc.get(key)
+    return default if value is None else value
+
+
 def platform_config(env: Mapping[str, str]) -> Config:
     """The configuration of a sender on the platform, from its environment."""
     if not env.get("ROUTER_CONFIG"):
@@ -177,15 +187,15 @@
             within_us = min(settings.ask_within_us, max(1, int(PUSHED_WITHIN_GRACES * grace_us)))
             settings = replace(settings, on_request=True, ask_within_us=within_us)
         seq, _, known = parse_list(doc["known"])
-        limits = doc.get("limits", {})
+        limits = given(doc, "limits", {})
         return Config(
             name=str(env.get("ROUTER_NAME") or doc["name"]),
             settings=settings,
-            tick_us=int(raw.get("resolution_us", 5000)),
-            seed=int(str(doc.get("seed", "0")), 16),
+            tick_us=int(given(raw, "resolution_us", TICK_US)),
+            seed=int(str(given(doc, "seed", "0")), 16),
             state=Path(state),
-            disk_bytes=int(float(limits.get("disk_mb", 3)) * 1_000_000),
-            sockets=int(limits.get("sockets", 1024)),
+            disk_bytes=int(float(given(limits, "disk_mb", DISK_MB)) * 1_000_000),
+            sockets=int(given(limits, "sockets", SOCKETS)),
             platform=PlatformConfig(
                 parse_address(env.get("ROUTER_LISTEN") or doc["listen"]),
                 # The file first: it may have been replaced since the environment was set.
--- a/rowanspindle/wire.py
+++ b/rowanspindle/wire.py
@@ -5,6 +5,7 @@
 import json
 import math
 from collections.abc import Callable
+from itertools import zip_longest
 from typing import Any
 
 from rowanspindle import notes
@@ -97,70 +98,55 @@
 
 
 def parse_settings(raw: str) -> Settings:
-    """Read the settings; keys that are not known are skipped, optional ones may be absent."""
+    """Read the settings; keys that are not known are skipped, optional ones may be absent or null."""
     try:
         doc = json.loads(raw)
-    except json.JSONDecodeError as error:
+    except (json.JSONDecodeError, RecursionError) as error:
         raise WireError(f"settings are no JSON: {error}") from None
     try:
         return _settings(doc)
     except (KeyError, TypeError, AttributeError) as error:
         raise WireError(f"settings: bad or missing {error}") from None
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         raise WireError(f"settings: {error}") from None
 
 
 def _settings(doc: dict[str, Any]) -> Settings:
-    limits, rules, extra = doc["limits"], doc.get("rules", {}), doc.get("extra", {})
-    names, report = doc.get("kinds", []), doc.get("report") or {}
-    batches = extra.get("batch_by_kind") or [1] * len(names)
-    aparts = extra.get("kind_apart") or [False] * len(names)
+    limits, rules, extra = doc["limits"], doc.get("rules") or {}, doc.get("extra") or {}
+    zones, prices, report = doc.get("azs") or [], doc.get("prices") or {}, doc.get("report") or {}
     given: dict[str, Any] = {
-        "replicas": doc.get("replicas_of_me"),
-        "try_limit": limits.get("try_limit"),
+        "replicas": count(doc.get("replicas_of_me")),
+        "try_limit": count(limits.get("try_limit")),
         "cancel": limits.get("cancel"),
         "second_copies": limits.get("second_copies"),
         "over_share_worth": doc.get("over_share_worth"),
-        "max_come_back_us": limits.get("max_retry_after_us"),
-        "keepalive_us": limits.get("keepalive_us"),
-        "connect_timeout_us": limits.get("connect_timeout_us"),
-        "streams_per_conn": limits.get("streams_per_conn"),
-        "ask_within_us": rules.get("ask_within_us"),
-        "answer_slack_us": rules.get("answer_slack_us"),
+        "max_come_back_us": count(limits.get("max_retry_after_us")),
+        "keepalive_us": count(limits.get("keepalive_us")),
+        "connect_timeout_us": count(limits.get("connect_timeout_us")),
+        "streams_per_conn": count(limits.get("streams_per_conn")),
+        "ask_within_us": count(rules.get("ask_within_us")),
+        "answer_slack_us": count(rules.get("answer_slack_us")),
         "cold_share": rules.get("cold_share"),
-        "ramp_us": rules.get("ramp_time_us"),
-        "fall_us": rules.get("fall_us"),
+        "ramp_us": count(rules.get("ramp_time_us")),
+        "fall_us": count(rules.get("fall_us")),
         "overload_factor": rules.get("overload_factor"),
-        "key_rest_us": rules.get("key_rest_us"),
+        "key_rest_us": count(rules.get("key_rest_us")),
         "refused_price": extra.get("turned_away_price"),
         "peers": limits.get("peers"),
-        "peer_price": doc.get("prices", {}).get("peer"),
-        "crossing_price": doc.get("prices", {}).get("cross_zone"),
+        "peer_price": prices.get("peer"),
+        "crossing_price": prices.get("cross_zone"),
         "zone": doc.get("zone"),
-        "zones": len(doc.get("azs") or [""]),
+        "zones": len(zones or [""]),
+        "most_held": count(limits["most_held"]),
+        "slots": count(limits["most_held"] if extra.get("slots") is None else extra["slots"]),
     }
     return Settings(
-        classes={
-            g["name"]: MessageClass(
-                name=g["name"],
-                aim_us=g["slo_us"],
-                deadline_us=g["deadline_us"],
-                worth=g["worth"],
-                late_worth=g.get("late_worth", 0.0),
-                effect=EFFECTS[g["effect"]],
-                same_zone=g.get("group", "all") != "all",
-                key_ttl_us=g.get("key_ttl_us", 0),
-                ordered=bool(g.get("one_at_a_time", False)),
-            )
-            for g in doc["grades"]
-        },
-        slots=extra.get("slots", limits["most_held"]),
-        most_held=limits["most_held"],
+        classes={g["name"]: _message_class(g) for g in doc["grades"]},
         tenants={t["name"]: float(t["quota_per_s"]) for t in doc.get("tenants") or []},
-        kinds={n: Kind(b, bool(a)) for n, b, a in zip(names, batches, aparts, strict=False)},
+        kinds=_kinds(doc.get("kinds") or [], extra),
         weights_told=doc.get("weight_kind") != "silent",
         weights_exact=doc.get("weight_kind") == "nominal",
-        zone_fees=dict(zip(doc.get("azs") or [], extra.get("zone_fee") or [], strict=False)),
+        zone_fees=dict(zip(zones, extra.get("zone_fee") or [], strict=False)),
         reports=tuple(report.get("names") or ()) if report.get("how") == "piggyback" else (),
         on_request=doc.get("membership_mode") == "on_request",
         halves=extra.get("fades") == "halves",
@@ -168,6 +154,32 @@
     )
 
 
+def count(value: Any) -> int | None:
+    """A whole number, however JSON writes it (2e6, 2000000.0): records and timers take no other."""
+    return None if value is None else int(value)
+
+
+def _message_class(grade: dict[str, Any]) -> MessageClass:
+    return MessageClass(
+        name=grade["name"],
+        aim_us=int(grade["slo_us"]),
+        deadline_us=int(grade["deadline_us"]),
+        worth=grade["worth"],
+        late_worth=grade.get("late_worth") or 0.0,
+        effect=EFFECTS[grade["effect"]],
+        same_zone=(grade.get("group") or "all") != "all",
+        key_ttl_us=int(grade.get("key_ttl_us") or 0),
+        ordered=bool(grade.get("one_at_a_time")),
+    )
+
+
+def _kinds(names: list[str], extra: dict[str, Any]) -> dict[str, Kind]:
+    """What is told of each kind; a list that ends early says nothing of those behind."""
+    batches, aparts = extra.get("batch_by_kind") or [], extra.get("kind_apart") or []
+    told = zip_longest(names, batches[: len(names)], aparts[: len(names)])
+    return {name: Kind(int(batch or 1), bool(apart)) for name, batch, apart in told}
+
+
 def parse_entry(line: str) -> Member:
     """One entry of a numbered list."""
     target, zone, kind, dest, status, units, _ready = fields(line, 7)
--- a/tests/test_settings_range.py
+++ b/tests/test_settings_range.py
@@ -8,14 +8,17 @@
 from tempfile import TemporaryDirectory
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Progress, Verdict
+from rowanrack.net.http import Reply
 from rowanrack.store.journal import Journal
-from rowanspindle import Effect, Result, Scope, Settings, Status
-from rowanspindle.wire import parse_settings
+from rowanspindle import Effect, Kind, Result, Scope, Settings, Status
+from rowanspindle.wire import WireError, parse_settings
+from tests.rig import SETTINGS, Rig, answers, on_loop
 
 SECOND, TICK = 1_000_000, 5000
 SLACK_US = 300_000  # past a message's time, by which it has its end
@@ -243,3 +246,69 @@
             world.exchange.pump()
         assert set(world.ends) == set(world.taken)
         world.journal.close()
+
+
+def graded(**changes: Any) -> dict[str, Any]:
+    """Settings whose classes are all changed alike."""
+    return {"grades": [grade | changes for grade in SETTINGS["grades"]]}
+
+
+MANY_CLASSES = [SETTINGS["grades"][0] | {"name": f"c{n}", "effect": EFFECTS[n % 3]} for n in range(60)]
+MANY_TENANTS = [{"name": "a", "quota_per_s": 0.01}, *({"name": f"t{n}", "quota_per_s": 1} for n in range(50))]
+EXTREMES: dict[str, tuple[dict[str, Any], dict[str, Any]]] = {
+    "one slot, one held, one try": ({"extra": {"slots": 1}}, {"most_held": 1, "try_limit": 1}),
+    "500 senders, weights silent": ({"replicas_of_me": 500, "weight_kind": "silent"}, {}),
+    "100000 senders, weights nominal": ({"replicas_of_me": 100_000}, {}),
+    "deadline near, aim the same": (graded(slo_us=300_000, deadline_us=300_000), {}),
+    "deadline an hour, no late worth": (graded(deadline_us=3_600_000_000, late_worth=0), {}),
+    "late is as good, worth tiny": (graded(late_worth=1, worth=0.001), {}),
+    "halves of nothing, worth huge": (graded(late_worth=0, worth=1000) | {"extra": {"fades": "halves"}}, {}),
+    "connections that hardly last": ({}, {"keepalive_us": 100_000, "streams_per_conn": 100}),
+    "connections beyond any deadline": ({}, {"connect_timeout_us": 3_600_000_000}),
+    "no tenants, no kinds": ({"tenants": [], "kinds": []}, {}),
+    "51 tenants": ({"tenants": MANY_TENANTS, "over_share_worth": 0}, {}),
+    "60 classes": ({"grades": [*SETTINGS["grades"], *MANY_CLASSES]}, {}),
+    "keys of a second": (graded(key_ttl_us=1_000_000), {}),
+    "ramp of a millisecond": ({"rules": {"cold_share": 1, "ramp_time_us": 1000}}, {}),
+    "asked each 100 ms": ({"rules": {"ask_within_us": 100_000, "answer_slack_us": 0}}, {}),
+    "asked each ten minutes": ({"rules": {"ask_within_us": 600_000_000}}, {}),
+    "nothing but what is needed": ({k: None for k in SETTINGS if k not in ("grades", "limits")}, {}),
+    "unknown keys": (graded(new={"x": [1]}) | {"new": 1, "extra": {"new": None}}, {"new": None}),
+    "whole numbers with a point": (graded(slo_us=5e5, deadline_us=2e7), {"max_retry_after_us": 5e5}),
+}
+
+
+@pytest.mark.parametrize(("changed", "limits"), EXTREMES.values(), ids=list(EXTREMES))
+@on_loop
+async def test_a_sender_delivers_and_hands_back_under_extreme_settings(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, changed: dict[str, Any], limits: dict[str, Any]
+) -> None:
+    async with Rig(tmp_path, answers(Reply(200, {})), given=changed, **limits) as rig:
+        rig.once_listed(99)
+        client = await rig.client()
+        for n in range(2):
+            assert await client.submit(f"m{n}", d=550) == b"+OK\r\n"
+            assert (await rig.ended(f"m{n}")).ending is Ending.DELIVERED
+        assert await client.submit("nowhere", d=100, dest=99) == b"+OK\r\n"
+        assert (await rig.platform.notice("nowhere"))["outcome"] == "handed_back"
+    assert not [record for record in caplog.records if record.levelname == "ERROR"]
+
+
+@pytest.mark.parametrize("key", ["kinds", "azs", "extra", "rules", "prices", "report", "tenants", "zone"])
+def test_what_is_null_counts_as_absent(key: str) -> None:
+    rest = {name: value for name, value in SETTINGS.items() if name != key}
+    assert parse_settings(json.dumps(rest | {key: None})) == parse_settings(json.dumps(rest))
+
+
+def test_a_list_that_ends_early_says_nothing_of_the_kinds_behind() -> None:
+    """The shortest list cut all of them off, and with it what the others told."""
+    extra = {"batch_by_kind": [1, 20], "kind_apart": [True]}
+    found = parse_settings(json.dumps(SETTINGS | {"kinds": ["a", "b", "c"], "extra": extra})).kinds
+    assert found == {"a": Kind(1, True), "b": Kind(20, False), "c": Kind()}
+
+
+@pytest.mark.parametrize("figure", ["1e999", "NaN", '"x"', "[]", "0.5"])
+def test_a_figure_that_is_none_is_named_as_bad_settings(figure: str) -> None:
+    raw = json.dumps(SETTINGS | {"limits": {"most_held": 7777}}).replace("7777", figure)
+    with pytest.raises(WireError, match="settings"):
+        parse_settings(raw)
