Take over what another process on the folder leaves when it dies beside this one

At a hot restart the process that came later takes the other slot; if it dies before the first one was told to end, the first one serves on, and nobody looked at what the dead one had taken on before the next start: its messages were lost, and its notices not told.

Checked and ruled out: the lock of a killed process goes with it; a start that finds a slot held for a look tries again (`_free_slot`); what both journals know is owed once.

At fault: `_take_over`, which ended after its first success. It now looks once a second whether the other file is there, which costs one stat, and takes it over as ever once its lock is free.

test_a_process_owns_what_another_beside_it_leaves_when_it_dies fails without it (never delivered, 30 s); with it it passes, and so do test_mgmt and the contract of the message stores.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -56,6 +56,7 @@
 FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
 LOOK_US = 20_000  # between looks at whether all is settled
 SHARED_LOOK_US = 100_000  # between looks at whether the other process of a hot restart has let go
+DIED_LOOK_US = 1_000_000  # and, once it has, at whether one that came later has died
 BANS_LOOK_US = 200_000  # between looks at the bans that the other process may have changed
 
 
@@ -207,10 +208,17 @@
                 log.info("mgmt: detached endpoints are written again")
 
     async def _take_over(self) -> None:
-        """Wait for the process before this one to let go of its journal, then own what it left."""
+        """Own what the process before this one left, once it lets go of its journal.
+
+        Then what another process leaves that dies beside this one: nobody else would look before a restart.
+        """
         while (taken := self.journal.absorb()) is None:
             await pause(self.exchange.after, SHARED_LOOK_US)
         self._owned(taken)
+        while True:
+            await pause(self.exchange.after, DIED_LOOK_US)
+            if self.journal.other_path.exists() and (taken := self.journal.absorb()) is not None:
+                self._owned(taken)
 
     def _owned(self, taken: list[Message]) -> None:
         own(self.exchange, self.forms, taken)
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -191,6 +191,11 @@
         """The slot of the other process at a hot restart."""
         return SLOTS[1 - SLOTS.index(self.slot)]
 
+    @property
+    def other_path(self) -> Path:
+        """The file of that process, there while it runs and until it is taken over."""
+        return self.folder / f"{self.other}.log"
+
     def _lock(self, slot: str) -> int | None:
         """The descriptor that holds a slot's lock, or None while another process holds it."""
         fd = os.open(self.folder / f"{slot}.lock", os.O_RDWR | os.O_CREAT, 0o600)
@@ -265,7 +270,7 @@
         if 0 < self._absorb_us - self.unix_us() <= AGAIN_US or (fd := self._lock(self.other)) is None:
             return None
         try:
-            path = self.folder / f"{self.other}.log"
+            path = self.other_path
             data = path.read_bytes() if path.exists() else b""
             self._absorb(data)
             path.unlink(missing_ok=True)
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -12,7 +12,7 @@
 
 from rowanrack.core.messages import Ending
 from rowanrack.net.http import Reply
-from rowanspindle import Accept, Forwarder
+from rowanspindle import Accept, Forwarder, Scope
 from rowanspindle.wire import parse_settings
 from tests.rig import SETTINGS, Rig, answers, instance, on_loop, silent
 from tests.test_otlp import logs
@@ -70,12 +70,12 @@
         assert rig.sender.exchange.ejected == 0
 
 
-async def owed(rig: Rig, *ids: str) -> None:
+async def owed(rig: Rig, *ids: str, d: int = 1500) -> None:
     """Messages that are taken and cannot go: the only endpoint of their destination has gone."""
     rig.once_listed(99)
     client = await rig.client()
     for message_id in ids:
-        assert await client.submit(message_id, d=1500, dest=99) == b"+OK\r\n"
+        assert await client.submit(message_id, d=d, dest=99) == b"+OK\r\n"
     rig.known = (instance("back", rig.servers[0].port, 99),)  # for the next process
 
 
@@ -136,3 +136,18 @@
         await (await rig.client()).submit("m2")
         assert (await rig.ended("m2")).ending is Ending.DELIVERED
         assert (1, 0) not in rig.sender.exchange.forwarder.attempts
+
+
+@on_loop
+async def test_a_process_owns_what_another_beside_it_leaves_when_it_dies(tmp_path: Path) -> None:
+    """It had looked once, at its own start: what a process that came later had taken on was lost."""
+    async with Rig(tmp_path, OK) as rig:
+        first = rig.sender
+        assert await (await rig.client()).command("PING") == b"+PONG\r\n"  # it has looked by then
+        await rig.start()
+        await owed(rig, "m1", d=5000)
+        rig.sender.close()  # as after SIGKILL
+        rig.sender = first
+        first.exchange.list_instances(Scope.FULL, rig.known)
+        await rig.until(lambda: first.exchange.counts[Ending.DELIVERED] == 1)
+        assert not first.journal.owed and not (tmp_path / "messages.b.log").exists()
