Own what is taken over also where the other process's file cannot be removed

Where the removal fails (a folder that has become read-only, files that are open for writing stay usable), the messages stood in both journals and were never given out: neither sent nor ended. Giving them out with the file still there would be worse: after a kill the next process finds them owed once more in the old file, and may send what has been delivered.

Checked and ruled out: a kill between the record and the removal leaves the same state in both files, which the next process owes once.

At fault: the two `unlink` in `absorb`. The file is emptied first, which needs no right on the folder and leaves nothing owed twice; its removal may fail.

test_what_is_taken_over_is_owned_though_its_file_cannot_be_removed fails without it (absorb gives nothing); with it it passes, and so do the contract of the message stores, test_mgmt and test_keys.

--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import fcntl
 import logging
@@ -273,8 +274,11 @@
             path = self.other_path
             data = path.read_bytes() if path.exists() else b""
             self._absorb(data)
-            path.unlink(missing_ok=True)
-            (self.folder / f"{self.other}.new").unlink(missing_ok=True)
+            if data:
+                os.truncate(path, 0)  # from here on nothing is owed twice, should the file not go
+            with contextlib.suppress(OSError):
+                path.unlink(missing_ok=True)
+                (self.folder / f"{self.other}.new").unlink(missing_ok=True)
         except (OSError, JournalError) as error:
             if not self._absorb_us:
                 why = error.strerror or error if isinstance(error, OSError) else error
--- a/tests/contracts/test_message_stores.py
+++ b/tests/contracts/test_message_stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 from collections import deque
@@ -254,3 +255,27 @@
         last = bench.open()
         assert last.absorb() is not None
         ledger.check(last)
+
+
+def test_what_is_taken_over_is_owned_though_its_file_cannot_be_removed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was recorded here, and neither owed here nor left to the next process."""
+
+    def refused(path: Path, missing_ok: bool = False) -> None:
+        raise PermissionError(errno.EACCES, "Permission denied")
+
+    first, second = (Journal(tmp_path, 3_000_000, lambda: NOW) for _ in range(2))
+    first.open()
+    second.open()
+    assert first.take(Message("a", "c", "t", 3, 5_000_000, b"", "platform"))
+    first.close()
+    monkeypatch.setattr(Path, "unlink", refused)
+    taken = second.absorb()
+    assert taken is not None and [m.id for m in taken] == ["a"] and second.absorb() == []
+    second.end(taken[0], DELIVERED)
+    second.close()
+    monkeypatch.undo()
+    third = Journal(tmp_path, 3_000_000, lambda: NOW)
+    third.open()
+    assert third.absorb() == [] and not third.owed and third.ended("a") == DELIVERED
