Read the detached endpoints at the next look where this one could not

Read: `BanFile.changed` noted the file's stamp before it read it. Where reading failed for the moment (no descriptor left, as at a start under many clients), the file passed for seen: endpoints that an operator had detached, here or in the other process of a hot restart, were used until somebody changed the set again. An error of `stat` itself ended the task that looks (`Sender._watch_bans`), and at the start the sender.

Checked and ruled out: a file that is damaged is told of once and its bans stay; a write comes whole or not at all; a write of the other process between stamp and read shows at the next look.

At fault: the order in `changed`. What could not be read counts as not seen, and is told of once.

test_what_could_not_be_read_for_a_moment_is_read_at_the_next_look fails without it at both steps (OSError out of `changed`; None instead of the set); with it it passes, and so does the rest of test_bans.

--- a/rowanrack/store/bans.py
+++ b/rowanrack/store/bans.py
@@ -20,6 +20,7 @@
     def __init__(self, folder: Path) -> None:
         self.path = folder / FILE
         self._seen: Stamp | None = UNREAD
+        self._failing = False  # the last look could not read it
 
     def _stamp(self) -> Stamp | None:
         """What tells one version of the file from another, however soon it follows; None if there is none."""
@@ -30,17 +31,23 @@
 
     def changed(self) -> set[str] | None:
         """The bans as they stand, if the file has changed since it was last read or written here."""
-        stamp = self._stamp()
-        if stamp == self._seen:
+        try:
+            if (stamp := self._stamp()) == self._seen:
+                return None
+            raw = b"[]" if stamp is None else self.path.read_bytes()
+        except OSError as error:
+            # Not seen: the next look tries again. Guards against bans that a process short of descriptors
+            # would not heed until somebody changes them.
+            if not self._failing:
+                log.error("%s: not read yet, the bans stay as they were: %s", self.path.name, error)
+            self._failing = True
             return None
-        self._seen = stamp
-        if stamp is None:
-            return set()
+        self._seen, self._failing = stamp, False
         try:
-            names = json.loads(self.path.read_text(encoding="utf-8"))
+            names = json.loads(raw.decode("utf-8"))
             if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
                 raise ValueError("not a list of names")
-        except (OSError, ValueError, RecursionError) as error:
+        except (ValueError, RecursionError) as error:
             log.error("%s: not read, the bans stay as they were: %s", self.path.name, error)
             return None
         return set(names)
--- a/tests/contracts/test_bans.py
+++ b/tests/contracts/test_bans.py
@@ -156,6 +156,25 @@
     assert other.changed() == {"a"}
 
 
+@pytest.mark.parametrize("step", ["stat", "read_bytes"])
+def test_what_could_not_be_read_for_a_moment_is_read_at_the_next_look(
+    step: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """With no descriptor left it passed for read: the bans were not heeded until somebody changed them."""
+
+    def short(*_: object, **__: object) -> None:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    BanFile(tmp_path).write({"a"})
+    starts = BanFile(tmp_path)
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, step, short)
+        patch.setattr(Path, "read_text", short)
+        assert starts.changed() is None and starts.changed() is None
+    assert len(caplog.records) == 1
+    assert starts.changed() == {"a"} and starts.changed() is None
+
+
 def test_a_folder_that_is_gone_is_an_error_that_is_raised(tmp_path: Path) -> None:
     make: Callable[[], BanFile] = lambda: BanFile(tmp_path / "gone")  # noqa: E731
     assert make().changed() == set()
