--- a/tests/test_settings_range.py
+++ b/tests/test_settings_range.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -76,11 +77,7 @@
     def __init__(self, folder: Path, rng: Random) -> None:
         self.rng, self.now = rng, 1000 * SECOND
         self.settings: Settings = parse_settings(json.dumps(drawn(rng)))
-        self.journal = Journal(folder, 3_000_000, self.unix_us)
-        self.journal.open()
-        self.exchange = Exchange(self.settings, rng.randint(1, 1 << 30), self, self.journal, TICK)
-        self.exchange.side = self
-        self.exchange.listeners["platform"] = self.ended
+        self.folder = folder
         self.due: list[tuple[int, int, Batch]] = []  # when a batch's connection is open, or its answer comes
         self.out: dict[Batch, list[Execution]] = {}
         self.open: set[Batch] = set()
@@ -96,7 +93,39 @@
             for d in range(3)
             for n in range(2)
         ]
-        self.exchange.list_instances(Scope.FULL, self.instances)
+        self.start_process()
+
+    def start_process(self) -> None:
+        """The next process on the folder, after a kill or, as at a hot restart, beside one that leaves."""
+        before, self.started = getattr(self, "journal", None), self.now
+        self.journal = Journal(self.folder, 3_000_000, self.unix_us, attempts=self.settings.try_limit)
+        if before is not None and self.rng.random() < 0.5:
+            kill(before)
+            before = None
+        self.journal.open()
+        self.exchange = Exchange(self.settings, self.rng.randint(1, 1 << 30), self, self.journal, TICK)
+        self.exchange.side = self
+        self.exchange.listeners["platform"] = self.ended
+        self.exchange.list_instances(Scope.FULL, [i for i in self.instances if i.name not in self.closed])
+        owed = list(self.journal.owed.values())
+        if before is not None:
+            self.exchange.pump()
+            before.close()
+        owed += self.journal.absorb() or []
+        assert {m.id for m in owed} == self.journal.owed.keys() == self.taken.keys() - self.ends.keys()
+        for message in owed:
+            assert message.legs >= len(self.begun.get(message.id, ()))
+            self.exchange.adopt(message)
+
+    def restart(self) -> None:
+        """What is out ends with its process, and may have run; a told wait ends too. Settings may change."""
+        for part in self.out.values():
+            self.results.update((e, Result.RESET) for e in part)
+        self.open, self.out, self.due, self.waits = set(), {}, [], {}
+        self.now += self.rng.choice([0, 100_000, 600_000, 5 * SECOND])
+        if self.rng.random() < 0.5:
+            self.settings = parse_settings(json.dumps(drawn(self.rng)))
+        self.start_process()
 
     def now_us(self) -> int:
         return self.now
@@ -112,7 +141,7 @@
     # The instances' side, with its checks.
 
     def start(self, batch: Batch) -> None:
-        most = self.settings.kinds[batch.instance.kind].batch
+        most = self.settings.kinds.get(batch.instance.kind, Kind()).batch
         assert 1 <= len(batch.executions) <= most
         ids = [e.message.id for e in batch.executions]
         assert len(set(ids)) == len(ids)
@@ -133,7 +162,7 @@
         self.due = [d for d in self.due if d[2] is not batch]
 
     def limit(self, instance: Instance) -> str | int:
-        return instance.name if self.settings.kinds[instance.kind].apart else instance.dest
+        return instance.name if self.settings.kinds.get(instance.kind, Kind()).apart else instance.dest
 
     def may_have_run(self, execution: Execution) -> bool:
         out = any(execution in part for part in self.out.values())
@@ -154,6 +183,7 @@
         ran = [at for at, e in before if self.may_have_run(e)]
         assert not ran or cls.effect is not Effect.UNSAFE
         assert not ran or cls.effect is not Effect.KEYED or self.now < ran[0] + cls.key_ttl_us
+        assert not ran or cls.effect is not Effect.KEYED or message.key
         before.append((self.now, execution))
 
     def serve(self) -> None:
@@ -201,10 +231,13 @@
 
     def ended(self, message: Message, end: End) -> None:
         assert message.id not in self.ends, "two ends"
-        assert self.now <= message.deadline_us + SLACK_US
+        assert self.now <= max(message.deadline_us, self.started) + SLACK_US
         if end.ending is Ending.REFUSED:
-            cls, ran = self.settings.classes[message.cls], self.begun.get(message.id, [])
-            repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and not cls.same_zone)
+            cls, ran = self.settings.classes.get(message.cls), self.begun.get(message.id, [])
+            repeatable = cls is not None and (
+                cls.effect is Effect.SAFE
+                or (cls.effect is Effect.KEYED and not cls.same_zone and bool(message.key))
+            )
             assert repeatable or not any(self.may_have_run(e) for _, e in ran)
         self.ends[message.id] = self.now, end
 
@@ -228,9 +261,27 @@
         self.exchange.list_instances(Scope.DELTA, [news])
 
 
+def kill(journal: Journal) -> None:
+    """As by SIGKILL: the kernel keeps what was written, and lets go of the lock."""
+    assert journal.file is not None
+    for descriptor in (journal.file.fd, journal.lock_fd):
+        os.close(descriptor)
+
+
 @settings(max_examples=40, deadline=None, derandomize=True)
 @given(st.integers(0, 1 << 32))
 def test_the_rules_hold_for_all_settings(seed: int) -> None:
+    check_rules(seed, restarts=0.0)
+
+
+@settings(max_examples=40, deadline=None, derandomize=True)
+@given(st.integers(0, 1 << 32))
+def test_the_rules_hold_across_restarts_for_all_settings(seed: int) -> None:
+    check_rules(seed, restarts=0.004)
+
+
+def check_rules(seed: int, restarts: float) -> None:
+    """Hand in messages among bad peers, with restarts at this chance a tick; each has its one end in time."""
     with TemporaryDirectory() as folder:
         world, rng, number = World(Path(folder), Random(seed)), Random(seed + 1), 0
         while world.taken.keys() - world.ends.keys() or number < 120:
@@ -242,6 +293,8 @@
                     world.hand_in(number)
             if rng.random() < 0.002:
                 world.drain()
+            if restarts and rng.random() < restarts:
+                world.restart()
             world.serve()
             world.exchange.pump()
         assert set(world.ends) == set(world.taken)
