--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -221,7 +221,12 @@
 
     def shared(self) -> bool:
         """Whether another process holds the other slot: one of the two of a hot restart."""
-        fd = self._lock(self.other)
+        try:
+            fd = self._lock(self.other)
+        except OSError as error:
+            # Guards the exit: alone, this process goes on as long as it may.
+            log.warning("journal: no look at the other slot: %s", error.strerror or error)
+            return False
         if fd is None:
             return True
         os.close(fd)
@@ -268,7 +273,14 @@
         What it still owed is owed here from now on, and its ends are kept here; its file goes. All of it is
         recorded here first, or none: until then that file is the only one that knows.
         """
-        if 0 < self._absorb_us - self.unix_us() <= AGAIN_US or (fd := self._lock(self.other)) is None:
+        if 0 < self._absorb_us - self.unix_us() <= AGAIN_US:
+            return None
+        try:
+            fd = self._lock(self.other)
+        except OSError as error:
+            self._not_absorbed(error)
+            return None
+        if fd is None:
             return None
         try:
             path = self.other_path
@@ -280,10 +292,7 @@
                 path.unlink(missing_ok=True)
                 (self.folder / f"{self.other}.new").unlink(missing_ok=True)
         except (OSError, JournalError) as error:
-            if not self._absorb_us:
-                why = error.strerror or error if isinstance(error, OSError) else error
-                log.error("journal: the other process's file is not taken over yet: %s", why)
-            self._absorb_us = self.unix_us() + AGAIN_US
+            self._not_absorbed(error)
             return None
         finally:
             os.close(fd)
@@ -293,6 +302,13 @@
             log.info("journal: %d messages taken over from the process before", len(taken))
         return taken
 
+    def _not_absorbed(self, error: OSError | JournalError) -> None:
+        """Say so once, and try again later."""
+        if not self._absorb_us:
+            why = error.strerror or error if isinstance(error, OSError) else error
+            log.error("journal: the other process's file is not taken over yet: %s", why)
+        self._absorb_us = self.unix_us() + AGAIN_US
+
     def _absorb(self, data: bytes) -> None:
         """Record what another file holds and is not known here. Raises OSError, and has recorded none."""
         found = Journal(self.folder, self.budget, self.unix_us, self.keep_us, self.keep_us_of, self.attempts)
--- a/tests/contracts/test_message_stores.py
+++ b/tests/contracts/test_message_stores.py
@@ -15,7 +15,16 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule, run_state_machine_as_test
 
 from rowanrack.core.messages import Message
-from rowanrack.store.journal import BEGUN, MAGIC, Journal, JournalError, frame, pack_text, step_record
+from rowanrack.store.journal import (
+    AGAIN_US,
+    BEGUN,
+    MAGIC,
+    Journal,
+    JournalError,
+    frame,
+    pack_text,
+    step_record,
+)
 from rowanrack.store.memory import MemoryStore
 from tests.contracts.stores import (
     DELIVERED,
@@ -279,3 +288,24 @@
     third = Journal(tmp_path, 3_000_000, lambda: NOW)
     third.open()
     assert third.absorb() == [] and not third.owed and third.ended("a") == DELIVERED
+
+
+def test_a_look_at_the_other_slot_that_fails_is_repeated(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """With no descriptor left it ended the task that waits for the other process, and the orderly exit."""
+
+    def short(*_: object, **__: object) -> int:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    now = [NOW]
+    first, second = (Journal(tmp_path, 3_000_000, lambda: now[0]) for _ in range(2))
+    first.open()
+    second.open()
+    assert first.take(Message("a", "c", "t", 3, 5_000_000, b"", "platform"))
+    first.close()
+    with monkeypatch.context() as patch:
+        patch.setattr("rowanrack.store.journal.os.open", short)
+        assert second.absorb() is None and not second.shared()
+    now[0] += 2 * AGAIN_US
+    assert [m.id for m in second.absorb() or []] == ["a"]
