Count a restart's times from SIGTERM and make the shutdown a state machine

Read: SIGTERM during the start only set an event that was looked at once the start was over.

At fault: `serve` (awaited the whole start before it looked at the signal) and `Sender.stop` (took its own beginning for SIGTERM's time).

Now the sequence is `rowanrack/shutdown.py`: phases as an enum with their allowed successions, limits, ports and a clock from outside, no I/O. Before anything is owned SIGTERM ends the start at once; later all times count from the signal. Limits are unchanged. A second SIGTERM, and a successor that comes or goes after SIGTERM, change nothing; SIGHUP while it ends moves notices and watch as before. Each event has a test for each phase.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -36,6 +36,7 @@
 from rowanrack.net.pool import CallForm, InstancePool
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.recovery import own
+from rowanrack.shutdown import Phase, Shutdown
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal
 from rowanspindle import Scope
@@ -47,14 +48,8 @@
 
 log = logging.getLogger(__name__)
 
-STILL_COMING_US = 500_000  # after SIGTERM: new connections keep coming for up to 0.4 s
-BEGIN_US = 2_000_000  # after SIGTERM: a call that begins later might be cut off
-SETTLE_US = 3_200_000  # after SIGTERM: SIGKILL comes no sooner than 3.7 s
-LEAVE_US = 3_600_000  # by which the channels' log must have been let go of,
-LOG_END_US = 1_000_000  # and the most that may take
 PLATFORM_KEEP_US = 1_000_000  # its clients hand nothing in under an old id once the message's time is up
 FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
-LOOK_US = 20_000  # between looks at whether all is settled
 SHARED_LOOK_US = 100_000  # between looks at whether the other process of a hot restart has let go
 DIED_LOOK_US = 1_000_000  # and, once it has, at whether one that came later has died
 BANS_LOOK_US = 200_000  # between looks at the bans that the other process may have changed
@@ -108,7 +103,11 @@
         self.mgmt: ManagementServer | None = None
         self.peers: PeerPort | None = None
         self.channels: ChannelPart | None = None
-        self.serving = self.lame = self.stopping = False
+        self.lame = False
+        self.told = asyncio.Event()  # SIGTERM or SIGINT has come
+        self._started = False
+        self._load_asked: Callable[[], Config] | None = None  # by SIGHUP, ahead of the end of the start
+        self.shutdown = Shutdown(self, self.clock.now_us)
 
     # What the operators' calls reach.
 
@@ -118,8 +117,10 @@
 
     def unready(self) -> str:
         """Why this process does not serve, in one line; empty while it does."""
-        if not self.serving or self.stopping:
-            return "leaving" if self.stopping else "starting"
+        if self.shutdown.told:
+            return "leaving"
+        if self.shutdown.phase is not Phase.SERVING:
+            return "starting"
         if self.lame:
             return "lame duck"
         return "" if self.journal.recording() else f"the journal records nothing new: {self.journal.trouble}"
@@ -249,6 +250,7 @@
             self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
         if self.watch is not None and self.config.platform is not None and self.config.platform.pushed:
             await self.watch.first()  # before anything is sent: it counts as told
+        self.shutdown.owns()
         own(self.exchange, self.forms, owed)
         self.exchange.pump()
         for front, (host, port) in self.fronts:
@@ -269,7 +271,7 @@
         ]
         if self.config.channels is not None:
             self._start_channels(self.config.channels)
-        self.serving = True
+        self.shutdown.serves()
         if self.config.console is not None:
             self.console = ConsoleServer(self.config.name, self.exchange)
             try:
@@ -335,6 +337,13 @@
         self.exchange.listeners[OTLP] = server.ended
         self.forms[OTLP] = OtlpForm()
 
+    def ask_to_load(self, load: Callable[[], Config]) -> None:
+        """SIGHUP has come: it is done at once, also while the sender ends, or once all parts are there."""
+        if self._started:
+            self.load_again(load)
+        else:
+            self._load_asked = load
+
     def load_again(self, load: Callable[[], Config]) -> None:
         """Take the configuration over as it is by now, or leave the old one in force if it cannot be used."""
         try:
@@ -366,46 +375,77 @@
             self.config = replace(self.config, instances=new.instances)
         log.info("reload: the configuration is taken over")
 
+    def tell_to_end(self) -> None:
+        """SIGTERM or SIGINT has come."""
+        self.shutdown.tell()
+        self.told.set()
+
+    async def run(self) -> None:
+        """Start, serve until told to end, and end."""
+        starting = asyncio.ensure_future(self.start())
+        told = asyncio.ensure_future(self.told.wait())
+        try:
+            await asyncio.wait({starting, told}, return_when=asyncio.FIRST_COMPLETED)
+            if self.shutdown.phase is Phase.LEFT:
+                log.info("stopped: told to end before anything was owned")
+                return
+            await starting
+            self._started = True
+            if self._load_asked is not None:
+                self.load_again(self._load_asked)
+            await told
+        finally:
+            starting.cancel()
+            told.cancel()
+        await self.stop()
+
     async def stop(self) -> None:
         """After SIGTERM: keep answering, settle what is out, and leave the rest to the journal."""
-        began = self.clock.now_us()
-        self.stopping = True
-        # At a hot restart the next process listens beside this one and takes over what is left here.
-        successor = self.journal.shared()
         log.info(
             "stopping: %d messages owed, %d calls out%s",
             len(self.exchange.messages),
             len(self.pool.tasks),
-            "; the next process serves beside this one" if successor else "",
+            "; the next process serves beside this one" if self.journal.shared() else "",
         )
-        if successor and self.config.otlp is None:
-            self.exchange.freeze()  # nothing new begins here: what is owed goes on in the next process
-        else:
-            await pause(self.exchange.after, STILL_COMING_US)
-        for front, _ in self.fronts:
-            front.drain()
-        while self._unsettled() and (gone := self.clock.now_us() - began) < SETTLE_US:
-            if gone >= BEGIN_US:
-                self.exchange.freeze()
-            await pause(self.exchange.after, LOOK_US)
+        while wait_us := self.shutdown.advance():
+            await pause(self.exchange.after, wait_us)
         if self.channels is not None:
-            left_us = LEAVE_US - (self.clock.now_us() - began)
-            await self.channels.end(max(0.0, min(LOG_END_US, left_us) / 1e6))
-        told = self.notices is None or not self.notices.pending
+            await self.channels.end(self.shutdown.log_end_us() / 1e6)
         clients = sum(len(front.streams) for front, _ in self.fronts)
         log.info(
             "stopped: %d messages stay owed; %d calls out, %d client connections, notices %s",
             len(self.exchange.messages),
             len(self.pool.tasks),
             clients,
-            "told" if told else "pending",
+            "told" if self._all_told() else "pending",
         )
 
-    def _unsettled(self) -> bool:
-        told = self.notices is None or not self.notices.pending
-        clients = any(front.streams for front, _ in self.fronts)
+    # What the shutdown sequence reaches.
+
+    def takes_over(self) -> bool:
+        """Whether the next process of a hot restart goes on with all that is owed.
+
+        Not with OTLP: its clients wait on their connections for the end of what they handed in.
+        """
+        return self.config.otlp is None and self.journal.shared()
+
+    def drain(self) -> None:
+        """Close the clients' ports, and each connection as soon as it is between requests."""
+        for front, _ in self.fronts:
+            front.drain()
+
+    def freeze(self) -> None:
+        """Begin no call any more."""
+        self.exchange.freeze()
+
+    def settled(self) -> bool:
+        """Whether nothing may still begin, nothing is out, all is told and all clients are gone."""
         owed = not self.exchange.frozen and bool(self.exchange.messages)
-        return owed or bool(self.pool.tasks) or not told or clients
+        clients = any(front.streams for front, _ in self.fronts)
+        return not (owed or self.pool.tasks or clients) and self._all_told()
+
+    def _all_told(self) -> bool:
+        return self.notices is None or not self.notices.pending
 
     def close(self) -> None:
         """Let go of everything."""
@@ -433,26 +473,14 @@
 
 async def serve(load: Callable[[], Config]) -> None:
     """Run a sender until SIGTERM or SIGINT; SIGHUP loads the configuration again, whole or not at all."""
-    loop, stop = asyncio.get_running_loop(), asyncio.Event()
-    started = asked = False
-
-    def reload() -> None:
-        nonlocal asked
-        if not started:
-            asked = True  # done once the parts are there
-            return
-        sender.load_again(load)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
+    sender: Sender
+    loop = asyncio.get_running_loop()
+    # Before the configuration is read: a signal that comes meanwhile waits for the loop's first turn.
+    loop.add_signal_handler(signal.SIGHUP, lambda: sender.ask_to_load(load))
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, lambda: sender.tell_to_end())
     sender = Sender(load())
     try:
-        await sender.start()
-        started = True
-        if asked:
-            reload()
-        await stop.wait()
-        await sender.stop()
+        await sender.run()
     finally:
         sender.close()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -218,16 +218,25 @@
 
     async def start(self) -> None:
         """Start a sender on the folder, after `sender.close()` as after SIGKILL."""
+        self.sender = Sender(self.config())
+        await self.sender.start()
+        self._listen_in()
+
+    def config(self, pushed: bool = False) -> Config:
+        """The configuration of a sender among the stand-ins."""
         host = "127.0.0.1"
+        discovery = (host, self.platform.port)
+        platform = PlatformConfig((host, 0), discovery, self.platform.seq, self.known)
         config = Config("n0", self.settings, 5000, 1, self.state, 3_000_000, 512)
         config = replace(
             config,
-            platform=PlatformConfig((host, 0), (host, self.platform.port), self.platform.seq, self.known),
+            platform=replace(platform, pushed=pushed or platform.pushed),
             otlp=OtlpConfig((host, 0), 256 * 1024, MAPPING),
             mgmt=(host, 0),
         )
-        self.sender = Sender(replace(config, **self.changes))
-        await self.sender.start()
+        return replace(config, **self.changes)
+
+    def _listen_in(self) -> None:
         exchange, settle = self.sender.exchange, self.sender.exchange.settle
 
         def settle_and_tell(execution: Execution, verdict: Verdict | Result) -> None:
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,211 @@
+"""The end of a sender: each event in each phase, on a clock of its own and in real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from pathlib import Path
+
+import pytest
+
+from rowanrack.app import serve
+from rowanrack.fronts.platform.discovery import DiscoveryWatch
+from rowanrack.net.http import Reply
+from rowanrack.shutdown import Limits, Phase, Shutdown
+from tests.rig import Platform, Process, Rig, answers, on_loop, silent
+
+LIMITS = Limits()
+MS = 1000
+
+
+class Sequence:
+    """A sequence whose clock and parts the test moves."""
+
+    def __init__(self, successor: bool = False) -> None:
+        self.now_us, self.successor, self.is_settled = 7_000_000, successor, False
+        self.done = list[tuple[str, int]]()
+        self.shutdown = Shutdown(self, lambda: self.now_us)
+        self.told_us = self.now_us
+
+    def takes_over(self) -> bool:
+        return self.successor
+
+    def drain(self) -> None:
+        self.done.append(("drain", self.now_us - self.told_us))
+
+    def freeze(self) -> None:
+        self.done.append(("freeze", self.now_us - self.told_us))
+
+    def settled(self) -> bool:
+        return self.is_settled
+
+    def reach(self, phase: Phase) -> None:
+        """Come to a phase by the usual way, and not a microsecond further."""
+        if phase is Phase.STARTING:
+            return
+        self.shutdown.owns()
+        if phase is Phase.OPENING:
+            return
+        self.shutdown.serves()
+        if phase is Phase.SERVING:
+            return
+        self.tell()
+        while self.shutdown.phase is not phase:
+            self.now_us += self.shutdown.advance()
+
+    def tell(self) -> None:
+        self.told_us = self.now_us
+        self.shutdown.tell()
+
+    def run_out(self) -> int:
+        """To the end; when that is, in microseconds since SIGTERM."""
+        while wait_us := self.shutdown.advance():
+            self.now_us += wait_us
+        return self.now_us - self.told_us
+
+
+@pytest.mark.parametrize(
+    ("successor", "steps"),
+    [(False, [("drain", 500 * MS), ("freeze", 2000 * MS)]), (True, [("freeze", 0), ("drain", 0)])],
+)
+def test_what_does_not_settle_is_left_in_time(successor: bool, steps: list[tuple[str, int]]) -> None:
+    sequence = Sequence(successor)
+    sequence.reach(Phase.SERVING)
+    sequence.tell()
+    assert sequence.run_out() == LIMITS.settle_us
+    assert sequence.done == steps and sequence.shutdown.log_end_us() == 400 * MS
+
+
+@pytest.mark.parametrize("phase", [Phase.STILL_COMING, Phase.DRAINING, Phase.FROZEN])
+def test_it_leaves_once_all_is_settled_but_not_while_new_connections_come(phase: Phase) -> None:
+    sequence = Sequence()
+    sequence.reach(phase)
+    sequence.is_settled = True
+    at_us = sequence.now_us - sequence.told_us
+    assert sequence.run_out() == max(at_us, LIMITS.still_coming_us)
+    assert sequence.shutdown.log_end_us() == LIMITS.log_end_us
+
+
+@pytest.mark.parametrize("phase", [Phase.STILL_COMING, Phase.DRAINING, Phase.FROZEN, Phase.LEFT])
+def test_a_second_sigterm_changes_nothing(phase: Phase) -> None:
+    sequence, undisturbed = Sequence(), Sequence()
+    for each in (sequence, undisturbed):
+        each.reach(phase)
+    sequence.shutdown.tell()
+    assert (sequence.run_out(), sequence.done) == (undisturbed.run_out(), undisturbed.done)
+
+
+def test_sigterm_ahead_of_what_is_owned_ends_the_start() -> None:
+    sequence = Sequence()
+    sequence.tell()
+    assert sequence.shutdown.phase is Phase.LEFT and sequence.run_out() == 0 and not sequence.done
+
+
+@pytest.mark.parametrize(
+    ("late_us", "steps"),
+    [
+        (100 * MS, [("drain", 500 * MS), ("freeze", 2000 * MS)]),
+        (1000 * MS, [("drain", 1000 * MS), ("freeze", 2000 * MS)]),
+        (2500 * MS, [("drain", 2500 * MS), ("freeze", 2500 * MS)]),
+        (4000 * MS, [("drain", 4000 * MS), ("freeze", 4000 * MS)]),
+    ],
+)
+def test_the_times_count_from_sigterm_though_the_start_ends_late(
+    late_us: int, steps: list[tuple[str, int]]
+) -> None:
+    sequence = Sequence()
+    sequence.reach(Phase.OPENING)
+    sequence.tell()
+    sequence.now_us += late_us
+    sequence.shutdown.serves()
+    assert sequence.run_out() == max(late_us, LIMITS.settle_us)
+    assert sequence.done == steps
+
+
+@pytest.mark.parametrize(
+    ("phase", "successor"),
+    [(Phase.STILL_COMING, False), (Phase.DRAINING, False), (Phase.FROZEN, False), (Phase.FROZEN, True)],
+)
+def test_a_successor_that_comes_or_goes_later_changes_nothing(phase: Phase, successor: bool) -> None:
+    """What is owed here stays here, or goes on in the next process, as it was decided at SIGTERM."""
+    sequence, undisturbed = Sequence(successor), Sequence(successor)
+    for each in (sequence, undisturbed):
+        each.reach(phase)
+    sequence.successor = not successor
+    assert (sequence.run_out(), sequence.done) == (undisturbed.run_out(), undisturbed.done)
+
+
+def test_a_phase_does_not_come_again() -> None:
+    sequence = Sequence()
+    sequence.reach(Phase.DRAINING)
+    with pytest.raises(ValueError, match="draining is not followed by serving"):
+        sequence.shutdown.serves()
+
+
+# In real processes and on real sockets.
+
+
+@on_loop
+async def test_sigterm_while_the_first_list_is_waited_for_ends_the_start_and_begins_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The start went on to its end, and the times of the restart counted from there."""
+    async with Rig(tmp_path, silent) as rig:
+        await (await rig.client()).submit("m1")
+        await rig.servers[0].asked(1)
+        rig.sender.close()
+        asks = asyncio.Event()
+
+        async def first(_watch: DiscoveryWatch) -> None:
+            asks.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(DiscoveryWatch, "first", first)
+        running = asyncio.create_task(serve(lambda: rig.config(pushed=True)))
+        await asks.wait()
+        for number in (signal.SIGHUP, signal.SIGTERM):
+            os.kill(os.getpid(), number)
+        await asyncio.wait_for(running, 1)
+        assert len(rig.servers[0].requests) == 1
+        await rig.start()
+        assert set(rig.sender.journal.owed) == {"m1"}
+
+
+@on_loop
+async def test_sigterm_while_the_ports_open_is_served_out_from_when_it_came(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        rig.sender.close()
+        loop, told = asyncio.get_running_loop(), list[float]()
+        plain = loop.getaddrinfo
+
+        async def tell_while_opening(*args: object, **kwargs: object) -> object:
+            if not told:
+                os.kill(os.getpid(), signal.SIGTERM)
+                told.append(loop.time())
+                await asyncio.sleep(LIMITS.still_coming_us / 1e6)
+            return await plain(*args, **kwargs)  # type: ignore[arg-type]
+
+        monkeypatch.setattr(loop, "getaddrinfo", tell_while_opening)
+        await serve(rig.config)
+        assert loop.time() - told[0] < 2 * LIMITS.still_coming_us / 1e6
+
+
+@on_loop
+async def test_sighup_while_it_ends_moves_what_is_still_to_be_told(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(None)) as rig, Process(rig, tmp_path) as process:
+        process.platform.notice_status = [503]
+        assert await (await process.client()).submit("m1", "print-order") == b"+OK\r\n"
+        await rig.servers[0].asked(1)
+        process.child.send_signal(signal.SIGTERM)
+        await process.logged("stopping")
+        second = Platform()
+        async with second:
+            process.configure(second)
+            process.child.send_signal(signal.SIGHUP)
+            process.child.send_signal(signal.SIGTERM)
+            assert (await second.notice("m1"))["outcome"] == "given_up"
+            await process.logged("notices told")
+        assert await process.child.wait() == 0
