--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -5,6 +5,8 @@
 import asyncio
 import os
 import signal
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -146,6 +148,25 @@
 # In real processes and on real sockets.
 
 
+@pytest.mark.parametrize("command", [("serve",), ("serve", "--log", "json")])
+def test_a_sighup_to_a_sender_that_still_imports_its_parts_does_not_end_it(command: tuple[str, ...]) -> None:
+    """A hang-up comes right when the command line's module is looked for: the process ended by the signal."""
+    script = (
+        "import os, runpy, signal, sys\n"
+        "class Hangup:\n"
+        "    def find_spec(self, name, path=None, target=None):\n"
+        "        if name == 'rowanrack.cli':\n"
+        "            os.kill(os.getpid(), signal.SIGHUP)\n"
+        "sys.meta_path.insert(0, Hangup())\n"
+        f"sys.argv = ['rowanrack', *{command!r}]\n"
+        "runpy.run_module('rowanrack', run_name='__main__', alter_sys=True)\n"
+    )
+    env = {name: value for name, value in os.environ.items() if not name.startswith("ROUTER_")}
+    call = [sys.executable, "-c", script]
+    ended = subprocess.run(call, env=env, capture_output=True, timeout=30, check=False)
+    assert ended.returncode == 1 and b"rowanrack: " in ended.stderr  # it came to want its configuration
+
+
 @on_loop
 async def test_sigterm_while_the_first_list_is_waited_for_ends_the_start_and_begins_nothing(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
