Let unsent bytes go out when a connection is closed at once

Read: `Stream.close_at_once` ends the raw socket's sending beneath asyncio's transport. What the transport still holds, since the kernel had no room for it, can then never be written: an error line written right before the close is lost, or cut, for a client whose answers fill the kernel's buffers. `send_last` followed by `close_at_once` is that order (a request that does not come whole in time, or takes too much time to read); `_close_between` and `_make_room` close only connections whose answers are in the kernel (`send` waits for that).

At fault: `Stream.close_at_once`. With bytes unsent it now leaves the end of sending to the transport, which comes behind them, and aborts after a second if the other side doesn't read.

Measured: test_what_is_unsent_at_a_close_still_goes_out fails without the change (3910656 of 3932160 bytes came), and passes with it.

--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -13,6 +13,7 @@
 
 CHUNK = 16 * 1024
 RING_LIMIT = 96 * 1024
+UNSENT_S = 1.0  # for which what is written and unsent may hold up a close
 
 
 class CountingReader(asyncio.StreamReader):
@@ -162,8 +163,13 @@
 
         Guards a request that would be written in between: its client hands it in again once it sees the end.
         """
-        with suppress(OSError, AttributeError):
-            self._writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+        transport = self._writer.transport
+        if transport.get_write_buffer_size():
+            # What is unsent goes out first, if the other side reads it: an ended socket would take no more.
+            asyncio.get_running_loop().call_later(UNSENT_S, transport.abort)
+        else:
+            with suppress(OSError, AttributeError):
+                self._writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
         self._writer.close()
 
     def close_soon(self) -> None:
