Answer all that has been read, and a new connection's first request, before a close

Read, in the moments in which a sender leaves or is in lame duck: - A connection that has never been answered was closed at once (`_close_between` closed every OWING one with nothing unread; the platform's and OTLP's `talk` returned ahead of the first request), with its first request on the way. Also one of which half a request stood in h11. - Behind an answer only the inward ring was looked at: a request in the reader's buffer, in the kernel or in h11 was closed upon, the last one read and unanswered, and the reset could take the answer just sent with it. - In the turn in which a connection lets others go first (`sleep(0)`), it counted as idle with a whole command read: `_make_room` could close it in a late turn, and on OTLP a drain too. Also: a connection that had begun its request made room for another before a younger one that had said nothing, and a request's time ran from connecting although the client had rested before its first byte.

At fault: `Listener._close_between`, `_make_room`, `_accept`, both `talk`s. Now State.NEW is told from OWING (a part has come); a new connection has 1 s for its first byte once the sender leaves; `may_leave` asks for all that is unread; what has been read keeps its connection BUSY or OWING; NEW makes room before OWING. A request's time runs from its first byte, of the rest ahead of it 0.5 s are free, so that bad input still ends within 2.75 s of connecting. A connection's task ends it with `close_at_once`, so that the other side hears it in the same step. Ruled out: the platform's half request at a drain (it stood in the ring and was waited for already).

--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -50,7 +50,7 @@
     async def talk(self, stream: Stream) -> None:
         """Answer one request after the other; what is no HTTP ends the connection."""
         served, more = HttpServed(stream, self.limit), True
-        while more and not (self.draining or self.lame):
+        while more:
             try:
                 request = await served.receive(lambda: self.mark(stream, State.OWING))
             except HttpError as bad:
@@ -62,6 +62,10 @@
             self.mark(stream, State.BUSY)
             more = await served.answer(await self._answer(request))
             self.mark(stream, State.IDLE)
+            if served.pending:
+                self.mark(stream, State.OWING)  # guards what has been read, maybe whole, against a close
+            elif self.may_leave(stream):
+                return
             await asyncio.sleep(0)  # guards the other connections against one that never pauses
 
     async def _answer(self, request: Request) -> Reply:
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -77,7 +77,7 @@
             if words is None:
                 if len(stream.inward):
                     self.mark(stream, State.OWING)
-                elif self.draining:
+                elif self.may_leave(stream):
                     return
                 if not await stream.fill():
                     return
@@ -94,9 +94,8 @@
                 return
             await stream.send(answer)
             self.mark(stream, State.IDLE)
-            if self.lame and not len(stream.inward):
-                return  # in lame duck a connection ends between requests
             if len(stream.inward):
+                self.mark(stream, State.BUSY)  # guards what has been read, maybe whole, against a close
                 await asyncio.sleep(0)  # guards the other connections against one that never pauses
 
     def _answer(self, words: list[bytes]) -> bytes:
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -284,6 +284,11 @@
         self.stream, self._limit = stream, body_limit
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
 
+    @property
+    def pending(self) -> bool:
+        """Whether a part of the next request, or all of it, has been read already."""
+        return bool(self._h11.trailing_data[0])
+
     async def receive(self, begun: Callable[[], None] = lambda: None) -> Request | None:
         """The next request, or None at the end of the connection. Raises HttpError on what is no HTTP.
 
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -29,8 +29,11 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024  # connections that wait in the kernel until there is room for them
-OWED_US = 2_000_000  # for a whole request, from the opening of a connection or from its first byte
+OWED_US = 2_000_000  # for a request's first byte from a connection's opening, and for the rest from there
+REST_US = 500_000  # for which a new connection may rest ahead of its first byte at no cost to its request
+FIRST_US = 1_000_000  # for the first byte once this sender leaves, from the opening of a connection
 IDLE_US = 60_000_000  # for which a connection may stand between requests
+EVER_US = 1 << 62
 LOOK_US = 250_000  # between looks at these limits
 SPARED_US = 200_000  # a connection that owes a request so long may have to make room for another
 KEPT_US = 250_000  # and one between requests after so long, the one that is unused longest first
@@ -46,7 +49,8 @@
 class State(Enum):
     """What a connection is at."""
 
-    OWING = "owing"  # no whole request yet, or a part of the next one
+    NEW = "new"  # nothing has come yet
+    OWING = "owing"  # a part of a request has come
     BUSY = "busy"  # its request is being answered
     IDLE = "idle"  # between requests
     LEAVING = "leaving"  # its last answer is written
@@ -104,9 +108,28 @@
         if state is State.IDLE and (used := self._strangers.pop(stream, None)) is not None:
             self.governor.spent(-used)
             self._rank(stream, Rank.CLIENT)
-        if stream not in self.streams or self.streams[stream][0] is not state:
-            self.streams.pop(stream, None)
-            self.streams[stream] = state, self._now()
+        was, since = self.streams.get(stream, (None, 0))
+        if was is state:
+            return
+        now = self._now()
+        # Guards the end of a bad input, which is owed in a time from connecting, against a late first byte.
+        since = min(now, since + REST_US) if was is State.NEW and state is State.OWING else now
+        self.streams.pop(stream, None)
+        self.streams[stream] = state, since
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections end between requests: this sender ends, or is in lame duck."""
+        return self.draining or self.lame
+
+    def may_leave(self, stream: Stream) -> bool:
+        """Whether a connection between requests is to end now.
+
+        Guards a request that has come and is not read: a close would reset the connection, and might take the
+        last answer with it. Guards the first request of a new connection, which may be on its way.
+        """
+        state, _ = self.streams.get(stream, (State.LEAVING, 0))
+        return self.leaving and state is not State.NEW and not stream.unread
 
     async def listen(self, host: str, port: int) -> None:
         """Open the port; with 0 the system chooses one."""
@@ -144,7 +167,7 @@
 
     def _close_between(self) -> None:
         for stream, (state, _) in list(self.streams.items()):
-            if state in (State.IDLE, State.OWING) and not stream.unread:
+            if state is State.IDLE and not stream.unread:
                 stream.close_at_once()
 
     def drain(self) -> None:
@@ -251,8 +274,14 @@
     def _make_room(self) -> bool:
         """Part with a connection that nobody misses: silent ones must not keep the usual clients out."""
         now = self._now()
-        # One that has been answered is missed less than one whose first request may be on its way.
-        spared = ((State.LEAVING, 0), (State.IDLE, KEPT_US), (State.OWING, self.spared_us))
+        # One that has been answered is missed less than one whose first request may be on its way, and that
+        # less than one of whose request a part has come.
+        spared = (
+            (State.LEAVING, 0),
+            (State.IDLE, KEPT_US),
+            (State.NEW, self.spared_us),
+            (State.OWING, self.spared_us),
+        )
         for state, least_us in spared:
             for stream, (at, since) in self.streams.items():
                 if now - since < least_us:
@@ -283,18 +312,27 @@
                 if stream.unread_outside and stream not in self._later:
                     continue
                 if state is State.OWING and now - since >= self.owed_us:
-                    if stream.came:
-                        self._bad.warning("a client's input is refused: it does not come whole in time")
-                        stream.send_last(self.too_slow)
+                    self._bad.warning("a client's input is refused: it does not come whole in time")
+                    stream.send_last(self.too_slow)
                     stream.close_at_once()
-                elif state is State.IDLE and now - since >= (KEPT_US if crowded else IDLE_US):
+                elif now - since >= self._silent_us(state, crowded):
                     stream.close_at_once()
 
+    def _silent_us(self, state: State, crowded: bool) -> int:
+        """For how long a connection may say nothing."""
+        match state:
+            case State.NEW:
+                return min(self.owed_us, FIRST_US) if self.leaving else self.owed_us
+            case State.IDLE:
+                return KEPT_US if crowded else IDLE_US
+            case _:
+                return EVER_US
+
     def _accept(self, stream: Stream) -> None:
         self.governor.spent(CONNECTION_US)
         self._rank(stream, Rank.STRANGER)
         self._strangers[stream], self._accepting_us = self._accepting_us + CONNECTION_US, 0.0
-        self.mark(stream, State.OWING)
+        self.mark(stream, State.NEW)
         self._start(self._serve(stream))
 
     async def _serve(self, stream: Stream) -> None:
@@ -310,7 +348,7 @@
             if used is not None and stream not in self._told_off:
                 self.governor.wasted(used)
             self._told_off.discard(stream)
-            stream.close_soon()
+            stream.close_at_once()
 
     def _charge_accepting(self, us: float) -> None:
         self._accepting_us += us
@@ -322,12 +360,13 @@
             self.governor.spent(us)
             self._rank(stream, Rank.STRANGER, used + us)
             state = self.streams.get(stream, (State.LEAVING, 0))[0]
-            if state is State.OWING and not stream.closing and self.governor.used_up(used + us):
+            asking = state in (State.NEW, State.OWING)
+            if asking and not stream.closing and self.governor.used_up(used + us):
                 # Guards a full core against requests that come in by single bytes.
                 self._bad.warning("a client's input is refused: its request takes too much time to read")
                 stream.send_last(self.too_slow)
                 stream.close_at_once()
-            elif state is State.OWING and self.governor.in_pieces(used + us):
+            elif asking and self.governor.in_pieces(used + us):
                 self._read_later(stream)
 
     def _read_later(self, stream: Stream) -> None:
