Take in what stands at the port before it closes, and lose no accepted connection

Read, for a drain between any two steps of accepting: - What waits in the kernel's queue, often with its request, is reset when the listening socket closes. - The drain cancelled the accepting task. `loop.sock_accept` may have accepted a connection of which the task had not heard yet: its socket was dropped. Those being made into streams were cancelled with the task (`gather` passes a cancellation on), and their clients got no answer, some not even an end (the socket stayed open behind an InvalidStateError in asyncio's callback). - With no descriptor left for the second of a batch, `_others_at_once` raised out of it, and all that had been accepted in that turn were dropped with their requests. - `Sender` took a front with no streams for settled, though connections were just being made.

At fault: `Listener.drain`, `_accept_for_ever`, `_others_at_once`; `Sender.settled`. Now the task waits until the port is readable and accepts synchronously (nothing is in hand at a cancellation), streams are made in tasks of their own, the port takes in all that is ready in the very step in which it closes, and `Listener.gone` counts all three. What comes between the last accept and the close in one step is still reset: microseconds, which can't be avoided.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -441,7 +441,7 @@
     def settled(self) -> bool:
         """Whether nothing may still begin, nothing is out, all is told and all clients are gone."""
         owed = not self.exchange.frozen and bool(self.exchange.messages)
-        clients = any(front.streams for front, _ in self.fronts)
+        clients = any(not front.gone for front, _ in self.fronts)
         return not (owed or self.pool.tasks or clients) and self._all_told()
 
     def _all_told(self) -> bool:
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -13,7 +13,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine, Iterable
 from contextlib import suppress
 from enum import Enum
 from typing import Any
@@ -56,6 +56,26 @@
     LEAVING = "leaving"  # its last answer is written
 
 
+async def readable(opened: socket.socket) -> None:
+    """Wait until a connection stands ready on a port.
+
+    Unlike `loop.sock_accept` it takes none: a cancellation could come between that and its caller's next
+    step, and the connection would be closed with its request unanswered.
+    """
+    loop = asyncio.get_running_loop()
+    ready: asyncio.Future[None] = loop.create_future()
+
+    def wake() -> None:
+        if not ready.done():
+            ready.set_result(None)
+
+    loop.add_reader(opened, wake)
+    try:
+        await ready
+    finally:
+        loop.remove_reader(opened)
+
+
 def has_left(accepted: socket.socket) -> bool:
     """Whether a client has gone again without a word; its socket is then closed.
 
@@ -84,10 +104,11 @@
         self.after: After = exchange.after
         self.governor = exchange.governor
         self.streams: dict[Stream, tuple[State, int]] = {}  # each with the time; the latest change comes last
-        self.draining = False
+        self.draining = self._ended = False
         self.lame = False  # in lame duck: connections end after their answer, the port stays open
         self.port = 0
         self._accepting_task: asyncio.Task[None] | None = None
+        self._connecting: set[asyncio.Task[None]] = set()  # connections that are taken and no streams yet
         self._tasks: set[asyncio.Task[None]] = set()
         self._rare = RareLog(log)
         self._bad = RareLog(log)
@@ -122,6 +143,12 @@
         """Whether connections end between requests: this sender ends, or is in lame duck."""
         return self.draining or self.lame
 
+    @property
+    def gone(self) -> bool:
+        """Whether the port is closed and every connection has ended, also those that were just coming."""
+        accepting = self._accepting_task is not None and not self._accepting_task.done()
+        return not (accepting or self._connecting or self.streams)
+
     def may_leave(self, stream: Stream) -> bool:
         """Whether a connection between requests is to end now.
 
@@ -155,7 +182,7 @@
         opened.setblocking(False)
         accepting = self._start(self._accepting(opened))
         # Not before: until its cancelling has run, the loop still watches the socket's number.
-        accepting.add_done_callback(lambda _: opened.close())
+        accepting.add_done_callback(lambda _: self._port_closes(opened))
         self._accepting_task = accepting
         self._start(self._looking())
 
@@ -171,13 +198,14 @@
                 stream.close_at_once()
 
     def drain(self) -> None:
-        """Take no more connections, and close each as soon as it is between requests."""
+        """Take in what waits at the port and close it, and each connection once it is between requests."""
         self.draining = True
         self._close_port()
         self._close_between()
 
     def close(self) -> None:
         """Close the port and all connections."""
+        self._ended = True
         self._close_port()
         for task in self._tasks:
             task.cancel()
@@ -217,7 +245,6 @@
         await Metered(self._accept_for_ever(opened), self._charge_accepting)
 
     async def _accept_for_ever(self, opened: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             try:
                 while len(self.streams) >= self.most and not self._make_room():
@@ -228,15 +255,18 @@
                 self.exchange.knock()
                 if wait_us := self.governor.pace_us(self._now()):
                     await pause(self.after, wait_us)
-                first, _ = await loop.sock_accept(opened)
                 # Guards new clients of a full core, whose turns are long, against one connection a turn.
-                batch = (first, *self._others_at_once(opened))
+                batch = self._ready(opened, AT_ONCE)
+                if not batch:
+                    await readable(opened)
+                    continue
                 taken = [accepted for accepted in batch if not has_left(accepted)]
                 if len(taken) < len(batch):
                     wasted = self._accepting_us * (1 - len(taken) / len(batch))
                     self._accepting_us -= wasted
                     self.governor.wasted(wasted)
-                await asyncio.gather(*(self._connect(accepted) for accepted in taken))
+                if connecting := self._connect_all(taken):
+                    await asyncio.wait(connecting)  # a cancellation leaves them to go on
                 # Guards the loop against clients that leave as fast as they come: neither accepting nor
                 # gathering waits then.
                 await asyncio.sleep(0)
@@ -245,17 +275,49 @@
                 self._rare.warning("a connection was not accepted: %s", error.strerror or error)
                 await pause(self.after, FULL_US)
 
-    def _others_at_once(self, opened: socket.socket) -> Iterator[socket.socket]:
-        """More connections that stand ready, while there is room and strangers keep to their share."""
-        for count in range(1, AT_ONCE):
-            if len(self.streams) + count >= self.most or self.governor.pace_us(self._now()):
-                return
+    def _ready(self, opened: socket.socket, most: int) -> list[socket.socket]:
+        """Connections that stand ready, while there is room and strangers keep to their share."""
+        batch: list[socket.socket] = []
+        # Those that a drain has just closed are gone in the loop's next turns.
+        here = sum(not stream.closing for stream in self.streams) if self.draining else len(self.streams)
+        room = min(most, self.most - here)
+        while len(batch) < room:
+            if batch and not self.draining and self.governor.pace_us(self._now()):
+                break
             try:
                 accepted, _ = opened.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (BlockingIOError, InterruptedError):
+                break
+            except ConnectionAbortedError:
+                continue
+            except OSError as error:
+                # Guards those that are accepted already against a lack of descriptors for the next one.
+                if not batch:
+                    raise
+                self._rare.warning("a connection was not accepted: %s", error.strerror or error)
+                break
             accepted.setblocking(False)
-            yield accepted
+            batch.append(accepted)
+        return batch
+
+    def _port_closes(self, opened: socket.socket) -> None:
+        """Close the port. What stands ready there is taken in first, unless all ends.
+
+        Guards connections that the kernel has taken, some with their request: the port's end resets them.
+        """
+        if self.draining and not self._ended:
+            with suppress(OSError):
+                ready = self._ready(opened, BACKLOG)
+                self._connect_all(accepted for accepted in ready if not has_left(accepted))
+        opened.close()
+
+    def _connect_all(self, batch: Iterable[socket.socket]) -> list[asyncio.Task[None]]:
+        """Make streams of accepted connections, beside whoever waits for that."""
+        started = [self._start(self._connect(accepted)) for accepted in batch]
+        for task in started:
+            self._connecting.add(task)
+            task.add_done_callback(self._connecting.discard)
+        return started
 
     async def _connect(self, accepted: socket.socket) -> None:
         loop = asyncio.get_running_loop()
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from rowanrack.net import listener as net_listener
 from rowanrack.net.http import Reply, Request
-from rowanrack.net.listener import Listener, State
+from rowanrack.net.listener import AT_ONCE, Listener, State
 from rowanrack.net.stream import CHUNK, Stream, stream_protocol
-from tests.rig import Rig, on_loop, resp, silent
+from tests.rig import Rig, answers, on_loop, resp, silent
 
 OK = Reply(200, {})
 PING, PONG = resp("PING"), b"+PONG\r\n"
@@ -21,8 +23,10 @@
     b"POST /v1/logs HTTP/1.1\r\nHost: x\r\n"
     b"Content-Type: application/x-protobuf\r\nContent-Length: 0\r\n\r\n"
 )
-OTLP = 1
+PLATFORM, OTLP = 0, 1
+REQUESTS, ANSWERS = {PLATFORM: PING, OTLP: EXPORT}, {PLATFORM: b"+PONG", OTLP: b"HTTP/1.1 200"}
 LEAVE = pytest.mark.parametrize("leave", [Listener.drain, lambda front: front.lameduck(True)])
+FRONT = pytest.mark.parametrize("number", [PLATFORM, OTLP])
 
 
 class Raw:
@@ -67,6 +71,78 @@
     front.mark = mark  # type: ignore[assignment, method-assign]
 
 
+@FRONT
+@pytest.mark.parametrize("ends", [False, True])
+@pytest.mark.parametrize("turns", range(7))
+@on_loop
+async def test_what_stands_at_the_port_is_answered_before_that_closes(
+    tmp_path: Path, number: int, ends: bool, turns: int
+) -> None:
+    """Closed after each number of the loop's turns: waiting, accepted, and becoming a stream."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        front = rig.sender.fronts[number][0]
+        clients = [Raw(front, REQUESTS[number]) for _ in range(AT_ONCE + 4)]
+        for client in clients if ends else ():
+            client.sock.shutdown(socket.SHUT_WR)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        front.drain()
+        heard = await asyncio.gather(*(client.heard() for client in clients))
+        assert [len(data.split(ANSWERS[number])) - 1 for data in heard] == [1] * len(clients)
+        assert not any(data.endswith(b"RESET") for data in heard)
+        with pytest.raises(ConnectionRefusedError):
+            Raw(front)
+        while not front.gone:
+            await asyncio.sleep(0)
+
+
+@on_loop
+async def test_a_connection_is_kept_though_there_is_no_descriptor_for_the_next(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with Rig(tmp_path) as rig:
+        front, accept, accepted = rig.sender.fronts[0][0], socket.socket.accept, list[object]()
+
+        def accept_one(sock: socket.socket) -> Any:
+            if len(accepted) == 1:
+                accepted.append(None)
+                raise OSError(errno.EMFILE, "Too many open files")
+            accepted.append(taken := accept(sock))
+            return taken
+
+        client = Raw(front, PING)
+        monkeypatch.setattr(socket.socket, "accept", accept_one)
+        await client.until(front, State.IDLE)
+        assert accepted[1] is None
+        front.drain()
+        assert await client.heard() == PONG
+
+
+@FRONT
+@LEAVE
+@pytest.mark.parametrize("begun", [False, True])
+@on_loop
+async def test_a_new_connection_is_waited_for_and_ends_behind_its_answer(
+    tmp_path: Path, number: int, leave: Callable[[Listener], None], begun: bool
+) -> None:
+    """It was closed at once, with its first request on the way or come by half."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        front, request = rig.sender.fronts[number][0], REQUESTS[number]
+        client = Raw(front)
+        await client.until(front, State.NEW)
+        half = 6 if begun else 0
+        client.say(request[:half])
+        if begun:
+            await client.until(front, State.OWING)
+        leave(front)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        client.say(request[half:])
+        said = ANSWERS[number] if leave is Listener.drain or number == OTLP else b"-ERR lame duck"
+        heard = await client.heard()
+        assert heard.startswith(said) and not heard.endswith(b"RESET")
+
+
 @LEAVE
 @on_loop
 async def test_a_new_connection_that_says_nothing_is_not_waited_for_long(
