Begin the crowd of a test once both its connections are idle

The limit that makes it a crowd is now set behind both answers: both must close in the crowd, and neither without it, as before.

--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -197,10 +197,10 @@
     monkeypatch.setattr(net_listener, "LOOK_US", 5000)
     monkeypatch.setattr(net_listener, "KEPT_US", 0)
     async with Rig(tmp_path) as rig:
-        rig.sender.fronts[0][0].most = most
         clients = [await rig.client() for _ in range(2)]
         for client in clients:
             await client.command("PING")
+        rig.sender.fronts[0][0].most = most
         ends = [asyncio.create_task(client.stream.fill()) for client in clients]
         done, _ = await asyncio.wait(ends, timeout=1.5 if closed else 0.1)
         assert len(done) == (2 if closed else 0)
