Test floods: every form and cut, a half-close, a drain in between, and clients that go

No fault was found here, so nothing but tests: 300 pipelined commands on one connection, cut into pieces of 1 and 7 bytes or sent as one, with a half-close behind them and a drain in between, are all answered in order while another client is; a client that sends until the kernels hold no more, reads nothing and goes (with an end or a reset) leaves neither a connection nor more than the ring and one read of the transport in memory, on both fronts.

--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -18,6 +18,7 @@
 from tests.rig import Rig, answers, on_loop, resp, silent
 
 OK = Reply(200, {})
+READ_MOST = 256 * 1024  # that asyncio's transport reads at once
 PING, PONG = resp("PING"), b"+PONG\r\n"
 EXPORT = (
     b"POST /v1/logs HTTP/1.1\r\nHost: x\r\n"
@@ -275,3 +276,54 @@
             while more := await loop.sock_recv(client, 1 << 16):
                 came += len(more)
             assert came == sent
+
+
+@pytest.mark.parametrize("piece", [1, 7, 1 << 20])
+@on_loop
+async def test_every_command_of_a_flood_is_answered_however_it_is_cut(tmp_path: Path, piece: int) -> None:
+    """Hundreds at once on one connection, which ends its sending behind them and is drained in between."""
+    async with Rig(tmp_path, silent, most_held=10) as rig:
+        front = rig.sender.fronts[0][0]
+        loud, quiet = Raw(front), Raw(front)
+        loud.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        data = b"".join(submit(f"m{n}", b"\r\n*" * 9) + resp("ping") for n in range(150))
+        for at in range(0, len(data), piece):
+            loud.say(data[at : at + piece])
+            if at % 1000 == 0:
+                await asyncio.sleep(0)
+        loud.sock.shutdown(socket.SHUT_WR)
+        quiet.say(PING)
+        while [state for state, _ in front.streams.values()].count(State.IDLE) < 1:
+            await asyncio.sleep(0)
+        front.drain()
+        assert await quiet.heard() == PONG
+        lines = (await loud.heard()).splitlines()
+        assert lines[1::2] == [PONG.strip()] * 150
+        assert len(lines[::2]) == 150 and lines[0] == b"+OK"
+        assert {line[:5] for line in lines[::2]} == {b"+OK", b"-BUSY"}
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@FRONT
+@on_loop
+async def test_what_much_input_leaves_behind_is_nothing(tmp_path: Path, number: int, reset: bool) -> None:
+    """A client sends much at once, reads nothing, and goes."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        front = rig.sender.fronts[number][0]
+        client = Raw(front)
+        stream = await client.until(front, State.NEW)
+        client.sock.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            while True:  # until the kernels hold no more, for nothing is read meanwhile
+                client.sock.send(REQUESTS[number] * 1000)
+        for _ in range(20):
+            await asyncio.sleep(0)
+            assert len(stream.inward) <= stream.inward.limit
+            assert len(stream._reader._buffer) <= 2 * CHUNK + READ_MOST  # type: ignore[attr-defined]
+        linger = (1).to_bytes(4, "little") + bytes(4)
+        if reset:
+            client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        client.sock.close()
+        while front.streams:
+            await asyncio.sleep(0)
+        assert not (front._strangers or front._later or front._told_off)
