Read the clock once in each look of the shutdown sequence

Read: `Shutdown.advance` took the time anew for each question. If the 0.5 s for new connections ended exactly between its first reading and that for the wait, the wait was 0, which says that the sender has left: it would have ended without a drain. At fault: the three readings in `advance`; now one serves them all.

--- a/rowanrack/shutdown.py
+++ b/rowanrack/shutdown.py
@@ -95,21 +95,22 @@
 
     def advance(self) -> int:
         """Do what is due; returns for how long to wait until the next call, or 0 once it has left."""
+        since_us = self._since_us  # read once: between two readings a limit could pass unseen
         if self.phase is Phase.SERVING:
             self._begin()
-        if self.phase is Phase.STILL_COMING and self._since_us >= self.limits.still_coming_us:
+        if self.phase is Phase.STILL_COMING and since_us >= self.limits.still_coming_us:
             self._move(Phase.DRAINING)
             self._parts.drain()
-        if self.phase is Phase.DRAINING and self._since_us >= self.limits.begin_us:
+        if self.phase is Phase.DRAINING and since_us >= self.limits.begin_us:
             self._move(Phase.FROZEN)
             self._parts.freeze()
-        over = self._since_us >= self.limits.settle_us
+        over = since_us >= self.limits.settle_us
         if self.phase in (Phase.DRAINING, Phase.FROZEN) and (over or self._parts.settled()):
             self._move(Phase.LEFT)
         if self.phase is Phase.LEFT:
             return 0
         if self.phase is Phase.STILL_COMING:
-            return self.limits.still_coming_us - self._since_us
+            return self.limits.still_coming_us - since_us
         return self.limits.look_us
 
     def log_end_us(self) -> int:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -138,6 +138,23 @@
     assert (sequence.run_out(), sequence.done) == (undisturbed.run_out(), undisturbed.done)
 
 
+@pytest.mark.parametrize("readings", range(1, 6))
+def test_a_limit_that_passes_within_a_look_ends_nothing_early(readings: int) -> None:
+    """A clock that goes on with each reading: the sender must not leave before it has drained."""
+    sequence = Sequence()
+    sequence.reach(Phase.SERVING)
+    sequence.tell()
+    sequence.now_us += LIMITS.still_coming_us - readings  # it passes with that reading
+
+    def now_us() -> int:
+        sequence.now_us += 1
+        return sequence.now_us
+
+    sequence.shutdown._now_us = now_us
+    assert sequence.run_out() >= LIMITS.settle_us and sequence.shutdown.phase is Phase.LEFT
+    assert [name for name, _ in sequence.done] == ["drain", "freeze"]
+
+
 def test_a_phase_does_not_come_again() -> None:
     sequence = Sequence()
     sequence.reach(Phase.DRAINING)
