Read no status from half a first line, nor from two lines run into one

At fault: SAYS_200 in net/http.py took "HTTP/1.1 200 " with no line end for an answer once the rest did not come; and h11 reads "HTTP/1.1 200 O" with the real answer "HTTP/1.1 429 ..." behind it as one line that says 200. Measured: the new test's four cases fail without the change (each message ended as delivered) and pass with it; 181 tests of the four files touched passed.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -18,7 +18,7 @@
 HEAD_LIMIT = 16 * 1024
 REST_US = 1_000_000  # for the rest of an answer's head once it has begun, and for its body once that has come
 AHEAD_MOST = 16  # answers 1xx ahead of the one that counts
-SAYS_200 = re.compile(rb"HTTP/1\.[01] 200[ \r\n]")
+SAYS_200 = re.compile(rb"HTTP/1\.[01] 200(?: (?!.*HTTP/)[^\r\n]*)?\r?\n")  # a whole first line, and only one
 PRESSURE = re.compile(rb"(?im)^x-pressure:[^\n]*\n")
 FRAMED = frozenset({"content-length", "transfer-encoding"})  # else a body lasts as long as its connection
 BODILESS = frozenset({204, 304})
@@ -221,6 +221,7 @@
             async with time_limit(self._after, self._rest_us, self._has_unread):
                 head = await self._event()
             if not isinstance(head, h11.InformationalResponse):
+                _one_first_line(head)
                 return head
         raise h11.RemoteProtocolError(f"more than {AHEAD_MOST} answers 1xx")
 
@@ -236,6 +237,7 @@
             again.receive_data(cleaned)
             try:
                 head, rest = again.next_event(), again.next_event()
+                _one_first_line(head)
             except h11.RemoteProtocolError:
                 head = rest = h11.NEED_DATA
             if isinstance(head, h11.Response) and isinstance(rest, h11.EndOfMessage):
@@ -272,6 +274,12 @@
         self._h11.receive_data(data)
 
 
+def _one_first_line(head: object) -> None:
+    """Guards against half a line sent ahead of an answer: its status would be taken for the answer's."""
+    if isinstance(head, h11.Response) and b"HTTP/" in head.reason:
+        raise h11.RemoteProtocolError("two first lines in one")
+
+
 def phrase(status: int) -> str:
     """The standard words for a status."""
     return HTTPStatus(status).phrase if status in HTTPStatus._value2member_map_ else ""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -133,6 +133,28 @@
         assert (endpoint.calls, len(endpoint.writers)) == (1, 2)
 
 
+REFUSED_BYTES = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 200 OK\r",
+        b"HTTP/1.1 200 O" + REFUSED_BYTES,
+        b"HTTP/1.1 200 HTTP/1.1 429 Too Many Requests\r\nX-Pressure: \x00\r\nContent-Length: 0\r\n\r\n",
+    ],
+)
+@on_loop
+async def test_half_a_first_line_is_no_answer(tmp_path: Path, answer: bytes) -> None:
+    """It may stand ahead of the real answer, or of none: a message that nobody ran counted as delivered."""
+    async with Rig(tmp_path) as rig, scripted(rig, answer) as endpoint:
+        await (await rig.client()).submit("m1", "print-order")
+        assert (await rig.ended("m1")).ending is Ending.FAILED
+        assert rig.results == [Result.RESET]
+        assert endpoint.calls == 1
+
+
 def give_up(rig: Rig) -> None:
     """The time-out of the one attempt that is out."""
     exchange = rig.sender.exchange
