Share a cold endpoint with all likely senders where notes are lost

At fault: Hearsay.crowd believed the sum of what had been heard, however many notes were lost: each sender took the whole cold budget for itself. Change: the gaps in the peers' numbers tell the part that is lost; from a fifth on the others' work counts as not known, and the guess takes its place, as where no notes are allowed. A note that is overtaken counts as come, a jump of more than 16 as a peer that began anew, and a silence ends the memory. Measured: the test's middle case fails without the change and passes with it; test_notes, test_scale and the contract of the ways for notes passed.

--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -30,6 +30,10 @@
 GUESSED = 8.0  # and, as if that were so many tellers more, like the guess from the age of one's own
 URGENT = 0.5  # part of what may be spent that is for urgent facts there, which all tell
 STALE = NUMBERS // 2  # running numbers so far back are those of an older note
+LOSS_FADE = 0.98  # factor of each note on the weight of those before it in the part that is lost
+LOSS_START = 5.0  # notes taken to have come, at first and after a silence
+LOSS_MOST = 0.2  # part of the notes lost, up to which nearly all of the others' work is heard of in time
+SKIP_MOST = 16  # notes lost in a row, at most: a peer whose numbers jump further has begun anew
 
 
 def talks(settings: Settings) -> bool:
@@ -58,6 +62,7 @@
         self._short_at: dict[int, int] = {}
         self._last: dict[int, tuple[int, int]] = {}  # of each peer: the last number, and when
         self._heard_at: int | None = None
+        self._numbered = self._arrived = LOSS_START  # notes sent of late, and those that came
         self._others: defaultdict[int, dict[int, int]] = defaultdict(dict)  # by destination and peer
         self._sum: defaultdict[int, int] = defaultdict(int)
         self._lapse: Agenda[tuple[int, int]] = Agenda()
@@ -149,7 +154,13 @@
         last, at = self._last.get(peer, (note.number, now - LIVE_US))
         if now - at < LIVE_US and not 0 < (note.number - last) % NUMBERS < STALE:
             self.dropped += 1
+            self._arrived += note.number != last  # overtaken, not lost
             return ()
+        if self._heard_at is not None and now - self._heard_at >= LIVE_US:
+            self._numbered = self._arrived = LOSS_START  # what was lost before the silence says nothing now
+        sent = (note.number - last) % NUMBERS if now - at < LIVE_US else 1
+        self._numbered = self._numbered * LOSS_FADE + (sent if sent <= SKIP_MOST else 1)
+        self._arrived = self._arrived * LOSS_FADE + 1
         self._last[peer] = note.number, now
         self._heard_at = now
         self.heard_notes += 1
@@ -159,6 +170,11 @@
                 self._lapse.set((fact.where, peer), now + WORK * self.beat_us)
         return note.facts
 
+    @property
+    def lossy(self) -> bool:
+        """Whether so many notes are lost that much of the others' work is not heard of."""
+        return self._arrived < self._numbered * (1 - LOSS_MOST)
+
     def _believe(self, dest: int, peer: int, held: int) -> None:
         others = self._others[dest]
         self._sum[dest] += held - others.pop(peer, 0)
@@ -170,10 +186,12 @@
     def crowd(self, dest: int, held: int, now: int, guess: float = 1.0) -> float | None:
         """By how many a destination's pace is shared, by all work known to wait there; None: not known.
 
+        Where many notes are lost, what is heard leaves out most senders: each would take the whole budget of
+        a cold endpoint for itself.
         Where only some tell of theirs, the guess (of messages that wait, with one's own) counts too: who has
         just heard of no work would take the whole pace otherwise.
         """
-        if self._heard_at is None or now - self._heard_at >= LIVE_US:
+        if self._heard_at is None or now - self._heard_at >= LIVE_US or self.lossy:
             return None
         for known, peer in self._lapse.due(now):
             if peer in self._others.get(known, ()):
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import replace
 
 import pytest
@@ -133,6 +134,35 @@
     assert hearsay.crowd(1, 1, LIVE_US) == 3
 
 
+@pytest.mark.parametrize(
+    ("numbers", "heard"),
+    [
+        (range(0, 250), True),
+        (range(0, 250, 4), False),  # three of four notes are lost
+        ([n + d for n in range(0, 250, 2) for d in (1, 0)], True),  # each second one is overtaken
+    ],
+)
+def test_where_notes_are_lost_a_cold_endpoint_is_shared_with_all_likely_to_have_work(
+    numbers: Iterable[int], heard: bool
+) -> None:
+    """Each of 40 senders heard of hardly any work elsewhere: it took the whole budget for itself."""
+    caller = sender()
+    caller.end(caller.accept(), Result.CONNECT_FAILED)
+    for number in numbers:
+        for peer in range(1, 4):
+            caller.step(Heard(peer, Note(number, (Fact(What.WORK, 2, 1),))))
+    caller.wait(SECOND // 10)
+    caller.step(Heard(5, Note(1, (Fact(What.BACK, digest("t1")),))))
+    endpoint = caller.forwarder.endpoints["t1"]
+    assert endpoint.ramp_from is not None
+    alone, shared = endpoint.cold_rate(caller.now, 1.0), endpoint.cold_rate(caller.now)
+    assert alone > 10 * shared
+    endpoint.ramp.tokens = 0.0
+    caller.accept()
+    caller.wait(round(SECOND / alone) + SECOND // 20)
+    assert (len(caller.out) == 1) is heard
+
+
 def test_a_return_that_is_heard_begins_the_slow_start_and_nothing_quicker() -> None:
     caller = sender()
     caller.end(caller.accept(), Result.CONNECT_FAILED)
