Read a platform's settings whose rules are null also where lists are pushed

Cause: two changes that met: a null counts as absent in the settings, but the drain grace of pushed lists was read by `raw.get("rules", {}).get(...)`, so such a configuration was refused with "bad or missing 'NoneType' ...". Change: both keys are read as every other that may be null. Measured: the new test fails without it (ConfigError) and passes with it.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -183,7 +183,7 @@
         settings = parse_settings(json.dumps(raw))
         # Where lists are pushed, they come on a watch here too; only the clock is another.
         if pushed := not settings.on_request:
-            grace_us = raw.get("rules", {}).get("drain_grace_us", DRAIN_GRACE_US)
+            grace_us = given(given(raw, "rules", {}), "drain_grace_us", DRAIN_GRACE_US)
             within_us = min(settings.ask_within_us, max(1, int(PUSHED_WITHIN_GRACES * grace_us)))
             settings = replace(settings, on_request=True, ask_within_us=within_us)
         seq, _, known = parse_list(doc["known"])
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -576,7 +576,13 @@
         assert 0.1 * SECOND <= asking.at <= most_s * SECOND
 
 
-def config_of(folder: Path, mode: str, rules: dict[str, int]) -> Config:
+def test_rules_that_are_null_leave_the_usual_drain_grace(tmp_path: Path) -> None:
+    usual = config_of(tmp_path, "pushed", {})
+    assert config_of(tmp_path, "pushed", None) == usual
+    assert config_of(tmp_path, "pushed", {"drain_grace_us": None}) == usual
+
+
+def config_of(folder: Path, mode: str, rules: dict[str, Any] | None) -> Config:
     """The configuration of a sender on the platform where lists come in this mode."""
     settings = SETTINGS | {"membership_mode": mode, "rules": rules}
     known = {"seq": 1, "whole": True, "hosts": list[Any]()}
