Call a message that is not taken a refusal in code, not a nack

Need: the house term is withdrawn; the field's word is refusal.

Change: the class Nack and the variables named after it. The word stays in the model's histories and reports, where it is a stored value.

--- a/rowanrack/channels_io/watching.py
+++ b/rowanrack/channels_io/watching.py
@@ -6,7 +6,7 @@
 
 from rowanrack.channels import events as kinds
 from rowanrack.core.exchange import MAYBE_RAN, Exchange
-from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Nack
+from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Refusal
 from rowanspindle import Result, Status
 
 OF_STATUS = {Status.LISTED: kinds.LISTED, Status.DRAINING: kinds.DRAINING, Status.REMOVED: kinds.GONE}
@@ -44,7 +44,7 @@
         payload = {"class": message.cls, "left_us": left_us, "tenant": message.tenant}
         self._note(message.dest, kinds.TAKEN, payload, message)
 
-    def turned_away(self, message: Message | None, nack: Nack) -> None:
+    def turned_away(self, message: Message | None, refusal: Refusal) -> None:
         """A message is not taken: it never was the channel's."""
 
     def listed(self, news: list[Instance], gone: list[str]) -> None:
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -13,7 +13,17 @@
 
 from rowanrack.core.event_feed import EventFeed
 from rowanrack.core.figures import Figures
-from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Nack, Progress, Verdict
+from rowanrack.core.messages import (
+    Batch,
+    End,
+    Ending,
+    Execution,
+    Instance,
+    Message,
+    Progress,
+    Refusal,
+    Verdict,
+)
 from rowanrack.core.name_table import Change, NameTable
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.governor import Governor
@@ -126,7 +136,7 @@
     def taken(self, message: Message, left_us: int) -> None:
         """A message is owned, just taken or found at the start."""
 
-    def turned_away(self, message: Message | None, nack: Nack) -> None:
+    def turned_away(self, message: Message | None, refusal: Refusal) -> None:
         """A message is not taken; without it when it was not read that far."""
 
     def listed(self, news: list[Instance], gone: list[str]) -> None:
@@ -182,7 +192,7 @@
 
     # The service clients' side.
 
-    def too_busy(self, message_id: str) -> Nack | None:
+    def too_busy(self, message_id: str) -> Refusal | None:
         """Asked before a request is read any further: a refusal while the core is full.
 
         What is owed or has ended under that id is answered as ever: a refusal would deny it.
@@ -192,23 +202,23 @@
             return None
         if not (retry_us := self.governor.refuses()):
             return None
-        return self._turned_away(None, Nack(min(retry_us, self.settings.max_come_back_us)))
+        return self._turned_away(None, Refusal(min(retry_us, self.settings.max_come_back_us)))
 
-    def submit(self, message: Message) -> Nack | None:
+    def submit(self, message: Message) -> Refusal | None:
         """Take a message, or refuse it; once this returns None the sender owes its end."""
         self.knock()
         if self.frozen or len(self.messages) >= self.settings.most_held:
-            return self._turned_away(message, Nack(self._retry_us()))
+            return self._turned_away(message, Refusal(self._retry_us()))
         if not self.table.knows(message.dest, self.clock.now_us()):
             # Guards the hold against destinations that do not exist. A real one that is not listed yet can be
             # told from them by nobody, so its client is asked to come again.
-            return self._turned_away(message, Nack(self._retry_us()))
+            return self._turned_away(message, Refusal(self._retry_us()))
         if not self.store.recording() or not self.store.take(message):
             if self.store.recording():
                 log.warning("no room in the journal, message %s is turned away", message.id)
             else:
                 self._look_later()
-            return self._turned_away(message, Nack(self._retry_us()))
+            return self._turned_away(message, Refusal(self._retry_us()))
         self.adopt(message)
         return None
 
@@ -279,12 +289,12 @@
         """A message that was handed in before: itself while it is owed, then its end while that is kept."""
         return self.messages.get(message_id) or self.store.ended(message_id)
 
-    def _turned_away(self, message: Message | None, nack: Nack) -> Nack:
+    def _turned_away(self, message: Message | None, refusal: Refusal) -> Refusal:
         if message is not None:
             self.figures.declined(message.cls)
         for observer in self.observers:
-            observer.turned_away(message, nack)
-        return nack
+            observer.turned_away(message, refusal)
+        return refusal
 
     def _retry_us(self) -> int:
         return min(1_000_000, self.settings.max_come_back_us)
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Nack:
+class Refusal:
     """The message is not taken; handing it in again after this time is harmless."""
 
     retry_us: int
--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -51,7 +51,7 @@
         return [self._verdict(part[0], reply)]
 
     def _verdict(self, execution: Execution, reply: Reply) -> Verdict:
-        """429 and 503 are nacks; 502 and 504 may have run; what the specification never repeats is final."""
+        """429 and 503 are refusals; 502 and 504 may have run; what is never to be repeated is final."""
         match reply.status:
             case 200:
                 self._log_partial(execution, reply)
--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/service_clients.py
@@ -6,7 +6,7 @@
 import math
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Ending, Message, Nack
+from rowanrack.core.messages import End, Ending, Message, Refusal
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.mapping import RequestMap
 from rowanrack.fronts.otlp.signals import (
@@ -86,7 +86,7 @@
             return refusal(bad.status, str(bad), kind)
         end = await self._end_of(message)
         match end:
-            case Nack():
+            case Refusal():
                 return retry_later(end.retry_us, kind)
             case End(Ending.DELIVERED):
                 return Reply(200, {"Content-Type": kind}, write_message(signal.response(), kind))
@@ -107,13 +107,13 @@
             self.exchange.clock.unix_us(),
         )
 
-    async def _end_of(self, message: Message) -> End | Nack:
+    async def _end_of(self, message: Message) -> End | Refusal:
         """The one end of a message: kept from before, awaited with others, or of a new message."""
         known = self.exchange.known(message.id)
         if isinstance(known, End):
             return known
-        if known is None and (nack := self.exchange.submit(message)) is not None:
-            return nack
+        if known is None and (refusal := self.exchange.submit(message)) is not None:
+            return refusal
         waiter: asyncio.Future[End] = asyncio.get_running_loop().create_future()
         self._waiting.setdefault(message.id, []).append(waiter)
         return await waiter
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/service_clients.py
@@ -110,5 +110,5 @@
         message = read_submit(words, self.exchange.settings, self.exchange.clock.unix_us())
         if self.exchange.known(message.id) is not None:
             return simple("OK")  # handed in twice under one id: it is taken already, and has one end
-        nack = self.exchange.submit(message)
-        return simple("OK") if nack is None else error(f"BUSY {nack.retry_us // 1000}")
+        refusal = self.exchange.submit(message)
+        return simple("OK") if refusal is None else error(f"BUSY {refusal.retry_us // 1000}")
--- a/rowanrack/model/clients.py
+++ b/rowanrack/model/clients.py
@@ -210,10 +210,10 @@
             return
         cls = self.scenario.classes[item.cls]
         due = UNIX_US + self._due(item)
-        nack = sender.submit(Message(message_id, cls.name, item.member, item.dest, due, b"", FRONT))
-        if nack is not None:
+        refusal = sender.submit(Message(message_id, cls.name, item.member, item.dest, due, b"", FRONT))
+        if refusal is not None:
             item.endings.append("nack")
-            self._come_again(item, nack.retry_us)
+            self._come_again(item, refusal.retry_us)
 
     def _told(self, message: Message, end: End) -> None:
         item = self.by_message[message.id]
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Execution, Message, Nack, Verdict
+from rowanrack.core.messages import End, Execution, Message, Refusal, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.model.calls import Calls
 from rowanrack.model.discovery import Discovery
@@ -169,15 +169,15 @@
 
     # Clients.
 
-    def submit(self, message: Message) -> Nack | None:
+    def submit(self, message: Message) -> Refusal | None:
         """A message is handed in."""
-        nack = self.exchange.submit(message)
-        what = "take" if nack is None else "nack"
+        refusal = self.exchange.submit(message)
+        what = "take" if refusal is None else "nack"
         self.history.add(
             Entry(self.engine.now, what, self.number, message.id, dest=message.dest, note=message.cls,
                   value=message.deadline_us - UNIX_US)
         )  # fmt: skip
-        return nack
+        return refusal
 
     def _ended(self, message: Message, end: End) -> None:
         self.history.add(
--- a/rowanrack/record/recorder.py
+++ b/rowanrack/record/recorder.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Execution, Instance, Message, Nack
+from rowanrack.core.messages import End, Execution, Instance, Message, Refusal
 from rowanrack.net.rare_log import RareLog
 from rowanrack.record.format import (
     FRAME,
@@ -239,14 +239,14 @@
         self._add(Taken(self._clock.now_us(), message.ref, message.cls, message.tenant, message.dest, left_us,
                         len(message.body)))  # fmt: skip
 
-    def turned_away(self, message: Message | None, nack: Nack) -> None:
+    def turned_away(self, message: Message | None, refusal: Refusal) -> None:
         """A message is not taken; without it when it was not read."""
         now = self._clock.now_us()
         if message is None:
-            self._add(Turned(now, "", "", -1, 0, nack.retry_us))
+            self._add(Turned(now, "", "", -1, 0, refusal.retry_us))
             return
         left = max(0, message.deadline_us - self._clock.unix_us())
-        self._add(Turned(now, message.cls, message.tenant, message.dest, left, nack.retry_us))
+        self._add(Turned(now, message.cls, message.tenant, message.dest, left, refusal.retry_us))
 
     def listed(self, news: list[Instance], gone: list[str]) -> None:
         """News of instances."""
