--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -27,10 +27,10 @@
 from rowanrack.fronts.mgmt.server import ManagementServer
 from rowanrack.fronts.otlp import FRONT as OTLP
 from rowanrack.fronts.platform import FRONT as PLATFORM
+from rowanrack.fronts.platform.clients import PlatformClients
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
 from rowanrack.fronts.platform.inbox import InboxForm
 from rowanrack.fronts.platform.notices import Notices
-from rowanrack.fronts.platform.service_clients import PlatformServiceClients
 from rowanrack.net.listener import Listener
 from rowanrack.net.peers import PeerPort
 from rowanrack.net.pool import CallForm, InstancePool
@@ -43,7 +43,7 @@
 
 if TYPE_CHECKING:
     from rowanrack.channels_io.part import ChannelPart
-    from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
+    from rowanrack.fronts.otlp.clients import OtlpClients
     from rowanrack.record.recorder import Recorder
 
 log = logging.getLogger(__name__)
@@ -96,7 +96,7 @@
         self.consul: ConsulSource | None = None
         self.console: ConsoleServer | None = None
         self.notices: Notices | None = None
-        self.otlp: OtlpServiceClients | None = None
+        self.otlp: OtlpClients | None = None
         self.recorder: Recorder | None = None
         self.bans = BanFile(config.state)
         self.unkept: dict[str, bool] = {}  # changes that hold and are not on disk: True for a ban
@@ -289,7 +289,7 @@
 
     def _start_platform(self, platform: PlatformConfig) -> None:
         exchange = self.exchange
-        self.fronts.append((PlatformServiceClients(exchange, self._clients_most), platform.listen))
+        self.fronts.append((PlatformClients(exchange, self._clients_most), platform.listen))
         self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq, platform.pushed)
         exchange.watch = self.watch.watch
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.told)
@@ -329,9 +329,9 @@
     def _start_otlp(self, otlp: OtlpConfig) -> None:
         # Imported only where it is set up: protobuf's classes take memory that the platform counts.
         from rowanrack.fronts.otlp.calls import OtlpForm
-        from rowanrack.fronts.otlp.service_clients import OtlpServiceClients
+        from rowanrack.fronts.otlp.clients import OtlpClients
 
-        server = OtlpServiceClients(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
+        server = OtlpClients(self.exchange, otlp.mapping, otlp.body_limit, self._clients_most)
         self.otlp = server
         self.fronts.append((server, otlp.listen))
         self.exchange.listeners[OTLP] = server.ended
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -1,4 +1,4 @@
-"""The exchange: the one place where the service clients' side and the instances' side meet.
+"""The exchange: the one place where the clients' side and the instances' side meet.
 
 It owns every taken message until its end, drives the decision module with what happens on both sides, and
 carries out what the module decides. Clock, store and both sides reach it through the ports below.
@@ -190,7 +190,7 @@
         """Tell it no more."""
         self.observers = tuple(o for o in self.observers if o is not observer)
 
-    # The service clients' side.
+    # The clients' side.
 
     def too_busy(self, message_id: str) -> Refusal | None:
         """Asked before a request is read any further: a refusal while the core is full.
--- a/rowanrack/fronts/otlp/service_clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -1,4 +1,4 @@
-"""The service clients' side of OTLP/HTTP: an export request waits for its message's one end."""
+"""The clients' side of OTLP/HTTP: an export request waits for its message's one end."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 SPARED_US = 2_000_000
 
 
-class OtlpServiceClients(Listener):
+class OtlpClients(Listener):
     """The listener for OTLP clients."""
 
     owed_us, spared_us = OWED_US, SPARED_US
--- a/rowanrack/fronts/platform/service_clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -1,4 +1,4 @@
-"""The service clients' side of the platform: SUBMIT and PING over RESP2."""
+"""The clients' side of the platform: SUBMIT and PING over RESP2."""
 
 from __future__ import annotations
 
@@ -57,8 +57,8 @@
     return ""
 
 
-class PlatformServiceClients(Listener):
-    """The listener for service clients."""
+class PlatformClients(Listener):
+    """The listener for clients."""
 
     too_slow = error("ERR Protocol error: the command does not come whole in time")
     shared = True
--- a/rowanrack/lab/clients.py
+++ b/rowanrack/lab/clients.py
@@ -1,4 +1,4 @@
-"""Stand-ins for service clients: many in one process, each message handed in by the plan.
+"""Stand-ins for clients: many in one process, each message handed in by the plan.
 
 A client that hears BUSY, or whose connection is refused, goes on to the next sender of its order. One that
 hears nothing does not know whether its message was taken: it stays with that sender, under the same id, until
--- a/rowanrack/lab/stand_in.py
+++ b/rowanrack/lab/stand_in.py
@@ -1,4 +1,4 @@
-"""What stand-ins are made of: an HTTP server that answers as it is told, and a service client."""
+"""What stand-ins are made of: an HTTP server that answers as it is told, and a client."""
 
 from __future__ import annotations
 
@@ -112,7 +112,7 @@
 
 
 class Client:
-    """A service client on the platform's port."""
+    """A client on the platform's port."""
 
     def __init__(self, stream: Stream) -> None:
         self.stream = stream
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -1,4 +1,4 @@
-"""Peers that do not keep to their protocol: spoilt answers from instances, and bad service clients."""
+"""Peers that do not keep to their protocol: spoilt answers from instances, and bad clients."""
 
 from __future__ import annotations
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -12,8 +12,8 @@
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.mapping import Source
+from rowanrack.fronts.platform.clients import read_submit
 from rowanrack.fronts.platform.resp import RespError
-from rowanrack.fronts.platform.service_clients import read_submit
 from rowanrack.net.http import Reply
 from rowanrack.store.journal import TAKEN, Journal, frame, pack_text, step_record
 from rowanspindle import Result
