--- a/rowanrack/channels_io/watching.py
+++ b/rowanrack/channels_io/watching.py
@@ -6,7 +6,7 @@
 
 from rowanrack.channels import events as kinds
 from rowanrack.core.exchange import MAYBE_RAN, Exchange
-from rowanrack.core.messages import End, Ending, Execution, Instance, Message, Refusal
+from rowanrack.core.messages import Attempt, End, Ending, Instance, Message, Refusal
 from rowanspindle import Result, Status
 
 OF_STATUS = {Status.LISTED: kinds.LISTED, Status.DRAINING: kinds.DRAINING, Status.REMOVED: kinds.GONE}
@@ -60,17 +60,17 @@
             if status is not Status.REMOVED:
                 self._note(dest, kinds.GONE, {"endpoint": name})
 
-    def began(self, execution: Execution) -> None:
+    def began(self, attempt: Attempt) -> None:
         """A call's first byte is about to go out."""
-        message, payload = execution.message, {"endpoint": execution.instance.name, "leg": execution.leg}
+        message, payload = attempt.message, {"endpoint": attempt.instance.name, "leg": attempt.leg}
         self._note(message.dest, kinds.BEGUN, payload, message)
 
-    def settled(self, execution: Execution, result: Result, wait_us: int) -> None:
+    def settled(self, attempt: Attempt, result: Result, wait_us: int) -> None:
         """A call has ended."""
-        message, name = execution.message, execution.instance.name
-        if execution.begun and result is not Result.OK:
+        message, name = attempt.message, attempt.instance.name
+        if attempt.begun and result is not Result.OK:
             kind = kinds.MAY_HAVE_RUN if result in MAYBE_RAN else kinds.NEVER_RAN
-            payload = {"endpoint": name, "leg": execution.leg, "result": result.value}
+            payload = {"endpoint": name, "leg": attempt.leg, "result": result.value}
             self._note(message.dest, kind, payload, message)
         if wait_us:
             self._note(message.dest, kinds.WAIT, {"endpoint": name, "wait_us": wait_us})
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -168,7 +168,7 @@
     for message in book.owed.values():
         ran = "may have run" if message.unsettled else "has not run"
         left_s = (message.deadline_us - book.unix_us()) / 1_000_000
-        used = f"{message.legs} executions, {ran}, {left_s:.1f} s left"
+        used = f"{message.legs} attempts, {ran}, {left_s:.1f} s left"
         click.echo(f"owed {message.id} {message.cls} to {message.dest}: {used}")
     for message_id, ended in book.ends.items():
         click.echo(f"ended {message_id} {ended.end.ending.value}")
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -14,10 +14,10 @@
 from rowanrack.core.event_feed import EventFeed
 from rowanrack.core.figures import Figures
 from rowanrack.core.messages import (
+    Attempt,
     Batch,
     End,
     Ending,
-    Execution,
     Instance,
     Message,
     Progress,
@@ -63,7 +63,7 @@
 LONG_AGO_US = 1 << 60
 HEARD_US = 10_000  # for which a note may wait for others
 STORE_LOOK_US = 100_000  # between looks at whether the store records again
-# An execution that the store did not record. The wait guards the attempts that a message has: without it each
+# An attempt that the store did not record. The wait guards the attempts that a message has: without it each
 # round would send it, and stop it, anew.
 UNRECORDED = Verdict(Result.MOOT, wait_us=500_000)
 ANSWER_US = 50_000  # between looks at an answer that had begun to come in when its call's time was up
@@ -99,13 +99,13 @@
         """Whether nothing may begin, for a proof or an end is unwritten. Each call tries to write it."""
 
     def take(self, message: Message) -> bool:
-        """Record a message; False when there is no room for it, its executions and its end."""
+        """Record a message; False when there is no room for it, its attempts and its end."""
 
     def begin(self, message: Message, leg: int) -> bool:
-        """Record that an execution is about to begin; False if that cannot be done."""
+        """Record that an attempt is about to begin; False if that cannot be done."""
 
     def never_ran(self, message: Message, leg: int) -> None:
-        """Record the proof that an execution never ran."""
+        """Record the proof that an attempt never ran."""
 
     def end(self, message: Message, end: End) -> None:
         """Record the one end of a message, which its client may be told from now on."""
@@ -118,7 +118,7 @@
     """Calls to instances."""
 
     def start(self, batch: Batch) -> None:
-        """Make the call; the end of each execution comes back by `Exchange.settle`."""
+        """Make the call; the end of each attempt comes back by `Exchange.settle`."""
 
     def abandon(self, batch: Batch) -> None:
         """Stop waiting: the call's connection is closed, and nothing more comes back."""
@@ -142,10 +142,10 @@
     def listed(self, news: list[Instance], gone: list[str]) -> None:
         """News of instances, and the names of those that are gone."""
 
-    def began(self, execution: Execution) -> None:
+    def began(self, attempt: Attempt) -> None:
         """A call's first byte is about to go out."""
 
-    def settled(self, execution: Execution, result: Result, wait_us: int) -> None:
+    def settled(self, attempt: Attempt, result: Result, wait_us: int) -> None:
         """A call has ended; its message may have ended with it, but is told of later."""
 
     def ended(self, message: Message, end: End) -> None:
@@ -153,7 +153,7 @@
 
 
 class Exchange:
-    """Taken messages, their deadlines and their executions."""
+    """Taken messages, their deadlines and their attempts."""
 
     def __init__(self, settings: Settings, seed: int, clock: Clock, store: Store, tick_us: int) -> None:
         self.settings, self.clock, self.store = settings, clock, store
@@ -178,7 +178,7 @@
         self._pumping = False
         self._due_us: int | None = None  # when the next round is due
         self._waits: Agenda[str | int] = Agenda()
-        self._unbegun: dict[str, dict[Execution, None]] = {}  # by the instance that they are for
+        self._unbegun: dict[str, dict[Attempt, None]] = {}  # by the instance that they are for
         self._batches: dict[str, list[Batch]] = {}  # what the round sends, by instance
         self._looks = False  # whether a look at the store is due
 
@@ -344,9 +344,9 @@
             observer.listed(left, list(change.gone))
         self._put(change.members)
         for name in change.closed:
-            for execution in list(self._unbegun.get(name, ())):
+            for attempt in list(self._unbegun.get(name, ())):
                 # A call still waiting for its connection must not go to what drains, is gone or has moved.
-                self._drop(execution, Result.MOOT)
+                self._drop(attempt, Result.MOOT)
             if self.side is not None:
                 self.side.close_idle(name)
         # What is kept by an instance's name ends with it: another may come under its name or address.
@@ -354,79 +354,79 @@
             self._waits.drop(name)
         self._waits.due(self.clock.now_us())  # those that are over go with it
 
-    def begin(self, execution: Execution) -> bool:
+    def begin(self, attempt: Attempt) -> bool:
         """Asked right before a call's first byte: whether it may still be sent. The store knows it first."""
-        message = execution.message
-        if execution.settled:
+        message = attempt.message
+        if attempt.settled:
             return False
         # Guards against a send after a wait was told, or to an instance that drains or is gone, by a call
         # that was decided on before and waited for its connection.
-        waiting = (self._waits.get(self._limit(execution)) or 0) > self.clock.now_us()
-        barred = waiting or not self._owed(message) or not self.table.listed(execution.instance.name)
+        waiting = (self._waits.get(self._limit(attempt)) or 0) > self.clock.now_us()
+        barred = waiting or not self._owed(message) or not self.table.listed(attempt.instance.name)
         # Or a repeat that waited for its connection until its key's time was over.
         barred = barred or self._key_lapsed(message)
         # Guards against a second effect after a restart: what the store does not know must not begin.
-        if barred or not self.store.begin(message, execution.leg):
-            self.settle(execution, Result.MOOT if barred else UNRECORDED)
+        if barred or not self.store.begin(message, attempt.leg):
+            self.settle(attempt, Result.MOOT if barred else UNRECORDED)
             return False
         late = self._key_lapsed(message)  # while the store took its time
-        message.unsettled[execution.leg] = self.clock.unix_us()
-        execution.begun = True
+        message.unsettled[attempt.leg] = self.clock.unix_us()
+        attempt.begun = True
         if late:
-            self.settle(execution, Result.MOOT)
+            self.settle(attempt, Result.MOOT)
             return False
         self.figures.forwarded(message.cls)
-        self._no_longer_unbegun(execution)
+        self._no_longer_unbegun(attempt)
         for observer in self.observers:
-            observer.began(execution)
+            observer.began(attempt)
         return True
 
-    def settle(self, execution: Execution, verdict: Verdict | Result) -> None:
-        """An execution has ended, and its message too if the verdict says so. Only its first end counts."""
-        if execution.settled:
+    def settle(self, attempt: Attempt, verdict: Verdict | Result) -> None:
+        """An attempt has ended, and its message too if the verdict says so. Only its first end counts."""
+        if attempt.settled:
             return
         if isinstance(verdict, Result):
             verdict = Verdict(verdict)
         result, wait_us, end = verdict.result, verdict.wait_us, verdict.end
-        execution.settled = True
-        if execution.timer is not None:
-            execution.timer.cancel()
-        message, now = execution.message, self.clock.now_us()
+        attempt.settled = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        message, now = attempt.message, self.clock.now_us()
         for observer in self.observers:
-            observer.settled(execution, result, wait_us)
-        message.out.pop(execution.leg, None)
-        self._no_longer_unbegun(execution)
+            observer.settled(attempt, result, wait_us)
+        message.out.pop(attempt.leg, None)
+        self._no_longer_unbegun(attempt)
         self._forget(message)
         if wait_us:
-            limit = self._limit(execution)
+            limit = self._limit(attempt)
             self._waits.set(limit, max(now + wait_us, self._waits.get(limit) or 0))
         owed = self._owed(message)
-        if execution.begun and result not in MAYBE_RAN and result is not Result.OK:
-            message.unsettled.pop(execution.leg, None)
+        if attempt.begun and result not in MAYBE_RAN and result is not Result.OK:
+            message.unsettled.pop(attempt.leg, None)
             if owed:
-                self.store.never_ran(message, execution.leg)
+                self.store.never_ran(message, attempt.leg)
         if owed and result is Result.OK:
             self._end(message, End(Ending.DELIVERED))
         elif owed and end is not None:
             self._end(message, End(end))
         over = not self._owed(message)
-        latency = now - execution.started_us
-        name = execution.instance.name
+        latency = now - attempt.started_us
+        name = attempt.instance.name
         self._put(
             Outcome(
-                message.ref, execution.leg, name, result, latency, over, wait_us, verdict.left, verdict.limit
+                message.ref, attempt.leg, name, result, latency, over, wait_us, verdict.left, verdict.limit
             )
         )
 
-    def _no_longer_unbegun(self, execution: Execution) -> None:
-        if (waiting := self._unbegun.get(execution.instance.name)) is not None:
-            waiting.pop(execution, None)
+    def _no_longer_unbegun(self, attempt: Attempt) -> None:
+        if (waiting := self._unbegun.get(attempt.instance.name)) is not None:
+            waiting.pop(attempt, None)
             if not waiting:
-                del self._unbegun[execution.instance.name]
+                del self._unbegun[attempt.instance.name]
 
-    def _limit(self, execution: Execution) -> str | int:
+    def _limit(self, attempt: Attempt) -> str | int:
         """What a told wait holds for: the whole destination, or one route where routes are apart."""
-        instance = execution.instance
+        instance = attempt.instance
         apart = self.settings.kinds.get(instance.kind, Kind()).apart
         return instance.name if apart else instance.dest
 
@@ -540,8 +540,8 @@
                 self._finish(action.ref, End(Ending.FAILED))
             case Cancel():
                 message = self._refs.get(action.ref)
-                if message is not None and (execution := message.out.get(action.leg)) is not None:
-                    self._drop(execution, Result.CANCELLED)
+                if message is not None and (attempt := message.out.get(action.leg)) is not None:
+                    self._drop(attempt, Result.CANCELLED)
             case Disconnect():
                 if self.side is not None:
                     self.side.close_idle(action.target)
@@ -567,17 +567,17 @@
             self._put(Outcome(action.ref, leg, action.target, Result.MOOT, 0, False))
             return
         batch = self._batch_for(message, instance)
-        execution = message.out[leg] = Execution(message, leg, instance, now, action.timeout_us, batch)
-        batch.executions.append(execution)
-        self._unbegun.setdefault(instance.name, {})[execution] = None
-        execution.timer = self.after(action.timeout_us, lambda: self._drop(execution, Result.TIMEOUT))
+        attempt = message.out[leg] = Attempt(message, leg, instance, now, action.timeout_us, batch)
+        batch.attempts.append(attempt)
+        self._unbegun.setdefault(instance.name, {})[attempt] = None
+        attempt.timer = self.after(action.timeout_us, lambda: self._drop(attempt, Result.TIMEOUT))
 
     def _batch_for(self, message: Message, instance: Instance) -> Batch:
         """The batch in which a message of this round travels: as many as the kind takes, none twice."""
         most = self.settings.kinds.get(instance.kind, Kind()).batch
         batches = self._batches.setdefault(instance.name, [])
         for batch in batches[-1:]:
-            if len(batch.executions) < most and all(e.message is not message for e in batch.executions):
+            if len(batch.attempts) < most and all(e.message is not message for e in batch.attempts):
                 return batch
         batches.append(Batch(instance))
         return batches[-1]
@@ -587,8 +587,8 @@
         gathered, self._batches = self._batches, {}
         ready = [b for batches in gathered.values() for b in batches]
         if ready and self.store.behind():
-            for execution in [e for b in ready for e in b.waiting()]:
-                self.settle(execution, UNRECORDED)
+            for attempt in [e for b in ready for e in b.waiting()]:
+                self.settle(attempt, UNRECORDED)
         for batch in ready:
             if self.side is not None and batch.waiting():
                 self.side.start(batch)
@@ -604,17 +604,17 @@
         if not self.store.recording():
             self._look_later()
 
-    def _drop(self, execution: Execution, result: Result) -> None:
-        """Stop waiting for an execution; what was never begun has never run.
+    def _drop(self, attempt: Attempt, result: Result) -> None:
+        """Stop waiting for an attempt; what was never begun has never run.
 
         One that shares its call with others ends with that call: until then it may run, and no other attempt
         of its message may be out. The message's own end does not wait for it.
         """
-        if execution.begun:
-            execution.given_up = result
+        if attempt.begun:
+            attempt.given_up = result
         else:
-            self.settle(execution, UNSENT.get(result, result))
-        self._give_up(execution.batch)
+            self.settle(attempt, UNSENT.get(result, result))
+        self._give_up(attempt.batch)
 
     def _give_up(self, batch: Batch, looks: int = ANSWER_LOOKS) -> None:
         """Close a call that nobody waits for any more, unless its end has come in and is only not read yet.
@@ -622,7 +622,7 @@
         Guards a message that is delivered already: under load its time-out and its answer often come in one
         turn of the loop. The looks are bounded, for an answer that never ends.
         """
-        left = [e for e in batch.executions if not e.settled]
+        left = [e for e in batch.attempts if not e.settled]
         if self.side is None or any(e.given_up is None for e in left):
             return
         progress = self.side.progress(batch) if left else Progress.SENT
@@ -630,9 +630,9 @@
             self.after(ANSWER_US, lambda: self._give_up(batch, looks - 1))
             return
         self.side.abandon(batch)
-        for execution in left:
-            result = execution.given_up or Result.CANCELLED
-            self.settle(execution, UNSENT.get(result, result) if progress is Progress.UNSENT else result)
+        for attempt in left:
+            result = attempt.given_up or Result.CANCELLED
+            self.settle(attempt, UNSENT.get(result, result) if progress is Progress.UNSENT else result)
 
     def _finish(self, ref: int, end: End) -> None:
         message = self._refs.get(ref)
@@ -643,7 +643,7 @@
         return self.messages.get(message.id) is message
 
     def _forget(self, message: Message) -> None:
-        """An ended message keeps its number while an execution is out, which may be called off."""
+        """An ended message keeps its number while an attempt is out, which may be called off."""
         if not self._owed(message) and not message.out:
             self._refs.pop(message.ref, None)
 
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -1,4 +1,4 @@
-"""What the core owns: messages, their executions and their ends, and the instances that may take them."""
+"""What the core owns: messages, their attempts and their ends, and the instances that may take them."""
 
 from __future__ import annotations
 
@@ -46,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Verdict:
-    """What the end of a call means for an execution; with `end` its message ends, whatever the result.
+    """What the end of a call means for an attempt; with `end` its message ends, whatever the result.
 
     `left` and `limit` are what a report told: the share of the limit that is left, and calls a second.
     """
@@ -90,15 +90,15 @@
     form: str = ""
     key: str = ""  # the idempotency key, passed on unchanged
     legs: int = 0
-    # Executions begun and not proved never to have run, and when each began (Unix time; 0: not known).
+    # Attempts begun and not proved never to have run, and when each began (Unix time; 0: not known).
     unsettled: dict[int, int] = field(default_factory=dict)
     ref: int = 0
-    out: dict[int, Execution] = field(default_factory=dict)
+    out: dict[int, Attempt] = field(default_factory=dict)
     guard: WheelTimer | None = None
 
 
 @dataclass(slots=True, eq=False)
-class Execution:
+class Attempt:
     """One attempt to deliver a message to an instance."""
 
     message: Message
@@ -115,11 +115,11 @@
 
 @dataclass(slots=True, eq=False)
 class Batch:
-    """Executions that travel to an instance together: one slot, and one call where the protocol has one."""
+    """Attempts that travel to an instance together: one slot, and one call where the protocol has one."""
 
     instance: Instance
-    executions: list[Execution] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
 
-    def waiting(self) -> list[Execution]:
+    def waiting(self) -> list[Attempt]:
         """Those that are still to be written."""
-        return [e for e in self.executions if not (e.begun or e.settled)]
+        return [e for e in self.attempts if not (e.begun or e.settled)]
--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -7,7 +7,7 @@
 from datetime import datetime
 from email.utils import parsedate_to_datetime
 
-from rowanrack.core.messages import Ending, Execution, Verdict
+from rowanrack.core.messages import Attempt, Ending, Verdict
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.signals import JSON, PROTOBUF, SIGNALS, parse_message
 from rowanrack.net.http import Call, Reply
@@ -35,26 +35,26 @@
 class OtlpForm:
     """OTLP/HTTP's form of a call: the export request as it was received, uncompressed."""
 
-    def part(self, waiting: Sequence[Execution]) -> int:
+    def part(self, waiting: Sequence[Attempt]) -> int:
         """An export request is one message, so each goes in a call of its own."""
         return min(1, len(waiting))
 
-    def call(self, part: Sequence[Execution], left_us: int) -> Call:
+    def call(self, part: Sequence[Attempt], left_us: int) -> Call:
         """OTLP has no header for the time that the sender waits; a key goes in the usual one."""
         message = part[0].message
         signal, _, kind = message.form.partition(" ")
         keyed = (("Idempotency-Key", message.key),) if message.key else ()
         return Call("POST", f"/v1/{signal}", (("Content-Type", kind), *keyed), message.body)
 
-    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+    def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[Verdict]:
         """What the one answer means."""
         return [self._verdict(part[0], reply)]
 
-    def _verdict(self, execution: Execution, reply: Reply) -> Verdict:
+    def _verdict(self, attempt: Attempt, reply: Reply) -> Verdict:
         """429 and 503 are refusals; 502 and 504 may have run; what is never to be repeated is final."""
         match reply.status:
             case 200:
-                self._log_partial(execution, reply)
+                self._log_partial(attempt, reply)
                 return Verdict(Result.OK)
             case 429 | 503:
                 wait_us = retry_after_us(reply.headers.get("retry-after", ""), datetime.now().astimezone())
@@ -64,19 +64,19 @@
             case status if 500 <= status < 600:
                 return Verdict(Result.ERROR, end=Ending.FAILED)
             case status:
-                log.warning("%s: answered %d, message is failed", execution.instance.name, status)
+                log.warning("%s: answered %d, message is failed", attempt.instance.name, status)
                 return Verdict(Result.MOOT, end=Ending.FAILED)
 
     @staticmethod
-    def _log_partial(execution: Execution, reply: Reply) -> None:
+    def _log_partial(attempt: Attempt, reply: Reply) -> None:
         """A partial success is delivered, and must not be repeated; the operators read of it here."""
-        signal = SIGNALS["/v1/" + execution.message.form.partition(" ")[0]]
+        signal = SIGNALS["/v1/" + attempt.message.form.partition(" ")[0]]
         kind = JSON if reply.headers.get("content-type", "").startswith(JSON) else PROTOBUF
         try:
             response = parse_message(signal.response(), reply.body, kind)
         except OtlpError:
-            log.warning("%s: delivered, but the answer cannot be read", execution.instance.name)
+            log.warning("%s: delivered, but the answer cannot be read", attempt.instance.name)
             return
         if response.HasField("partial_success"):
             text = " ".join(str(getattr(response, "partial_success")).split())  # noqa: B009
-            log.warning("%s: partial success: %s", execution.instance.name, text)
+            log.warning("%s: partial success: %s", attempt.instance.name, text)
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Mapping, Sequence
 
-from rowanrack.core.messages import Ending, Execution, Verdict
+from rowanrack.core.messages import Attempt, Ending, Verdict
 from rowanrack.fronts.platform import bulk
 from rowanrack.net.http import Call, Reply
 from rowanspindle import Result
@@ -52,13 +52,13 @@
         self._reports = reports
         self._singly: dict[str, None] = {}  # instances that have turned a bulk down
 
-    def part(self, waiting: Sequence[Execution]) -> int:
+    def part(self, waiting: Sequence[Attempt]) -> int:
         """As many as one body holds; one where the instance has turned a bulk down unread."""
         if waiting[0].instance.name in self._singly:
             return 1
         return bulk.fit([e.message for e in waiting])
 
-    def call(self, part: Sequence[Execution], left_us: int) -> Call:
+    def call(self, part: Sequence[Attempt], left_us: int) -> Call:
         """Ids, keys and bodies are passed on unchanged."""
         remaining = ("X-Remaining", f"{left_us // 1000}m")
         if len(part) > 1:
@@ -70,7 +70,7 @@
             headers.append(("Idempotency-Key", message.key))
         return Call("POST", "/inbox", tuple(headers), message.body)
 
-    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+    def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[Verdict]:
         """What the answer says of each. A wait and a report hold for all, whatever each one's state."""
         wait = wait_us(reply.headers)
         left, limit = report(reply.headers, self._reports) if self._reports else (None, None)
@@ -98,7 +98,7 @@
             case _:
                 return Verdict(Result.ERROR)
 
-    def _bulk_verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+    def _bulk_verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[Verdict]:
         match reply.status:
             case 200 if reply.whole:
                 return [STATES[s] for s in bulk.states(reply.body, [e.message.id for e in part])]
--- a/rowanrack/model/calls.py
+++ b/rowanrack/model/calls.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from rowanrack.core.messages import Batch, Execution, Progress, Verdict
+from rowanrack.core.messages import Attempt, Batch, Progress, Verdict
 from rowanrack.model.history import Entry
 from rowanrack.model.partner import Answer, Place, State, Visit
 from rowanspindle import Result
@@ -36,42 +36,42 @@
     def __init__(self, sender: Sender) -> None:
         self.sender, self.engine, self.network = sender, sender.engine, sender.network
         self.idle: dict[str, list[Line]] = {}
-        self.out: dict[Execution, tuple[Line | None, Visit | None]] = {}
+        self.out: dict[Attempt, tuple[Line | None, Visit | None]] = {}
         self.handshakes = self.crossings = 0
 
     # What the exchange asks for.
 
     def start(self, batch: Batch) -> None:
         """Make the calls of a batch."""
-        for execution in batch.executions:
-            self._start(execution)
+        for attempt in batch.attempts:
+            self._start(attempt)
 
-    def _start(self, execution: Execution) -> None:
+    def _start(self, attempt: Attempt) -> None:
         """Make the call, on an idle connection or a new one."""
-        place = self.sender.places[execution.instance.name]
+        place = self.sender.places[attempt.instance.name]
         waiting = self.idle.get(place.name, [])
         while waiting:
             line = waiting.pop()
             if line.open and place.state is not State.DOWN:
-                self._send(execution, line)
+                self._send(attempt, line)
                 return
             line.close()
-        self.out[execution] = None, None
+        self.out[attempt] = None, None
         there = self._one_way(place)
-        self.engine.after(there, lambda: self._knock(execution, place))
+        self.engine.after(there, lambda: self._knock(attempt, place))
 
     def abandon(self, batch: Batch) -> None:
         """Stop waiting for the calls of a batch."""
-        for execution in batch.executions:
-            self._abandon(execution)
+        for attempt in batch.attempts:
+            self._abandon(attempt)
 
-    def _abandon(self, execution: Execution) -> None:
+    def _abandon(self, attempt: Attempt) -> None:
         """Close the call's connection, which its place sees a little later."""
-        line, visit = self.out.pop(execution, (None, None))
+        line, visit = self.out.pop(attempt, (None, None))
         if line is not None:
             line.close()
         if visit is not None:
-            place, seen = self.sender.places[execution.instance.name], visit
+            place, seen = self.sender.places[attempt.instance.name], visit
             self.engine.after(self._one_way(place), lambda: self._gone(seen))
 
     def progress(self, batch: Batch) -> Progress:
@@ -87,51 +87,51 @@
         """The process is gone, and all its connections with it."""
         for name in list(self.idle):
             self.close_idle(name)
-        for execution in list(self.out):
-            self._abandon(execution)
+        for attempt in list(self.out):
+            self._abandon(attempt)
 
     # One call.
 
     def _one_way(self, place: Place) -> int:
         return self.network.one_way(self.sender.zone, place.zone)
 
-    def _knock(self, execution: Execution, place: Place) -> None:
+    def _knock(self, attempt: Attempt, place: Place) -> None:
         """A new connection reaches its place."""
-        if execution not in self.out:
+        if attempt not in self.out:
             return
         if place.state is State.SILENT:
             wait = self.sender.settings.connect_timeout_us
-            self.engine.after(wait, lambda: self._failed(execution))
+            self.engine.after(wait, lambda: self._failed(attempt))
             return
         back = self._one_way(place)
         if place.state is State.DOWN:
             place.saw.add(self.sender.number)
-            self.engine.after(back, lambda: self._failed(execution))
+            self.engine.after(back, lambda: self._failed(attempt))
             return
         line = Line(place)
         self.handshakes += 1
         place.opened += 1
-        self.out[execution] = line, None
-        self.engine.after(back + place.partner.figures.handshake_us, lambda: self._send(execution, line))
+        self.out[attempt] = line, None
+        self.engine.after(back + place.partner.figures.handshake_us, lambda: self._send(attempt, line))
 
-    def _failed(self, execution: Execution) -> None:
-        if self.out.pop(execution, None) is not None:
-            self.sender.exchange.settle(execution, Result.CONNECT_FAILED)
+    def _failed(self, attempt: Attempt) -> None:
+        if self.out.pop(attempt, None) is not None:
+            self.sender.exchange.settle(attempt, Result.CONNECT_FAILED)
 
-    def _send(self, execution: Execution, line: Line) -> None:
+    def _send(self, attempt: Attempt, line: Line) -> None:
         place, sender = line.place, self.sender
-        if execution.settled:
+        if attempt.settled:
             self._keep(line)
             return
-        self.out[execution] = line, None
-        if not sender.exchange.begin(execution):
-            self.out.pop(execution, None)
+        self.out[attempt] = line, None
+        if not sender.exchange.begin(attempt):
+            self.out.pop(attempt, None)
             self._keep(line)
             return
-        message = execution.message
+        message = attempt.message
         sender.history.add(
             Entry(
-                self.engine.now, "begin", sender.number, message.id, execution.leg, place.name, message.dest
+                self.engine.now, "begin", sender.number, message.id, attempt.leg, place.name, message.dest
             )
         )
         self.crossings += place.zone != sender.zone
@@ -140,12 +140,12 @@
         def answer(answered: Answer) -> None:
             def arrive() -> None:
                 if life is sender.life:
-                    self._answered(execution, answered)
+                    self._answered(attempt, answered)
 
             self.engine.after(self._one_way(place), arrive)
 
-        visit = Visit(sender.number, message.id, execution.leg, answer)
-        self.out[execution] = line, visit
+        visit = Visit(sender.number, message.id, attempt.leg, answer)
+        self.out[attempt] = line, visit
 
         def come() -> None:
             if line.extra:
@@ -156,15 +156,15 @@
 
         self.engine.after(self._one_way(place), come)
 
-    def _answered(self, execution: Execution, answer: Answer) -> None:
-        line, _ = self.out.pop(execution, (None, None))
+    def _answered(self, attempt: Attempt, answer: Answer) -> None:
+        line, _ = self.out.pop(attempt, (None, None))
         if line is None:
             return  # given up before
         if answer.status == 0 or line.extra:
             line.close()
         else:
             self._keep(line)
-        self.sender.exchange.settle(execution, Verdict(RESULTS[answer.status], answer.wait_us))
+        self.sender.exchange.settle(attempt, Verdict(RESULTS[answer.status], answer.wait_us))
 
     def _gone(self, visit: Visit) -> None:
         visit.gone = True
--- a/rowanrack/model/history.py
+++ b/rowanrack/model/history.py
@@ -25,7 +25,7 @@
     "take": "a sender takes a message; note: class, value: deadline",
     "nack": "a sender refuses it at the door",
     "begin": "the first byte of a call leaves a sender",
-    "settle": "the end of an execution reaches its sender; note: the result, value: a told wait",
+    "settle": "the end of an attempt reaches its sender; note: the result, value: a told wait",
     "end": "a message ends at its sender; note: the ending",
     "ran": "a call has taken effect at a place",
     "told": "a sender is told that a place drains or is gone",
--- a/rowanrack/model/rules.py
+++ b/rowanrack/model/rules.py
@@ -33,8 +33,8 @@
     due_us: int
     cls: str
     ends: list[tuple[int, str]] = field(default_factory=list)
-    out: dict[int, int] = field(default_factory=dict)  # executions begun and not settled, with their times
-    ran: set[int] = field(default_factory=set)  # executions that may have run
+    out: dict[int, int] = field(default_factory=dict)  # attempts begun and not settled, with their times
+    ran: set[int] = field(default_factory=set)  # attempts that may have run
     effects: int = 0
 
 
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Execution, Message, Refusal, Verdict
+from rowanrack.core.messages import Attempt, End, Message, Refusal, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.model.calls import Calls
 from rowanrack.model.discovery import Discovery
@@ -109,24 +109,24 @@
         self.exchange.side = self.calls
         settle = self.exchange.settle
 
-        def settle_and_note(execution: Execution, verdict: Verdict | Result) -> None:
-            if not execution.settled:
+        def settle_and_note(attempt: Attempt, verdict: Verdict | Result) -> None:
+            if not attempt.settled:
                 known = Verdict(verdict) if isinstance(verdict, Result) else verdict
-                m, name = execution.message, execution.instance.name
+                m, name = attempt.message, attempt.instance.name
                 self.history.add(
                     Entry(
                         self.engine.now,
                         "settle",
                         self.number,
                         m.id,
-                        execution.leg,
+                        attempt.leg,
                         name,
                         m.dest,
                         known.result.value,
                         known.wait_us,
                     )
                 )
-            settle(execution, verdict)
+            settle(attempt, verdict)
 
         self.exchange.settle = settle_and_note  # type: ignore[method-assign]
         life = self.life
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -1,4 +1,4 @@
-"""The pool: connections to instances, and the executions on them."""
+"""The pool: connections to instances, and the attempts on them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, Execution, Instance, Progress, Verdict
+from rowanrack.core.messages import Attempt, Batch, Instance, Progress, Verdict
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.http import (
     Call,
@@ -34,13 +34,13 @@
 class CallForm(Protocol):
     """How a front's messages are called out to instances."""
 
-    def part(self, waiting: Sequence[Execution]) -> int:
+    def part(self, waiting: Sequence[Attempt]) -> int:
         """How many of them, from the first on, go in one call; all are for one instance."""
 
-    def call(self, part: Sequence[Execution], left_us: int) -> Call:
-        """The request of executions that are waited for so long."""
+    def call(self, part: Sequence[Attempt], left_us: int) -> Call:
+        """The request of attempts that are waited for so long."""
 
-    def verdicts(self, part: Sequence[Execution], reply: Reply) -> list[Verdict]:
+    def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[Verdict]:
         """What the answer means for each."""
 
 
@@ -54,7 +54,7 @@
 
 
 class InstancePool:
-    """Connections to instances, each with one call at a time, and a task for each batch of executions."""
+    """Connections to instances, each with one call at a time, and a task for each batch of attempts."""
 
     def __init__(self, exchange: Exchange, forms: dict[str, CallForm], idle_most: int) -> None:
         self.exchange, self.forms = exchange, forms
@@ -122,25 +122,25 @@
                 elif len(part) == len(waiting):
                     self._keep(batch.instance, caller)
                     caller = None
-                for execution, verdict in zip(part, verdicts, strict=True):
-                    self.exchange.settle(execution, verdict)
+                for attempt, verdict in zip(part, verdicts, strict=True):
+                    self.exchange.settle(attempt, verdict)
             if caller is not None:
                 self._keep(batch.instance, caller)
                 caller = None
         except (OSError, TimeoutError):
             # Only opening the connection raises these: nothing of what still waits was written.
-            for execution in batch.waiting():
-                self.exchange.settle(execution, Result.CONNECT_FAILED)
+            for attempt in batch.waiting():
+                self.exchange.settle(attempt, Result.CONNECT_FAILED)
         except Exception:
             log.exception("a call to %s failed", batch.instance.name)
-            for execution in batch.executions:
-                self.exchange.settle(execution, Result.RESET if execution.begun else Result.CONNECT_FAILED)
+            for attempt in batch.attempts:
+                self.exchange.settle(attempt, Result.RESET if attempt.begun else Result.CONNECT_FAILED)
         finally:
             if caller is not None:
                 caller.stream.abort()
 
-    async def _call(self, caller: HttpCaller, form: CallForm, part: list[Execution]) -> list[Verdict]:
-        """One call and what became of each execution in it."""
+    async def _call(self, caller: HttpCaller, form: CallForm, part: list[Attempt]) -> list[Verdict]:
+        """One call and what became of each attempt in it."""
         now = self.exchange.clock.now_us()
         left_us = max(e.started_us + e.timeout_us - now for e in part)
         batch = part[0].batch
--- a/rowanrack/record/recorder.py
+++ b/rowanrack/record/recorder.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import End, Execution, Instance, Message, Refusal
+from rowanrack.core.messages import Attempt, End, Instance, Message, Refusal
 from rowanrack.net.rare_log import RareLog
 from rowanrack.record.format import (
     FRAME,
@@ -256,17 +256,17 @@
         for name in gone:
             self._add(Listed(now, name, -1, "", "", Status.REMOVED.value, 0.0))
 
-    def began(self, execution: Execution) -> None:
+    def began(self, attempt: Attempt) -> None:
         """A call's first byte goes out."""
         now = self._clock.now_us()
-        self._add(Began(now, execution.message.ref, execution.leg, execution.instance.name,
-                        now - execution.started_us))  # fmt: skip
+        self._add(Began(now, attempt.message.ref, attempt.leg, attempt.instance.name,
+                        now - attempt.started_us))  # fmt: skip
 
-    def settled(self, execution: Execution, result: Result, wait_us: int) -> None:
+    def settled(self, attempt: Attempt, result: Result, wait_us: int) -> None:
         """A call has ended."""
-        i, now = execution.instance, self._clock.now_us()
-        self._add(Settled(now, execution.message.ref, execution.leg, i.name, i.dest, result.value, wait_us,
-                          execution.begun, now - execution.started_us))  # fmt: skip
+        i, now = attempt.instance, self._clock.now_us()
+        self._add(Settled(now, attempt.message.ref, attempt.leg, i.name, i.dest, result.value, wait_us,
+                          attempt.begun, now - attempt.started_us))  # fmt: skip
 
     def ended(self, message: Message, end: End) -> None:
         """A message has ended."""
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -3,7 +3,7 @@
 A record is its payload's length and CRC-32, then the payload: a type byte, the message's id, and what the
 type adds. Writes go straight to the kernel, which outlasts the process; nothing is synced.
 
-A message is taken only when the disk has given room for all that may have to be said of it: its executions,
+A message is taken only when the disk has given room for all that may have to be said of it: its attempts,
 its end, and the word that its client was told. That room lies ahead of the records (see `journal_file`),
 counts in the budget, and comes in pieces of `PIECE` bytes. On a disk that is full from elsewhere nothing
 new is taken, and what is owed goes on to its end in the room that it has.
@@ -38,7 +38,7 @@
 SLOTS = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
 OPEN_TRIES, OPEN_PAUSE_S = 20, 0.01  # a slot held for a look is free again within microseconds
 FRAME = struct.Struct("<II")
-TIMED = 12  # bytes of an execution's number with its time
+TIMED = 12  # bytes of an attempt's number with its time
 LONGEST = 1 << 20  # bytes of a payload; a longer length is damage
 STEP, STEP_TIME, END = 17, 8, 42  # bytes of a record beside its texts
 PIECE = 16 * 1024  # bytes in which room is asked of the disk
@@ -102,12 +102,12 @@
 
 
 def step_record(kind: bytes, message_id: str, leg: int) -> bytes:
-    """The record of an execution begun, or proved never to have run."""
+    """The record of an attempt begun, or proved never to have run."""
     return kind + pack_text(message_id.encode()) + struct.pack("<I", leg)
 
 
 def begun_record(message: Message, leg: int, at_us: int) -> bytes:
-    """The record of an execution begun; where a key's time counts, with when that was."""
+    """The record of an attempt begun; where a key's time counts, with when that was."""
     timed = struct.pack("<q", at_us) if message.key else b""
     return step_record(BEGUN, message.id, leg) + timed
 
@@ -151,7 +151,7 @@
     unix_us: Callable[[], int]
     keep_us: int = 30_000_000  # for how long an end is kept past its message's time
     keep_us_of: Mapping[str, int] = field(default_factory=dict)  # the same for a front that needs another
-    attempts: int = 6  # executions that a message may have
+    attempts: int = 6  # attempts that a message may have
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, Ended] = field(default_factory=dict)
     file: JournalFile | None = None
@@ -371,7 +371,7 @@
         return False
 
     def take(self, message: Message) -> bool:
-        """Record a taken message, if there is room for it, its executions and its end."""
+        """Record a taken message, if there is room for it, its attempts and its end."""
         if self.trouble and not self.recording():
             return False
         record = frame(taken_record(message))
@@ -387,7 +387,7 @@
         return True
 
     def begin(self, message: Message, leg: int) -> bool:
-        """Record an execution before its first byte; False if it was not written."""
+        """Record an attempt before its first byte; False if it was not written."""
         record = frame(begun_record(message, leg, self.unix_us()))
         if not self._append(record):
             return False
@@ -395,7 +395,7 @@
         return True
 
     def never_ran(self, message: Message, leg: int) -> None:
-        """Record the proof that an execution never ran."""
+        """Record the proof that an attempt never ran."""
         record = frame(step_record(NEVER_RAN, message.id, leg))
         self._record(record)
         self._spent(message.id, len(record))
@@ -484,8 +484,8 @@
         step = STEP + len(message.id)
         end = END + len(message.id) + len(message.front.encode()) + step
         begun = step + STEP_TIME * bool(message.key)
-        executions = max(0, self.attempts - message.legs) * (begun + step)
-        return end + executions + len(message.unsettled) * step
+        attempts = max(0, self.attempts - message.legs) * (begun + step)
+        return end + attempts + len(message.unsettled) * step
 
     def _room(self, more: int, kept: int, left: int) -> bool:
         """Whether the file may grow so far and a compaction's file still fits beside it."""
@@ -541,7 +541,7 @@
             return False
         if self.size > COMPACT_LEAST + 3 * (len(MAGIC) + self.live):
             # Before the record, never behind it: what it says is known here only once it is written, and a
-            # compaction in between would drop a message just taken, or an execution just begun.
+            # compaction in between would drop a message just taken, or an attempt just begun.
             self._compact()
         try:
             (self.file or self._opened).write(record)
--- a/rowanrack/store/memory.py
+++ b/rowanrack/store/memory.py
@@ -30,7 +30,7 @@
         self.told.discard(message.id)
 
     def begin(self, message_id: str, leg: int, at_us: int) -> None:
-        """An execution begins."""
+        """An attempt begins."""
         if (message := self.owed.get(message_id)) is not None:
             message.legs = max(message.legs, leg + 1)
             message.unsettled[leg] = at_us
@@ -78,14 +78,14 @@
         return True
 
     def begin(self, message: Message, leg: int) -> bool:
-        """Record that an execution is about to begin, and when if the message has a key."""
+        """Record that an attempt is about to begin, and when if the message has a key."""
         if not self.recording():
             return False
         self.shelf.begin(message.id, leg, self.unix_us() if message.key else 0)
         return True
 
     def never_ran(self, message: Message, leg: int) -> None:
-        """Record the proof that an execution never ran."""
+        """Record the proof that an attempt never ran."""
         self._record(lambda shelf: shelf.never_ran(message.id, leg))
 
     def end(self, message: Message, end: End) -> None:
--- a/tests/contracts/stores.py
+++ b/tests/contracts/stores.py
@@ -264,10 +264,10 @@
         self.sure = []
 
     def check(self, store: KeptStore) -> None:
-        """Nothing lost, nothing owed again, and no execution forgotten."""
+        """Nothing lost, nothing owed again, and no attempt forgotten."""
         assert state(store) in self.sure
         for name, message in store.owed.items():
-            assert message.legs >= self.begun[name], "an execution is forgotten"
+            assert message.legs >= self.begun[name], "an attempt is forgotten"
 
 
 def check_full_from_and_to(bench: Callable[[], Bench]) -> None:
--- a/tests/contracts/test_message_stores.py
+++ b/tests/contracts/test_message_stores.py
@@ -128,7 +128,7 @@
 
 
 class ForgetsBegun(Journal):
-    """A compaction drops the executions that have begun."""
+    """A compaction drops the attempts that have begun."""
 
     @staticmethod
     def _parts(message: Message) -> list[bytes]:
--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -349,11 +349,11 @@
     if not source.drains:
         return
     await source.says(Entry("a"))
-    execution = source.desk.submit("m1", "album-update")
+    attempt = source.desk.submit("m1", "album-update")
     await source.says(Entry("a", drains=True))
     found = source.desk.exchange.table.get(source.name("a"))
     assert found is not None and found.status is Status.DRAINING
-    assert not source.desk.exchange.begin(execution)
+    assert not source.desk.exchange.begin(attempt)
     await source.says(Entry("a"))
     assert source.listed() == source.names("a")
 
@@ -362,23 +362,23 @@
     """Another destination's endpoint voids a message, and at an old address somebody else may answer."""
     for n, moved in enumerate((Entry("a", dest=8), Entry("a", port=2))):
         await source.says(Entry("a"))
-        execution = source.desk.submit(f"m{n}", "album-update")
-        assert execution.instance.name == source.name("a")
+        attempt = source.desk.submit(f"m{n}", "album-update")
+        assert attempt.instance.name == source.name("a")
         source.desk.closed.clear()
         await source.says(moved)
-        assert not source.desk.exchange.begin(execution) and source.desk.closed == [source.name("a")]
+        assert not source.desk.exchange.begin(attempt) and source.desk.closed == [source.name("a")]
         found = source.desk.exchange.table.get(source.name("a"))
         assert found is not None and (found.dest, found.port) == (moved.dest, moved.port)
 
 
 async def the_same_list_changes_nothing(source: Source) -> None:
     await source.says(Entry("a"), Entry("b", 2))
-    execution = source.desk.submit("m1", "album-update")
+    attempt = source.desk.submit("m1", "album-update")
     before = dict(source.desk.exchange.forwarder.endpoints)
     source.desk.closed.clear()
     await source.says(Entry("b", 2), Entry("a"))
     assert source.desk.exchange.forwarder.endpoints == before and not source.desk.closed
-    assert not source.desk.abandoned and source.desk.exchange.begin(execution)
+    assert not source.desk.abandoned and source.desk.exchange.begin(attempt)
 
 
 async def what_fails_leaves_the_old_list_in_force(source: Source) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -16,7 +16,7 @@
 
 from rowanrack.app import Sender
 from rowanrack.config import Config, OtlpConfig, PlatformConfig
-from rowanrack.core.messages import End, Execution, Instance, Message, Verdict
+from rowanrack.core.messages import Attempt, End, Instance, Message, Verdict
 from rowanrack.fronts.otlp.mapping import RequestMap, Source
 from rowanrack.lab.stand_in import Behaviour, Client, HttpServer
 from rowanrack.lab.stand_in import resp as resp
@@ -239,8 +239,8 @@
     def _listen_in(self) -> None:
         exchange, settle = self.sender.exchange, self.sender.exchange.settle
 
-        def settle_and_tell(execution: Execution, verdict: Verdict | Result) -> None:
-            settle(execution, verdict)
+        def settle_and_tell(attempt: Attempt, verdict: Verdict | Result) -> None:
+            settle(attempt, verdict)
             self._tell(self.results, verdict if isinstance(verdict, Result) else verdict.result)
 
         def listen_and_tell(listener: Callable[[Message, End], None], message: Message, end: End) -> None:
@@ -262,7 +262,7 @@
         self._news.set()
 
     async def until(self, condition: Callable[[], bool]) -> None:
-        """Wait until what the sender's executions and ends have told makes this true."""
+        """Wait until what the sender's attempts and ends have told makes this true."""
         while not condition():
             self._news.clear()
             await self._news.wait()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from rowanrack.core.messages import Batch, Ending, Execution
+from rowanrack.core.messages import Attempt, Batch, Ending
 from rowanrack.net.http import Reply
 from rowanrack.net.pool import REST_US
 from rowanrack.net.stream import CountingReader, Stream
@@ -63,9 +63,9 @@
     """Run something between the next attempt's beginning and its call's first byte."""
     exchange, begin = rig.sender.exchange, rig.sender.exchange.begin
 
-    def begin_and_happen(execution: Execution) -> bool:
+    def begin_and_happen(attempt: Attempt) -> bool:
         exchange.begin = begin  # type: ignore[method-assign]
-        begun = begin(execution)
+        begun = begin(attempt)
         happens()
         return begun
 
--- a/tests/test_bulk.py
+++ b/tests/test_bulk.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Verdict
+from rowanrack.core.messages import Attempt, Batch, End, Ending, Message, Verdict
 from rowanrack.fronts.platform import bulk
 from rowanrack.fronts.platform.inbox import InboxForm, report
 from rowanrack.net.http import Reply, Request
@@ -27,10 +27,10 @@
     return Message(name, "album-update", "a", 7, 0, body, "platform", key=key)
 
 
-def executions(*names: str) -> list[Execution]:
+def attempts(*names: str) -> list[Attempt]:
     batch = Batch(PLACE)
-    batch.executions = [Execution(message(n), 0, PLACE, 0, SECOND, batch) for n in names]
-    return batch.executions
+    batch.attempts = [Attempt(message(n), 0, PLACE, 0, SECOND, batch) for n in names]
+    return batch.attempts
 
 
 def test_the_body_holds_ids_keys_and_bodies_unchanged() -> None:
@@ -123,14 +123,14 @@
     ],
 )
 def test_what_holds_for_all(status: int, headers: dict[str, str], result: Result, wait_us: int) -> None:
-    found = InboxForm().verdicts(executions("a", "b"), Reply(status, headers, b'[{"id":"a","state":"ok"}]'))
+    found = InboxForm().verdicts(attempts("a", "b"), Reply(status, headers, b'[{"id":"a","state":"ok"}]'))
     assert found == [Verdict(result, wait_us)] * 2
 
 
 def test_each_state_has_its_meaning_and_a_wait_holds_for_all() -> None:
     names = ["ok", "error", "later", "gone", "exhausted"]
     body = json.dumps([{"id": n, "state": n} for n in names]).encode()
-    found = InboxForm().verdicts(executions(*names, "none"), Reply(200, {"x-retry-in-ms": "40"}, body))
+    found = InboxForm().verdicts(attempts(*names, "none"), Reply(200, {"x-retry-in-ms": "40"}, body))
     results = [Result.OK, ERROR, FULL, MOOT, MOOT, ERROR]
     assert [v.result for v in found] == results and {v.wait_us for v in found} == {40_000}
     assert [v.end for v in found] == [None, None, None, Ending.OVER, None, None]
@@ -138,14 +138,14 @@
 
 def test_one_that_is_cut_behind_its_first_line_is_no_delivery() -> None:
     body = b'[{"id":"a","state":"ok"},{"id":"b","state":"ok"}]'
-    found = InboxForm().verdicts(executions("a", "b"), Reply(200, {}, body, whole=False))
+    found = InboxForm().verdicts(attempts("a", "b"), Reply(200, {}, body, whole=False))
     assert found == [Verdict(RESET)] * 2
-    assert InboxForm().verdicts(executions("a"), Reply(200, {}, b"", whole=False)) == [Verdict(Result.OK)]
+    assert InboxForm().verdicts(attempts("a"), Reply(200, {}, b"", whole=False)) == [Verdict(Result.OK)]
 
 
 @pytest.mark.parametrize("status", [400, 413])
 def test_behind_a_bulk_that_was_turned_down_they_go_singly(status: int) -> None:
-    form, pair = InboxForm(), executions("a", "b")
+    form, pair = InboxForm(), attempts("a", "b")
     assert form.part(pair) == 2
     form.verdicts(pair, Reply(status, {}))
     assert form.part(pair) == 1 and form.call(pair[:1], 1000).target == "/inbox"
@@ -172,8 +172,8 @@
 
 def test_only_the_fields_that_the_settings_name_are_read() -> None:
     reply = Reply(200, {"x-pressure": "x0=0.4,x1=25"})
-    assert InboxForm(("x1",)).verdicts(executions("a"), reply) == [Verdict(Result.OK, 0, None, None, 25.0)]
-    assert InboxForm().verdicts(executions("a"), reply) == [Verdict(Result.OK)]
+    assert InboxForm(("x1",)).verdicts(attempts("a"), reply) == [Verdict(Result.OK, 0, None, None, 25.0)]
+    assert InboxForm().verdicts(attempts("a"), reply) == [Verdict(Result.OK)]
 
 
 # On sockets.
@@ -209,10 +209,10 @@
         told: list[tuple[float | None, float | None]] = []
         settle = rig.sender.exchange.settle
 
-        def see(execution: Execution, verdict: Verdict | Result) -> None:
+        def see(attempt: Attempt, verdict: Verdict | Result) -> None:
             assert isinstance(verdict, Verdict)
             told.append((verdict.left, verdict.limit))
-            settle(execution, verdict)
+            settle(attempt, verdict)
 
         rig.sender.exchange.settle = see  # type: ignore[method-assign]
         await hand_in(rig, "a", "b", "c", cls="entry-fee", key="k")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,7 +10,7 @@
 import pytest
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, End, Ending, Execution, Message, Progress, Verdict
+from rowanrack.core.messages import Attempt, Batch, End, Ending, Message, Progress, Verdict
 from rowanrack.core.wheel import TimerWheel
 from rowanrack.store.journal import Journal
 from rowanspindle import Fail, Result, Scope, Status
@@ -25,8 +25,8 @@
 
     def __init__(self, folder: Path, given: dict[str, Any] | None = None) -> None:
         self.now = 1000 * SECOND
-        self.calls: list[Execution] = []
-        self.abandoned: list[Execution] = []
+        self.calls: list[Attempt] = []
+        self.abandoned: list[Attempt] = []
         self.how_far = Progress.SENT
         self.ends: dict[str, End] = {}
         self.journal = Journal(folder, 3_000_000, self.unix_us)
@@ -47,13 +47,13 @@
         assert due_us > 0
 
     def start(self, batch: Batch) -> None:
-        self.calls += batch.executions
+        self.calls += batch.attempts
 
     def abandon(self, batch: Batch) -> None:
-        self.abandoned += batch.executions
+        self.abandoned += batch.attempts
 
     def progress(self, batch: Batch) -> Progress:
-        assert batch.executions
+        assert batch.attempts
         return self.how_far
 
     def close_idle(self, name: str) -> None:
@@ -65,8 +65,8 @@
             self.now += 5000
             self.exchange.pump()
 
-    def submit(self, message_id: str, cls: str = "print-order") -> Execution:
-        """Hand a message in, and return its execution."""
+    def submit(self, message_id: str, cls: str = "print-order") -> Attempt:
+        """Hand a message in, and return its attempt."""
         self.exchange.submit(Message(message_id, cls, "a", 7, self.now + 3 * SECOND, b"x", "platform"))
         self.run(10_000)
         return self.calls[-1]
@@ -75,9 +75,9 @@
 @pytest.mark.parametrize("status", [Status.DRAINING, Status.REMOVED])
 def test_a_call_that_waits_for_its_connection_heeds_a_drain(tmp_path: Path, status: Status) -> None:
     desk = Desk(tmp_path)
-    execution = desk.submit("m1")
+    attempt = desk.submit("m1")
     desk.exchange.list_instances(Scope.DELTA, [replace(instance("i0", 1), status=status)])
-    assert not desk.exchange.begin(execution) and desk.abandoned == [execution]
+    assert not desk.exchange.begin(attempt) and desk.abandoned == [attempt]
 
 
 def test_a_call_that_waits_for_its_connection_heeds_a_told_wait(tmp_path: Path) -> None:
@@ -106,30 +106,30 @@
 
 def test_only_the_first_end_counts(tmp_path: Path) -> None:
     desk = Desk(tmp_path)
-    execution = desk.submit("m1")
-    assert desk.exchange.begin(execution)
-    desk.exchange.settle(execution, Result.OK)
-    desk.exchange.settle(execution, Result.RESET)
-    desk.exchange._do(Fail(execution.message.ref), desk.now)
+    attempt = desk.submit("m1")
+    assert desk.exchange.begin(attempt)
+    desk.exchange.settle(attempt, Result.OK)
+    desk.exchange.settle(attempt, Result.RESET)
+    desk.exchange._do(Fail(attempt.message.ref), desk.now)
     assert desk.ends == {"m1": End(Ending.DELIVERED)}
     assert desk.exchange.counts[Ending.DELIVERED] == 1 and desk.exchange.counts[Ending.FAILED] == 0
 
 
 def test_a_time_out_before_the_first_byte_has_never_run(tmp_path: Path) -> None:
     desk = Desk(tmp_path)
-    execution = desk.submit("m1")
-    desk.exchange._drop(execution, Result.TIMEOUT)
-    assert not execution.message.unsettled and not desk.journal.owed["m1"].unsettled
+    attempt = desk.submit("m1")
+    desk.exchange._drop(attempt, Result.TIMEOUT)
+    assert not attempt.message.unsettled and not desk.journal.owed["m1"].unsettled
 
 
 def test_a_frozen_exchange_begins_nothing_and_keeps_what_it_owes(tmp_path: Path) -> None:
     """Calls begun right before the exit were cut off, and an order among them was lost."""
     desk = Desk(tmp_path)
-    execution = desk.submit("m1")
-    assert desk.exchange.begin(execution)
+    attempt = desk.submit("m1")
+    assert desk.exchange.begin(attempt)
     desk.exchange.submit(Message("m2", "print-order", "a", 7, desk.now + 3 * SECOND, b"x", "platform"))
     desk.exchange.freeze()
-    desk.exchange.settle(execution, Result.OK)
+    desk.exchange.settle(attempt, Result.OK)
     desk.run(SECOND)
     assert desk.ends == {"m1": End(Ending.DELIVERED)} and list(desk.journal.owed) == ["m2"]
     assert len(desk.calls) == 1
@@ -139,9 +139,9 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     desk = Desk(tmp_path)
-    execution = desk.submit("m1")
+    attempt = desk.submit("m1")
     monkeypatch.setattr(Journal, "_append", lambda *_: False)
-    assert not desk.exchange.begin(execution) and not execution.message.unsettled
+    assert not desk.exchange.begin(attempt) and not attempt.message.unsettled
 
 
 def test_a_whole_list_replaces_only_its_source(tmp_path: Path) -> None:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -69,18 +69,18 @@
     tmp_path: Path, disk: Disk, caplog: pytest.LogCaptureFixture, then_ends: bool
 ) -> None:
     desk = Desk(tmp_path, {"limits": SETTINGS["limits"] | {"most_held": 500}})
-    execution = desk.submit("m1")
+    attempt = desk.submit("m1")
     assert desk.journal._compact()  # the new file has that room too
     disk.mode = "full"
     if then_ends:
-        assert desk.exchange.begin(execution)
-        desk.exchange.settle(execution, Result.OK)
+        assert desk.exchange.begin(attempt)
+        desk.exchange.settle(attempt, Result.OK)
         assert peek(tmp_path).ends.keys() == {"m1"} and not desk.journal.behind()
         return
     taken = [n for n in range(200) if desk.exchange.submit(order(desk, str(n))) is None]
     assert 3 < len(taken) < 100  # as many as the room at hand is promised to
-    assert desk.exchange.begin(execution)
-    desk.exchange.settle(execution, Result.OK)
+    assert desk.exchange.begin(attempt)
+    desk.exchange.settle(attempt, Result.OK)
     assert peek(tmp_path).ends.keys() == {"m1"} and not desk.journal.behind()
     disk.mode = "room"
     desk.run(200_000)
@@ -176,7 +176,7 @@
 def test_the_files_stay_in_the_budget_with_each_message_at_its_worst(
     tmp_path: Path, disk: Disk, id_length: int, key: str
 ) -> None:
-    """What was reckoned for executions and ends was too little for ids longer than 19 bytes."""
+    """What was reckoned for attempts and ends was too little for ids longer than 19 bytes."""
     most, now, budget = [0], [SECOND], 150_000
     disk.before = lambda: most.append(sum(f.stat().st_size for f in tmp_path.iterdir()))
     journal = Journal(tmp_path, budget, lambda: now[0], attempts=3)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -117,7 +117,7 @@
 
 @pytest.mark.parametrize("raw", [b"", b"a b", b"\xff", b"a\r\nX: y", b"x" * 257])
 def test_a_bad_id_is_said_so(raw: bytes) -> None:
-    """An id that no header can carry broke the call after its execution had begun."""
+    """An id that no header can carry broke the call after its attempt had begun."""
     with pytest.raises(RespError, match="id"):
         read_submit([b"SUBMIT", b"0", raw, b"c=album-update,t=b,d=5,dest=1", b""], TENANTED, 0)
 
@@ -234,7 +234,7 @@
 
 
 def test_a_compaction_at_any_record_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """A compaction behind a record dropped the message just taken, or the execution just begun."""
+    """A compaction behind a record dropped the message just taken, or the attempt just begun."""
     monkeypatch.setattr("rowanrack.store.journal.COMPACT_LEAST", -(1 << 40))
     book = Book(tmp_path)
     message = book.message("a")
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -151,10 +151,10 @@
     desk = Desk(tmp_path / "state")
     recorder = Recorder("desk", desk.exchange, Now(tmp_path / "a.rec"))  # type: ignore[arg-type]
     recorder.start()
-    execution = desk.submit("secret-id")
-    assert desk.exchange.begin(execution)
+    attempt = desk.submit("secret-id")
+    assert desk.exchange.begin(attempt)
     desk.now += 50_000
-    desk.exchange.settle(execution, Verdict(Result.FULL, 300_000))
+    desk.exchange.settle(attempt, Verdict(Result.FULL, 300_000))
     desk.exchange.submit(Message("m2", "print-order", "a", 99, desk.now + SECOND, b"secret-body", "platform"))
     desk.run(4 * SECOND)
     recorder.close()
@@ -253,14 +253,14 @@
     disk = Disk(tmp_path / "rec", "s", 1 << 20)
     recorder = Recorder("s", desk.exchange, disk)
     recorder.start()
-    execution = desk.submit("m1")
+    attempt = desk.submit("m1")
     recorder.flush()
     disk._thread.join(5)
     for _ in range(3):
         desk.run(SECOND // 2)
         recorder.flush()
-    assert desk.exchange.begin(execution) and not desk.exchange.observers and not recorder._held
-    desk.exchange.settle(execution, Result.OK)
+    assert desk.exchange.begin(attempt) and not desk.exchange.observers and not recorder._held
+    desk.exchange.settle(attempt, Result.OK)
     assert "m1" in desk.ends
     lines = [r.getMessage() for r in caplog.records if "recording" in r.getMessage()]
     assert len(lines) == 1 and "No space left on device" in lines[0]
--- a/tests/test_settings_range.py
+++ b/tests/test_settings_range.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Batch, End, Ending, Execution, Instance, Message, Progress, Verdict
+from rowanrack.core.messages import Attempt, Batch, End, Ending, Instance, Message, Progress, Verdict
 from rowanrack.net.http import Reply
 from rowanrack.store.journal import Journal
 from rowanspindle import Effect, Kind, Result, Scope, Settings, Status
@@ -79,12 +79,12 @@
         self.settings: Settings = parse_settings(json.dumps(drawn(rng)))
         self.folder = folder
         self.due: list[tuple[int, int, Batch]] = []  # when a batch's connection is open, or its answer comes
-        self.out: dict[Batch, list[Execution]] = {}
+        self.out: dict[Batch, list[Attempt]] = {}
         self.open: set[Batch] = set()
         self.ends: dict[str, tuple[int, End]] = {}
         self.taken: dict[str, Message] = {}
-        self.begun: dict[str, list[tuple[int, Execution]]] = {}
-        self.results: dict[Execution, Result] = {}
+        self.begun: dict[str, list[tuple[int, Attempt]]] = {}
+        self.results: dict[Attempt, Result] = {}
         self.waits: dict[str | int, int] = {}
         self.closed: set[str] = set()
         kinds = list(self.settings.kinds)
@@ -142,8 +142,8 @@
 
     def start(self, batch: Batch) -> None:
         most = self.settings.kinds.get(batch.instance.kind, Kind()).batch
-        assert 1 <= len(batch.executions) <= most
-        ids = [e.message.id for e in batch.executions]
+        assert 1 <= len(batch.attempts) <= most
+        ids = [e.message.id for e in batch.attempts]
         assert len(set(ids)) == len(ids)
         self.open.add(batch)
         assert len(self.open) <= self.settings.slots
@@ -164,17 +164,17 @@
     def limit(self, instance: Instance) -> str | int:
         return instance.name if self.settings.kinds.get(instance.kind, Kind()).apart else instance.dest
 
-    def may_have_run(self, execution: Execution) -> bool:
-        out = any(execution in part for part in self.out.values())
+    def may_have_run(self, attempt: Attempt) -> bool:
+        out = any(attempt in part for part in self.out.values())
         never = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
-        return out or self.results.get(execution, Result.CANCELLED) not in never
+        return out or self.results.get(attempt, Result.CANCELLED) not in never
 
-    def begin(self, execution: Execution) -> None:
+    def begin(self, attempt: Attempt) -> None:
         """The checks of a call's first byte."""
-        message, cls = execution.message, self.settings.classes[execution.message.cls]
-        assert execution.instance.dest == message.dest
-        assert execution.instance.name not in self.closed
-        assert self.waits.get(self.limit(execution.instance), 0) <= self.now
+        message, cls = attempt.message, self.settings.classes[attempt.message.cls]
+        assert attempt.instance.dest == message.dest
+        assert attempt.instance.name not in self.closed
+        assert self.waits.get(self.limit(attempt.instance), 0) <= self.now
         assert message.id not in self.ends
         before = self.begun.setdefault(message.id, [])
         assert len(before) < self.settings.try_limit
@@ -184,7 +184,7 @@
         assert not ran or cls.effect is not Effect.UNSAFE
         assert not ran or cls.effect is not Effect.KEYED or self.now < ran[0] + cls.key_ttl_us
         assert not ran or cls.effect is not Effect.KEYED or message.key
-        before.append((self.now, execution))
+        before.append((self.now, attempt))
 
     def serve(self) -> None:
         for at, _, batch in sorted(self.due, key=lambda d: d[:2]):
@@ -223,9 +223,9 @@
             key = self.limit(batch.instance)
             self.waits[key] = max(self.waits.get(key, 0), self.now + wait)
 
-    def settle(self, execution: Execution, verdict: Verdict) -> None:
-        self.results.setdefault(execution, verdict.result)
-        self.exchange.settle(execution, verdict)
+    def settle(self, attempt: Attempt, verdict: Verdict) -> None:
+        self.results.setdefault(attempt, verdict.result)
+        self.exchange.settle(attempt, verdict)
 
     # The clients' side, with its checks.
 
