Log why an outage begins and ends, and with how many its budget is shared

Change: the lines for an outage and its end name the destination, the next trial, the trials made, the cause (own answer, another sender's, a sibling's) and the share. Outage and slow start move out of logic.py into slow_start.py, which is named in policy; no decision is changed.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -17,6 +17,7 @@
 from rowanspindle.held import GUESS, MEMORY_S, NEVER, KeyLine, Message, Place, turns
 from rowanspindle.notes import What, digest
 from rowanspindle.order import Bucket, Meter, Usual, Window, crowd
+from rowanspindle.slow_start import TRIAL_LEAST_S, Recovery
 from rowanspindle.state import Call, State
 from rowanspindle.trust import LEAST_US
 from rowanspindle.zones import share_out
@@ -56,13 +57,9 @@
 SHORT_REFUSALS = 3  # in a row for want of connections that say nothing of a limit
 REFUSALS_EACH = 1.3  # or so many for each forwarder, if more: answers may go to the others
 
-TRIAL_LEAST_S = 0.5  # seconds between trials of an endpoint in an outage, at least
-TRIAL_MOST_S = 2.0  # and at most, or for each forwarder TRIAL_EACH_S: the return must be noticed
-TRIAL_EACH_S = 1.5  # seconds
 SCARCE = 0.75  # part of the slots from which trials, which may hang, get
 TRIAL_SHARE = 0.12  # this part of the slots at most
 TRIAL_ORDER = (Effect.UNSAFE, Effect.KEYED, Effect.SAFE)  # what a trial risks: last first
-RAMP_SAFETY = 0.75  # part of what a cold destination bears that is used: rough rates may be half too high
 
 PACE_FALL = 0.8  # factor on the pace at a refusal
 PACE_RISE = 0.008  # of the first pace, added by each answer for each forwarder: the others have theirs,
@@ -210,23 +207,21 @@
             self.pace = min(risen, self.limit * REPORT_RISE) if self.limit else gone and min(gone, self.most)
 
 
-class Endpoint:
-    """One endpoint: its window, its answer times, its health and its return after an outage."""
+class Endpoint(Recovery):
+    """One endpoint: its window, its answer times, its outage and slow start."""
 
     def __init__(self, member: Member, gate: Gate, settings: Settings, turn: float, drawn: bool) -> None:
+        super().__init__(gate, settings)
         self.target, self.zone, self.dest, self.kind = member.target, member.zone, member.dest, member.kind
         self.gate, self.settings = gate, settings
         self.turn, self.share = turn, 1.0  # equal ranks take turns, as often as their shares say
-        self.listed, self.proved, self.drawn = True, False, drawn  # drawn: by lot, to be called first
+        self.listed, self.drawn = True, drawn  # drawn: by lot, to be called first
         self.window = Window(gate.window.size, gate.window.most, FLOOR, CUT)
         self.calls: list[Call[Endpoint]] = []
         self.failures, self.failed_at, self.row = 0.0, 0, 0
         self.usual = Usual(SMOOTH)
         self.warm: list[int] = []
-        self.out_since: int | None = None
-        self.trial_at = self.answered_at = self.struck_at = 0
-        self.ramp_from: int | None = None
-        self.ramp = Bucket(0.0)
+        self.answered_at = 0
         self.least_us = SILENCE_AIMS * min(c.aim_us for c in settings.classes.values())
 
     @property
@@ -272,29 +267,6 @@
         alone = LONE_CALL if len(self.calls) == 1 else 1.0
         return self.calls[0].sent_at + math.ceil(self.silence_us() * alone)
 
-    def cold_rate(self, now: int, heard: float | None = None) -> float:
-        """Calls a second that may go while it is cold: a part by heard work, else even among the likely."""
-        gone = 0 if self.ramp_from is None else (now - self.ramp_from) / self.settings.ramp_us
-        cold = min(1.0, self.settings.cold_share + (1 - self.settings.cold_share) * gone)
-        crowd = heard or self.gate.crowd(now - self.struck_at + self.settings.fall_us)  # work comes in clumps
-        return RAMP_SAFETY * self.settings.overload_factor * cold * self.part() / crowd
-
-    def next_send(self, now: int, heard: float | None) -> int:
-        """When this endpoint's health lets the next call go."""
-        if self.out_since is not None:
-            return self.trial_at
-        if self.ramp_from is None or now - self.ramp_from >= self.settings.ramp_us:
-            self.ramp_from = None
-            return now
-        return self.ramp.next_at(now, self.cold_rate(now, heard), 1.0)
-
-    def next_trial(self, now: int, rng: Random) -> None:
-        """Space trials so that those of all forwarders, of a clump too, stay under what it bears cold."""
-        crowd = self.gate.crowd(now - self.struck_at + self.settings.fall_us)
-        gap = min(max(1 / self.cold_rate(now), TRIAL_LEAST_S), max(TRIAL_MOST_S, TRIAL_EACH_S * crowd))
-        spread = min(1.0, JITTER * self.settings.replicas / 2) * rng.random()
-        self.trial_at = now + int(gap * SECOND * (1 + spread))
-
     def failed(self, now: int) -> None:
         """A call failed: weigh it in the rank, and count it in the row."""
         self.failures = 1 + self.failures * math.exp(-(now - self.failed_at) / (FAILURE_DECAY_S * SECOND))
@@ -307,12 +279,6 @@
         self.row, self.answered_at = 0, now
         self.usual.add(latency)
 
-    def returned(self, now: int, rng: Random) -> None:
-        """The outage is over, here or at a sibling: most take all of a destination, and the next trial may be
-        half a minute away. The slow start begins; what fails in it is out again."""
-        self.out_since, self.ramp_from = None, now if self.proved else None
-        self.ramp.tokens, self.ramp.filled_at = rng.random(), now
-
 
 Destination = Place[Endpoint, Gate]
 
@@ -364,7 +330,7 @@
         for what, number, value in self.hearsay.heard(event.peer, event.note, self.now):
             if what is What.BACK and (back := self.digests.get(number)) is not None and (
                     back.out_since is not None and self.now - back.failed_at > value * UNIT_US):
-                self.returned(back)
+                self.returned(back, f"sender {event.peer} was answered")
             known = self.destinations[number] if number in self.destinations else Destination()
             for endpoint in known.endpoints.values():
                 if what is What.SHORT:
@@ -529,9 +495,8 @@
                 gate.own.count += endpoint.out_since is None and endpoint.ramp_from is None
                 self.trust.answered(kind, call.new)
                 if endpoint.out_since is not None:
-                    self.actions.append(Log(f"{endpoint.target}: answers again, slow start"))
                     self.hearsay.back(endpoint.target)
-                    self.returned(endpoint)
+                    self.returned(endpoint, "answers again")
                 endpoint.succeeded(now, event.latency_us)
                 gate.window.grow(len(gate.calls))
                 endpoint.window.grow(len(endpoint.calls))
@@ -567,23 +532,39 @@
                 if endpoint.row >= min(OUT_FAILURES, max(1, round(evidence))):
                     self.out(endpoint, f"calls end as {event.result.value}", call.sent_at)
 
-    def returned(self, endpoint: Endpoint) -> None:
+    def returned(self, endpoint: Endpoint, why: str) -> None:
         """It answers again, here or elsewhere: the slow start begins, at its siblings that were out too."""
         for other in self.destinations[endpoint.dest].endpoints.values():
             if other.gate is endpoint.gate and other.out_since is not None:
-                other.returned(self.now, self.rng)
+                cause = why if other is endpoint else f"{endpoint.target} is back"
+                out_s, trials = (self.now - other.out_since) / SECOND, other.trials_sent
+                other.recover(self.now, self.rng)
                 self.listen(other)
+                start = "slow start" if other.ramp_from is not None else "no slow start, no call had failed"
+                self.actions.append(Log(
+                    f"{other.target}: {cause}, {start}; destination {other.dest}, out for {out_s:.1f} s, "
+                    f"{trials} trials, {self.share_text(other)}"))
         self.stir(endpoint.dest)
 
     def out(self, endpoint: Endpoint, why: str, since: int) -> None:
         """Judge an endpoint to be in an outage: only spaced trials from now on."""
         if endpoint.out_since is None:
-            endpoint.out_since = since
-            endpoint.struck_at = since if endpoint.ramp_from is None else endpoint.struck_at
-            endpoint.ramp_from, endpoint.proved = None, endpoint.row > 0
+            endpoint.strike(since)
+            endpoint.proved = endpoint.row > 0
             endpoint.next_trial(self.now, self.rng)
             self.stir(endpoint.dest)
-            self.actions.append(Log(f"{endpoint.target}: out, {why}"))
+            next_s = (endpoint.trial_at - self.now) / SECOND
+            self.actions.append(Log(
+                f"{endpoint.target}: out, {why}; destination {endpoint.dest}, next trial in {next_s:.1f} s, "
+                f"{self.share_text(endpoint)}"))
+
+    def share_text(self, endpoint: Endpoint) -> str:
+        """For the log: with how many senders a cold endpoint's budget is shared, and how that is known."""
+        held = len(self.destinations[endpoint.dest].hold)
+        guess = endpoint.expected(self.now)
+        heard = self.hearsay.crowd(endpoint.dest, held, self.now, guess)
+        known = "by guess" if heard is None else "as heard"
+        return f"shared with {(heard or guess) - 1:.1f} of {self.settings.replicas - 1} others {known}"
 
     def look_for_silence(self) -> None:
         """Calls out far beyond the usual time, with no later answer, mean an outage before any time-out."""
@@ -772,11 +753,9 @@
         call = Call(endpoint, self.now, not endpoint.warm and not endpoint.shares_connection())
         if gate.pace is not None:
             gate.bucket.tokens -= 1
-        if endpoint.ramp_from is not None:
-            endpoint.ramp.tokens -= 1
+        endpoint.sent(self.now, self.rng)
         if trial:
             self.trials[call] = None
-            endpoint.next_trial(self.now, self.rng)
         if endpoint.warm and not endpoint.shares_connection():
             call.idle_us = self.now - endpoint.warm[0]
             if call.idle_us > self.trust.us[endpoint.kind]:
