Move the limits that endpoints share out of logic.py into pacing.py

Change: Gate and its constants move to rowanspindle/pacing.py, which policy names; the model's overrides know pacing and slow_start (pacing.CUT in place of logic.CUT).

--- a/benchmarks/notes.py
+++ b/benchmarks/notes.py
@@ -30,7 +30,7 @@
 from rowanrack.model.partner import Limit
 from rowanrack.model.scenario import load
 from rowanrack.model.world import World
-from rowanspindle import hearsay, logic, trust
+from rowanspindle import hearsay, pacing, trust
 
 SCENARIOS = (
     "lowered", "mass-restart", "told-wait", "fleet-return", "lowered exact", "told-wait exact"
@@ -119,9 +119,9 @@
     way = way_of(text)
     senders.NOTES_TO = way.to
     if way.to:
-        hearsay.MOST_SENDERS = 1 << 20  # logic and trust go on as they are, unless they are to be as few
+        hearsay.MOST_SENDERS = 1 << 20  # pacing and trust go on as they are, unless they are to be as few
     if way.few:
-        logic.MOST_SENDERS = trust.MOST_SENDERS = 1 << 20  # type: ignore[attr-defined]
+        pacing.MOST_SENDERS = trust.MOST_SENDERS = 1 << 20  # type: ignore[attr-defined]
     if way.facts:
         hearsay.Hearsay.holds = lambda *_: None  # type: ignore[method-assign]
         senders.HearsayOfSome.crowd = lambda *_: None  # type: ignore[method-assign]
--- a/rowanrack/model/worker.py
+++ b/rowanrack/model/worker.py
@@ -16,6 +16,8 @@
 
 MODULES = {
     "logic": "rowanspindle.logic",
+    "pacing": "rowanspindle.pacing",
+    "slow_start": "rowanspindle.slow_start",
     "exchange": "rowanrack.core.exchange",
     "governor": "rowanrack.load.governor",
     "hearsay": "rowanspindle.hearsay",
@@ -42,7 +44,7 @@
 
 
 def override(name: str, value: Any) -> None:
-    """Set a constant of the senders, `logic.CUT` say. Raises OverrideError."""
+    """Set a constant of the senders, `pacing.CUT` say. Raises OverrideError."""
     part, _, constant = name.partition(".")
     if part not in MODULES:
         raise OverrideError(f"{name}: overrides begin with {', '.join(sorted(MODULES))} or settings")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,7 +19,8 @@
     Send,
     Status,
 )
-from rowanspindle.logic import Endpoint, Gate
+from rowanspindle.logic import Endpoint
+from rowanspindle.pacing import Gate
 from tests.helpers import BASE, SECOND, Caller, member
 
 
