--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -16,6 +16,9 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from rowanrack.lab.books import Entry, now_us
@@ -44,17 +47,37 @@
     return [entry.who for entry in entries if entry.what == "call" and entry.at >= since_us]
 
 
-@on_loop
-async def test_senders_that_restart_in_an_outage_do_not_push_over_what_returns(tmp_path: Path) -> None:
+def densest(entries: list[Entry], since_us: int) -> int:
+    """The most calls of a fall time from then on."""
+    times = sorted(entry.at for entry in entries if entry.what == "call" and entry.at >= since_us)
+    return max((sum(at <= other < at + FALL_US for other in times) for at in times), default=0)
+
+
+@asynccontextmanager
+async def restarted_in_an_outage(folder: Path) -> AsyncIterator[tuple[Fleet, int]]:
+    """A fleet that restarted while its endpoint failed, each sender with a message for it; and since when.
+
+    Each sender has seen the outage, and has had half a second to keep that.
+    """
     shop = Partner("shop", SHOP, endpoints=1)
-    async with Fleet(tmp_path / "fleet", SENDERS, [shop], told=told(), wave=8) as fleet:
+    async with Fleet(folder, SENDERS, [shop], told=told(), wave=8) as fleet:
         await fleet.endpoint("shop-0", "failing")
         for name in fleet.senders:
             assert (await fleet.submit(name, f"message-{name}", PATIENT.name, 1, 60_000)).startswith("+")
-        await fleet.until(lambda entries: set(callers(entries)) == set(fleet.senders))
+        for sender in fleet.senders.values():
+            await sender.logged("shop-0: out")
+        kept_us = now_us() + SECOND_US // 2
+        await fleet.until(lambda entries: now_us() > kept_us)
         for sender in fleet.senders.values():
             await sender.kill()
+        killed_us = now_us()
         await asyncio.gather(*(sender.start() for sender in fleet.senders.values()))
+        yield fleet, killed_us
+
+
+@on_loop
+async def test_senders_that_restart_in_an_outage_do_not_push_over_what_returns(tmp_path: Path) -> None:
+    async with restarted_in_an_outage(tmp_path / "fleet") as (fleet, _):
         known_us = now_us() + FIRST_CALLS_US
         await fleet.until(lambda entries: bool(callers(entries, known_us)))  # a trial
         await fleet.endpoint("shop-0", "up")
@@ -62,3 +85,15 @@
         entries = await fleet.until(lambda entries: now_us() > back_us + FALL_US)
     breaches = Checker(entries, frozenset(), FALL_US).check()
     assert [b.text for b in breaches if b.rule == "cold"] == []
+
+
+@on_loop
+async def test_an_outage_that_was_known_is_known_after_a_restart(tmp_path: Path) -> None:
+    """Each restarted sender called once, at its start, though all had known of the outage: what
+    comes back while they start is cold, and got a call from each.
+    """
+    async with restarted_in_an_outage(tmp_path / "fleet") as (fleet, killed_us):
+        started_us = now_us()
+        entries = await fleet.until(lambda entries: now_us() > started_us + FALL_US)
+    bears = SHOP.bears(1)
+    assert densest(entries, killed_us) <= bears + 3 * math.sqrt(bears) + 3
