Keep what is known of outages over a restart, and share a cold budget strictly

Seen: 40 real senders that know of an outage and are started again sent 40 calls in a fall time where 13 are borne (the failing test before this). In a model of 50 senders, windows over the limit were filled by senders that had forgotten. At fault: nothing of an outage was kept; each process called at once, found it out anew, and with it how many others to count on. Change: outages.json in the lasting folder holds what is out or cold, written whole, within 0.2 s of a change and every 2 s, in times of the monotonic clock; what is older than a slow start is not believed. The module takes it as an event before anything is sent, and calls those endpoints as if cold until they answer. With no work heard of from others the budget is shared evenly by all senders, not by a guess from the age of the outage; who has just begun to listen counts as having heard nothing (1.5 s with 50 senders). A slow start begins only where a call had failed. Bans and outages share one way of replacing a file. A test of notes now listens first.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -39,6 +39,7 @@
 from rowanrack.shutdown import Phase, Shutdown
 from rowanrack.store.bans import BanFile
 from rowanrack.store.journal import Journal
+from rowanrack.store.outages import OutageFile
 from rowanspindle import Scope
 
 if TYPE_CHECKING:
@@ -52,7 +53,7 @@
 FILES = 40  # descriptors for the journal, the ports, discovery, the console, and connections being closed
 SHARED_LOOK_US = 100_000  # between looks at whether the other process of a hot restart has let go
 DIED_LOOK_US = 1_000_000  # and, once it has, at whether one that came later has died
-BANS_LOOK_US = 200_000  # between looks at the bans that the other process may have changed
+FOLDER_LOOK_US = 200_000  # between looks at the bans that the other process may have changed, and at outages
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,7 @@
         self.otlp: OtlpClients | None = None
         self.recorder: Recorder | None = None
         self.bans = BanFile(config.state)
+        self.outages = OutageFile(config.state)
         self.unkept: dict[str, bool] = {}  # changes that hold and are not on disk: True for a ban
         self.mgmt: ManagementServer | None = None
         self.peers: PeerPort | None = None
@@ -201,9 +203,11 @@
         for name in sorted(bans - self.exchange.bans):
             self.exchange.ban(name)
 
-    async def _watch_bans(self) -> None:
+    async def _watch_folder(self) -> None:
+        """Follow the bans of the other process, and keep what is known of outages."""
         while True:
-            await pause(self.exchange.after, BANS_LOOK_US)
+            await pause(self.exchange.after, FOLDER_LOOK_US)
+            self.outages.keep(self.exchange.outages(), self.clock.now_us())
             self._take_bans()
             if self.unkept and not self._keep_bans():
                 log.info("mgmt: detached endpoints are written again")
@@ -250,6 +254,7 @@
             self.exchange.list_instances(Scope.FULL, self.config.instances, "file")
         if self.watch is not None and self.config.platform is not None and self.config.platform.pushed:
             await self.watch.first()  # before anything is sent: it counts as told
+        self.exchange.recall(self.outages.read(self.clock.now_us(), self.config.settings.ramp_us))
         self.shutdown.owns()
         own(self.exchange, self.forms, owed)
         self.exchange.pump()
@@ -267,7 +272,7 @@
                 raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
         self._tasks = [
             asyncio.ensure_future(self._take_over()),
-            asyncio.ensure_future(self._watch_bans()),
+            asyncio.ensure_future(self._watch_folder()),
         ]
         if self.config.channels is not None:
             self._start_channels(self.config.channels)
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -40,7 +40,9 @@
     Heard,
     Kind,
     Log,
+    Outage,
     Outcome,
+    Recalled,
     Refuse,
     Result,
     Scope,
@@ -317,6 +319,15 @@
         self.ban(name)
         return True
 
+    def outages(self) -> tuple[Outage, ...]:
+        """What is known of endpoints that are out or cold, for the next process."""
+        return self.forwarder.outages(self.clock.now_us())
+
+    def recall(self, outages: tuple[Outage, ...]) -> None:
+        """What the process before this one knew of them, before anything is sent."""
+        if outages:
+            self._put(Recalled(outages))
+
     def ban(self, name: str) -> None:
         """Detach an instance, known or not yet: a ban outlasts the lists, and comes over from a restart."""
         if name in self.bans:
--- a/rowanrack/model/sender.py
+++ b/rowanrack/model/sender.py
@@ -14,7 +14,7 @@
 from rowanrack.model.network import Network
 from rowanrack.model.partner import Place
 from rowanrack.store.memory import MemoryStore, Shelf
-from rowanspindle import Result, Settings
+from rowanspindle import Outage, Result, Settings
 from rowanspindle.hearsay import Hearsay
 from rowanspindle.notes import Note, read
 
@@ -65,6 +65,7 @@
         self.alive, self.some = False, min(NOTES_TO, settings.replicas - 1)
         self._wake: WheelTimer | None = None
         self._wake_at = 0
+        self._outages: tuple[Outage, ...] = ()
         self.start()
 
     # The exchange's `Clock`.
@@ -134,6 +135,7 @@
         self.exchange.tell = lambda note: self.tell(note)
         self.exchange.listeners[FRONT] = self._ended
         self.discovery.start(self, life)
+        self.exchange.recall(self._outages)
         for message in list(store.owed.values()):
             self.exchange.adopt(message, found=True)
         self.history.add(Entry(self.engine.now, "ready", self.number))
@@ -141,6 +143,7 @@
 
     def kill(self) -> None:
         """The process dies; only the shelf outlasts it."""
+        self._outages = self.exchange.outages()
         self.alive, self.life = False, object()
         if self._wake is not None:
             self._wake.cancel()
--- a/rowanrack/store/bans.py
+++ b/rowanrack/store/bans.py
@@ -4,13 +4,13 @@
 
 import json
 import logging
-import os
 from pathlib import Path
 
+from rowanrack.store.whole_file import Stamp, replace, stamp_of
+
 log = logging.getLogger(__name__)
 
 FILE = "detached.json"
-Stamp = tuple[int, int, int]  # when it was written, its number on the disk, and its length
 UNREAD: Stamp = (-1, -1, -1)
 
 
@@ -54,18 +54,4 @@
 
     def write(self, bans: set[str]) -> None:
         """Replace the file at once: a reader sees the old set or the new one. Raises OSError: the old one."""
-        fresh = self.path.with_suffix(f".{os.getpid()}.new")
-        try:
-            fresh.write_text(json.dumps(sorted(bans)), encoding="utf-8")
-            stamp = stamp_of(fresh)  # before the other process may have put its own in this one's place
-            os.replace(fresh, self.path)
-        except OSError:
-            fresh.unlink(missing_ok=True)
-            raise
-        self._seen = stamp
-
-
-def stamp_of(path: Path) -> Stamp:
-    """Raises OSError."""
-    found = path.stat()
-    return found.st_mtime_ns, found.st_ino, found.st_size
+        self._seen = replace(self.path, json.dumps(sorted(bans)))
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -227,7 +227,23 @@
     note: Note
 
 
-Event = Accept | Outcome | Members | Withdrawn | Timer | Heard
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """What is known of an endpoint that is out or cold; a time may be one of an earlier process."""
+
+    target: str
+    struck_at: int  # when the outage began,
+    back_at: int | None  # and ended, or will; None: that is not known
+
+
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """What the process before this one knew of outages."""
+
+    outages: tuple[Outage, ...]
+
+
+Event = Accept | Outcome | Members | Withdrawn | Timer | Heard | Recalled
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanspindle/hearsay.py
+++ b/rowanspindle/hearsay.py
@@ -21,6 +21,7 @@
 BEAT_EACH_US = 10_000  # and so long for each sender: each hears the notes of all
 WAITED_US = 150_000  # for which work has waited before it is told
 REFRESH = 2  # beats after which work that still waits is told again
+LISTEN = REFRESH + 1  # beats after which work that waits has been told at least once
 WORK = 5  # beats for which work is believed to wait, unless told again
 LIVE_US = 5_000_000  # without a note from anybody, after which nothing is known of the others
 AGAIN_US = 5_000_000  # before a shortage of connections is told again
@@ -62,6 +63,7 @@
         self._short_at: dict[int, int] = {}
         self._last: dict[int, tuple[int, int]] = {}  # of each peer: the last number, and when
         self._heard_at: int | None = None
+        self._listens_from = NEVER  # the first note since the start or a silence
         self._numbered = self._arrived = LOSS_START  # notes sent of late, and those that came
         self._others: defaultdict[int, dict[int, int]] = defaultdict(dict)  # by destination and peer
         self._sum: defaultdict[int, int] = defaultdict(int)
@@ -156,7 +158,10 @@
             self.dropped += 1
             self._arrived += note.number != last  # overtaken, not lost
             return ()
-        if self._heard_at is not None and now - self._heard_at >= LIVE_US:
+        silent = self._heard_at is not None and now - self._heard_at >= LIVE_US
+        if silent or self._heard_at is None:
+            self._listens_from = now
+        if silent:
             self._numbered = self._arrived = LOSS_START  # what was lost before the silence says nothing now
         sent = (note.number - last) % NUMBERS if now - at < LIVE_US else 1
         self._numbered = self._numbered * LOSS_FADE + (sent if sent <= SKIP_MOST else 1)
@@ -170,6 +175,13 @@
                 self._lapse.set((fact.where, peer), now + WORK * self.beat_us)
         return note.facts
 
+    def informed(self, now: int) -> bool:
+        """Whether it has listened for long enough to have heard of all work that waits.
+
+        Answers process starts: who has heard of little yet took a cold endpoint's whole budget.
+        """
+        return now - self._listens_from >= LISTEN * self.beat_us
+
     @property
     def lossy(self) -> bool:
         """Whether so many notes are lost that much of the others' work is not heard of."""
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -11,8 +11,8 @@
 
 from rowanspindle import pacing
 from rowanspindle.api import (
-    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outcome,
-    Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
+    Accept, Action, Arm, Cancel, Disconnect, Effect, Event, Fail, Heard, Kind, Log, Member, Members, Outage,
+    Outcome, Recalled, Refuse, Result, Scope, Send, Settings, Status, Timer, Watch, Withdrawn)
 from rowanspindle.hearsay import UNIT_US
 from rowanspindle.held import NEVER, KeyLine, Message, Place, turns
 from rowanspindle.notes import What, digest
@@ -94,7 +94,7 @@
     """One endpoint: its window, its answer times, its outage and slow start."""
 
     def __init__(self, member: Member, gate: Gate, settings: Settings, turn: float, drawn: bool) -> None:
-        super().__init__(gate, settings)
+        super().__init__(settings)
         self.target, self.zone, self.dest, self.kind = member.target, member.zone, member.dest, member.kind
         self.gate, self.settings = gate, settings
         self.turn, self.share = turn, 1.0  # equal ranks take turns, as often as their shares say
@@ -190,6 +190,8 @@
                     self.members(event)
                 case Heard():
                     self.believe(event)
+                case Recalled():
+                    self.recall(event)
                 case Withdrawn() if event.ref in self.messages:
                     self.end(self.messages[event.ref])
                 case Timer() if event.token == self.token:
@@ -282,6 +284,7 @@
                 destination.gate, endpoint = gate, Endpoint(member, gate, self.settings, turn, drawn)
                 self.endpoints[member.target] = destination.endpoints[member.target] = endpoint
                 self.digests[digest(member.target)] = endpoint
+                self.remember(endpoint)
                 gate.routes += 1
                 self.moved.add(member.dest)
             else:
@@ -387,7 +390,7 @@
                 if endpoint.out_since is not None:
                     self.hearsay.back(endpoint.target)
                     self.returned(endpoint, "answers again")
-                elif endpoint.doubted and endpoint.answers_in_doubt(now, call.sent_at):
+                elif endpoint.doubted and endpoint.answers_in_doubt(now, call.sent_at, self.proved(endpoint)):
                     self.hearsay.back(endpoint.target)
                     self.actions.append(Log(
                         f"{endpoint.target}: answers while a sibling is out, slow start; "
@@ -434,13 +437,18 @@
         others = self.destinations[endpoint.dest].endpoints.values()
         return [other for other in others if other.gate is endpoint.gate]
 
+    def proved(self, endpoint: Endpoint) -> bool:
+        """Whether a call has failed in the outage of its destination, which may just be slow otherwise."""
+        waiting = (e for e in self.together_with(endpoint) if e.out_since is not None or e.doubted)
+        return any(e.proved for e in waiting)
+
     def returned(self, endpoint: Endpoint, why: str) -> None:
         """It answers again, here or elsewhere: the slow start begins, for the destination as a whole.
 
         Endpoints that were not called in the outage start slowly too: they were sent all that had waited.
         """
         group = self.together_with(endpoint)
-        proved = any(other.proved for other in group if other.out_since is not None)
+        proved = self.proved(endpoint)
         since = endpoint.struck_at
         for other in group:
             if other.out_since is None and not other.doubted:
@@ -462,18 +470,20 @@
             sound = other.answered_at > endpoint.row_since
             if not sound and other.out_since is None and other.ramp_from is None:
                 other.begin_doubt(self.now, self.rng)
+                self.recovering[other] = None
 
     def shut(self, endpoint: Endpoint, wait_us: int) -> None:
         """After a wait longer than any limit needs, it comes back cold, to all whom it has told at once."""
         if wait_us >= self.settings.fall_us:
             for other in self.together_with(endpoint):
                 other.begin_cold(self.now, other.gate.opens_at, self.rng)
+                self.recovering[other] = None
 
     def out(self, endpoint: Endpoint, why: str, since: int) -> None:
         """Judge an endpoint to be in an outage: only spaced trials from now on."""
         if endpoint.out_since is None:
-            waiting_since = min(since, self.destinations[endpoint.dest].hold.since)
-            endpoint.strike(self.now, since, waiting_since, self.rng)
+            endpoint.strike(self.now, since, self.rng)
+            self.recovering[endpoint] = None
             endpoint.proved = endpoint.row > 0
             if endpoint.row == 0:
                 endpoint.row_since = since
@@ -486,11 +496,36 @@
 
     def share_text(self, endpoint: Endpoint) -> str:
         """For the log: with how many senders a cold endpoint's budget is shared, and how that is known."""
-        held = len(self.destinations[endpoint.dest].hold)
-        guess = endpoint.expected(self.now)
-        heard = self.hearsay.crowd(endpoint.dest, held, self.now, guess)
-        known = "by guess" if heard is None else "as heard"
-        return f"shared with {(heard or guess) - 1:.1f} of {self.settings.replicas - 1} others {known}"
+        crowd, heard = self.crowd(endpoint, self.now)
+        if not (heard and self.hearsay.informed(self.now)):
+            return f"shared evenly by {self.settings.replicas} senders"
+        return f"shared with {crowd - 1:.1f} of {self.settings.replicas - 1} others as heard"
+
+    def outages(self, now: int) -> tuple[Outage, ...]:
+        """What is known of endpoints that are out or cold, for the next process."""
+        for endpoint in list(self.recovering):
+            if self.endpoints.get(endpoint.target) is not endpoint or not endpoint.recovers(now):
+                del self.recovering[endpoint]
+        return tuple(endpoint.known(endpoint.target) for endpoint in self.recovering)
+
+    def recall(self, event: Recalled) -> None:
+        """Take over what the process before this one knew, also of endpoints that are not listed yet.
+
+        Answers restarts in an outage: each process called at once, and that of a whole fleet is more than an
+        endpoint bears that comes back meanwhile.
+        """
+        self.recalled |= {outage.target: outage for outage in event.outages}
+        for target in self.recalled.keys() & self.endpoints.keys():
+            self.remember(self.endpoints[target])
+
+    def remember(self, endpoint: Endpoint) -> None:
+        """An endpoint is listed of which the process before this one may have known an outage."""
+        if (outage := self.recalled.pop(endpoint.target, None)) is not None:
+            endpoint.recall(self.now, outage, self.rng)
+            self.recovering[endpoint] = None
+            self.actions.append(Log(
+                f"{endpoint.target}: {'out' if outage.back_at is None else 'cold'} as before the restart; "
+                f"destination {endpoint.dest}, {self.share_text(endpoint)}"))
 
     def look_for_silence(self) -> None:
         """Calls out far beyond the usual time, with no later answer, mean an outage before any time-out."""
@@ -537,7 +572,8 @@
             lapse = (c.sent_at + int(c.endpoint.silence_us()) + 1 for c in gate.calls)
             return min((at for at in lapse if at > now), default=NEVER)
         crowd, heard = self.crowd(endpoint, self.destinations[endpoint.dest].hold.since)
-        return max(gate.next_token(now, crowd, heard), endpoint.next_send(now, crowd if heard else None))
+        informed = heard and self.hearsay.informed(now)
+        return max(gate.next_token(now, crowd, heard), endpoint.next_send(now, crowd if informed else None))
 
     def crowd(self, endpoint: Endpoint, since: int) -> tuple[float, bool]:
         """By how many a pace is shared, and whether that has been heard from them or is a guess."""
--- a/rowanspindle/slow_start.py
+++ b/rowanspindle/slow_start.py
@@ -1,15 +1,16 @@
 """Outage and slow start of one endpoint: how often the fleet may call what is down, or has just come back.
 
 An endpoint that returns from an outage is cold and bears a few calls a second from all senders together.
-Nobody shares the budget out: each sender takes its part by how many others it expects to have work there.
+Nobody shares that budget out: each sender takes its part from the moment when it learns of the outage.
+Trials, the slow start and calls to siblings in doubt draw on one bucket, at a place in time that each
+sender draws by lot.
 """
 
 from __future__ import annotations
 
 from random import Random
-from typing import Protocol
 
-from rowanspindle.api import Settings
+from rowanspindle.api import Outage, Settings
 from rowanspindle.held import NEVER
 from rowanspindle.order import Bucket
 
@@ -23,18 +24,11 @@
 BUDGET_USED = 0.75  # part of what a cold endpoint bears that is used: rough rates may be half too high
 
 
-class SharedLimit(Protocol):
-    """What the endpoints of a destination share, as far as it matters here."""
-
-    def crowd(self, age_us: int) -> float:
-        """How many senders have work there, this one included, where work has waited so long."""
-
-
 class Recovery:
     """The outage of one endpoint and the slow start behind it."""
 
-    def __init__(self, gate: SharedLimit, settings: Settings) -> None:
-        self._gate, self._settings = gate, settings
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
         self.out_since: int | None = None
         self.struck_at = 0
         self.proved = False  # a call has failed in this outage: it is not just slow
@@ -47,10 +41,10 @@
         """An even part of what the destination takes, in calls a second of all forwarders."""
         raise NotImplementedError
 
-    def strike(self, now: int, since: int, waiting_since: int, rng: Random) -> None:
-        """An outage begins, with work from then on; one within a slow start goes on, and its budget too."""
+    def strike(self, now: int, since: int, rng: Random) -> None:
+        """An outage begins; one that begins within a slow start goes on, and so does its budget."""
         again = self.ramp_from is not None
-        self.struck_at = self.struck_at if again else waiting_since
+        self.struck_at = self.struck_at if again else since
         self.out_since, self.ramp_from = since, None
         self.trials_sent = 0
         if again:
@@ -78,13 +72,13 @@
 
     def begin_doubt(self, now: int, rng: Random) -> None:
         """It may be out as well: one call may go at once, then as many as to a cold one."""
-        self.struck_at, self.cold_calls = now, 0
+        self.struck_at, self.proved, self.cold_calls = now, False, 0
         self.ramp_from, self.sound_until = NEVER, now + self._settings.fall_us
         self.ramp.tokens, self.ramp.filled_at = rng.random(), self.sound_until
 
-    def answers_in_doubt(self, now: int, sent_at: int) -> bool:
+    def answers_in_doubt(self, now: int, sent_at: int, proved: bool) -> bool:
         """It answers: whether it may have been out, and is back. The slow start begins then."""
-        self.ramp_from = None if sent_at < self.sound_until else now
+        self.ramp_from = now if proved and sent_at >= self.sound_until else None
         return self.ramp_from is not None
 
     def begin_cold(self, now: int, at: int, rng: Random) -> None:
@@ -96,27 +90,36 @@
             self.ramp.filled_at = max(self.ramp.filled_at, at)
             self.ramp_from = at if self.doubted else max(self.ramp_from or 0, at)
 
-    def expected(self, now: int) -> float:
-        """How many senders are expected to have work there, by the age of the outage."""
-        return self._gate.crowd(now - self.struck_at + self._settings.fall_us)  # work comes in clumps
+    def recovers(self, now: int) -> bool:
+        """Whether it is out or cold."""
+        cold = self.ramp_from is not None and now - self.ramp_from < self._settings.ramp_us
+        return cold or self.out_since is not None
+
+    def known(self, target: str) -> Outage:
+        """What the next process should know of it."""
+        back_unknown = self.out_since is not None or self.doubted
+        return Outage(target, self.struck_at, None if back_unknown else self.ramp_from)
+
+    def recall(self, now: int, outage: Outage, rng: Random) -> None:
+        """What the process before this one knew: it is cold, or may be out still, as one call will show."""
+        self.struck_at, self.proved = outage.struck_at, True
+        self.ramp_from, self.sound_until = NEVER if outage.back_at is None else outage.back_at, now
+        self.ramp.tokens, self.ramp.filled_at = rng.random(), now
 
     def cold_rate(self, now: int, heard: float | None = None) -> float:
-        """Calls a second that may go while it is cold: a part by heard work, else even among the likely."""
+        """Calls a second that may go while it is cold: a part by the work that others are heard to have, or
+        else an even part, since others may hold more than they can have got since the outage began.
+        """
         settings = self._settings
         gone = 0.0 if self.ramp_from is None else max(0, now - self.ramp_from) / settings.ramp_us
         cold = min(1.0, settings.cold_share + (1 - settings.cold_share) * gone)
         budget = BUDGET_USED * settings.overload_factor * cold * self.part()
-        return budget / (heard or self.expected(now))
+        return budget / (heard or self._settings.replicas)
 
     def trial_rate(self, now: int) -> float:
-        """Trials a second: a part of the budget as if all senders had work.
-
-        By the age of the outage only few seem to have any when it begins; but what they took before, or found
-        at their start, waits as well, and all their trials came together.
-        """
-        senders = self._settings.replicas
-        rate = TRIALS_OF_BUDGET * self.cold_rate(now, senders)
-        rate = max(rate, 1 / max(TRIAL_MOST_S, TRIAL_EACH_S * senders))
+        """Trials a second: a part of the budget, which all senders share evenly."""
+        least = 1 / max(TRIAL_MOST_S, TRIAL_EACH_S * self._settings.replicas)
+        rate = max(TRIALS_OF_BUDGET * self.cold_rate(now), least)
         return min(rate, 1 / TRIAL_LEAST_S)
 
     def next_send(self, now: int, heard: float | None) -> int:
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -7,7 +7,7 @@
 from random import Random
 from typing import Generic, Protocol, TypeVar
 
-from rowanspindle.api import Action, Settings
+from rowanspindle.api import Action, Outage, Settings
 from rowanspindle.asking import Asking
 from rowanspindle.hearsay import Hearsay
 from rowanspindle.held import GUESS, MEMORY_S, NEVER, KeyLine, Message, Place
@@ -86,6 +86,8 @@
         self.rests: Agenda[str] = Agenda()  # when a key has rested
         self.leaving: Agenda[E] = Agenda()  # when an unlisted endpoint may be forgotten
         self.unlisted: dict[str, E] = {}
+        self.recovering: dict[E, None] = {}  # that are out or cold, or were
+        self.recalled: dict[str, Outage] = {}  # what the process before knew of those not listed yet
         self.moved: set[int] = set()  # destinations whose list has changed in this round
         self.answered: dict[E, None] = {}
         self.zones: dict[str, Usual] = {}  # how long answers of each take, and
--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -21,10 +21,14 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
+
 from rowanrack.lab.books import Entry, now_us
 from rowanrack.lab.checker import Checker
 from rowanrack.lab.fleet import Figures, Fleet, Partner, settings
 from rowanrack.lab.scenario import Grade
+from rowanrack.store.outages import OutageFile
+from rowanspindle import Outage
 from tests.rig import on_loop
 
 SECOND_US = 1_000_000
@@ -97,3 +101,44 @@
         entries = await fleet.until(lambda entries: now_us() > started_us + FALL_US)
     bears = SHOP.bears(1)
     assert densest(entries, killed_us) <= bears + 3 * math.sqrt(bears) + 3
+
+
+KNOWN = (Outage("shop-0", 5 * SECOND_US, None), Outage("shop-1", 4 * SECOND_US, 9 * SECOND_US))
+NOW_US, BELIEVED_US = 10 * SECOND_US, 3 * SECOND_US
+
+
+@pytest.mark.parametrize(
+    ("later_us", "found"),
+    [(0, KNOWN), (BELIEVED_US, KNOWN), (BELIEVED_US + 1, ()), (-1, ())],  # -1: the clock began anew
+)
+def test_outages_are_believed_while_they_are_fresh(
+    tmp_path: Path, later_us: int, found: tuple[Outage, ...]
+) -> None:
+    OutageFile(tmp_path).keep(KNOWN, NOW_US)
+    assert OutageFile(tmp_path).read(NOW_US + later_us, BELIEVED_US) == found
+
+
+def test_what_is_known_for_long_stays_fresh(tmp_path: Path) -> None:
+    kept = OutageFile(tmp_path)
+    for time_us in range(NOW_US, NOW_US + 10 * SECOND_US, SECOND_US // 5):
+        kept.keep(KNOWN, time_us)
+    assert kept.read(time_us + SECOND_US, BELIEVED_US) == KNOWN
+
+
+def test_half_a_file_or_another_one_ends_no_start(tmp_path: Path) -> None:
+    kept = OutageFile(tmp_path)
+    kept.keep(KNOWN, NOW_US)
+    whole = kept.path.read_bytes()
+    torn = [whole[:length] for length in range(len(whole))]
+    for text in (*torn, b"[]", b'{"known_us": 1}', b'{"known_us": 1, "outages": [["a", 1, "b"]]}', b"\xff"):
+        kept.path.write_bytes(text)
+        assert OutageFile(tmp_path).read(NOW_US, BELIEVED_US) == ()
+
+
+def test_a_write_that_fails_is_made_up_for(tmp_path: Path) -> None:
+    folder = tmp_path / "state"
+    kept = OutageFile(folder)
+    kept.keep(KNOWN, NOW_US)  # there is no such folder
+    folder.mkdir()
+    kept.keep(KNOWN, NOW_US + 1)
+    assert kept.read(NOW_US + 1, BELIEVED_US) == KNOWN
--- a/tests/test_notes.py
+++ b/tests/test_notes.py
@@ -15,7 +15,7 @@
 from rowanrack.config import _peers
 from rowanrack.net.peers import EACH_MOST, PeerPort
 from rowanspindle import Accept, Heard, Result, Send, Tell
-from rowanspindle.hearsay import BEAT_US, LIVE_US, WORK, Hearsay
+from rowanspindle.hearsay import BEAT_US, LISTEN, LIVE_US, WORK, Hearsay
 from rowanspindle.notes import MOST_BYTES, VALUE_MOST, Fact, Note, NoteError, What, digest, read, write
 from tests.helpers import BASE, SECOND, Caller, member
 
@@ -148,6 +148,8 @@
     """Each of 40 senders heard of hardly any work elsewhere: it took the whole budget for itself."""
     caller = sender()
     caller.end(caller.accept(), Result.CONNECT_FAILED)
+    caller.step(Heard(9, Note(0, (Fact(What.WORK, 2, 1),))))
+    caller.wait(LISTEN * caller.forwarder.hearsay.beat_us)  # who has just begun to listen knows of nobody
     for number in numbers:
         for peer in range(1, 4):
             caller.step(Heard(peer, Note(number, (Fact(What.WORK, 2, 1),))))
