--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -514,17 +514,18 @@
         Answers restarts in an outage: each process called at once, and that of a whole fleet is more than an
         endpoint bears that comes back meanwhile.
         """
-        self.recalled |= {outage.target: outage for outage in event.outages}
+        self.believe_outages(event.outages)
         for target in self.recalled.keys() & self.endpoints.keys():
             self.remember(self.endpoints[target])
 
     def remember(self, endpoint: Endpoint) -> None:
-        """An endpoint is listed of which the process before this one may have known an outage."""
-        if (outage := self.recalled.pop(endpoint.target, None)) is not None:
+        """An endpoint is listed of which an outage may be known, from before a restart or off the list."""
+        outage, until = self.recalled.pop(endpoint.target, (None, 0))
+        if outage is not None and self.now < until:
             endpoint.recall(self.now, outage, self.rng)
             self.recovering[endpoint] = None
             self.actions.append(Log(
-                f"{endpoint.target}: {'out' if outage.back_at is None else 'cold'} as before the restart; "
+                f"{endpoint.target}: {'out' if outage.back_at is None else 'cold'} as it was known before; "
                 f"destination {endpoint.dest}, {self.share_text(endpoint)}"))
 
     def look_for_silence(self) -> None:
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -39,6 +39,12 @@
     def calls(self) -> Sized:
         """Its calls that are out."""
 
+    def recovers(self, now: int) -> bool:
+        """Whether it is out or cold."""
+
+    def known(self, target: str) -> Outage:
+        """What is known of its outage."""
+
 
 E = TypeVar("E", bound=Kept)
 G = TypeVar("G")
@@ -87,7 +93,7 @@
         self.leaving: Agenda[E] = Agenda()  # when an unlisted endpoint may be forgotten
         self.unlisted: dict[str, E] = {}
         self.recovering: dict[E, None] = {}  # that are out or cold, or were
-        self.recalled: dict[str, Outage] = {}  # what the process before knew of those not listed yet
+        self.recalled: dict[str, tuple[Outage, int]] = {}  # of those not listed now; until when believed
         self.moved: set[int] = set()  # destinations whose list has changed in this round
         self.answered: dict[E, None] = {}
         self.zones: dict[str, Usual] = {}  # how long answers of each take, and
@@ -154,10 +160,18 @@
             if endpoint.listed or endpoint.calls or self.unlisted.get(endpoint.target) is not endpoint:
                 continue  # listed again, or its last call's end looks here again
             if self.now >= kept_until:
+                if endpoint.recovers(self.now):
+                    self.believe_outages((endpoint.known(endpoint.target),))
                 self.drop(endpoint)
             else:
                 self.leaving.set(endpoint, kept_until)
 
+    def believe_outages(self, outages: tuple[Outage, ...]) -> None:
+        """Believe for the time of a slow start what is known of endpoints that are not listed now."""
+        believed = {target: known for target, known in self.recalled.items() if self.now < known[1]}
+        until = self.now + self.settings.ramp_us
+        self.recalled = believed | {outage.target: (outage, until) for outage in outages}
+
     def drop(self, endpoint: E) -> None:
         """Forget an endpoint that was unlisted."""
         del self.endpoints[endpoint.target], self.unlisted[endpoint.target]
--- a/tests/test_cold_return.py
+++ b/tests/test_cold_return.py
@@ -136,9 +136,12 @@
 
 
 def test_a_write_that_fails_is_made_up_for(tmp_path: Path) -> None:
-    folder = tmp_path / "state"
-    kept = OutageFile(folder)
-    kept.keep(KNOWN, NOW_US)  # there is no such folder
+    folder, away = tmp_path / "state", tmp_path / "away"
     folder.mkdir()
-    kept.keep(KNOWN, NOW_US + 1)
-    assert kept.read(NOW_US + 1, BELIEVED_US) == KNOWN
+    kept = OutageFile(folder)
+    kept.keep(KNOWN[:1], NOW_US)
+    folder.rename(away)
+    kept.keep(KNOWN, NOW_US + 1)  # there is no such folder
+    away.rename(folder)
+    kept.keep(KNOWN, NOW_US + 2)
+    assert kept.read(NOW_US + 2, BELIEVED_US) == KNOWN
