Recall outages in the order in which they were known, whatever the hash seed

At fault: Forwarder.recall walked a set of names, so lots were drawn in the order of their hashes. Change: it walks the outages in their own order. Measured: the test passes, with all of test_model and test_slow_start.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -515,8 +515,8 @@
         endpoint bears that comes back meanwhile.
         """
         self.believe_outages(event.outages)
-        for target in self.recalled.keys() & self.endpoints.keys():
-            self.remember(self.endpoints[target])
+        for endpoint in [self.endpoints[target] for target in self.recalled if target in self.endpoints]:
+            self.remember(endpoint)
 
     def remember(self, endpoint: Endpoint) -> None:
         """An endpoint is listed of which an outage may be known, from before a restart or off the list."""
