Draw a new place in the budget when a destination returns

At fault: Recovery.recover kept the trials' tokens: the sender whose trial had just found the return had spent its own, and waited longest.

--- a/rowanspindle/slow_start.py
+++ b/rowanspindle/slow_start.py
@@ -57,11 +57,8 @@
         self.ramp.tokens, self.ramp.filled_at = 1 - lead_s * rate - spread, now
 
     def recover(self, now: int, slowly: bool, rng: Random) -> None:
-        """An outage is over, here or at its destination; the slow start goes on with the trials' budget."""
-        if self.out_since is None:
-            self.ramp.tokens, self.ramp.filled_at = rng.random(), now
-        else:
-            self.ramp.next_at(now, self.trial_rate(now), 1.0)
+        """An outage is over, here or at its destination; each sender begins anew at a place drawn by lot."""
+        self.ramp.tokens, self.ramp.filled_at = rng.random(), now
         self.out_since, self.ramp_from = None, now if slowly else None
         self.cold_calls = 0
 
