--- a/rowanspindle/slow_start.py
+++ b/rowanspindle/slow_start.py
@@ -16,7 +16,6 @@
 
 SECOND = 1_000_000  # microseconds
 
-MANY = 8  # senders of which each sees little of an endpoint; of fewer one call each does no harm
 TRIAL_LEAST_S = 0.5  # seconds between trials of an endpoint in an outage, at least
 TRIAL_MOST_S = 2.0  # and at most, or for each forwarder TRIAL_EACH_S: the return must be noticed
 TRIAL_EACH_S = 1.5  # seconds
@@ -68,10 +67,6 @@
         """Whether a sibling is out, and nothing has been heard from this one since."""
         return self.ramp_from == NEVER
 
-    def _one_by_one(self, now: int) -> bool:
-        """Whether one in doubt is called freely, one call out at a time: at first, or by few senders."""
-        return self.doubted and (now < self.sound_until or self._settings.replicas < MANY)
-
     def begin_doubt(self, now: int, rng: Random) -> None:
         """It may be out as well: one call may go at once, then as many as to a cold one."""
         self.struck_at, self.proved, self.cold_calls = now, False, 0
@@ -131,7 +126,7 @@
         if self.ramp_from is None or now - self.ramp_from >= self._settings.ramp_us:
             self.ramp_from = None
             return now
-        if self._one_by_one(now):
+        if self.doubted and now < self.sound_until:
             return now
         return self.ramp.next_at(now, self.cold_rate(now, heard), 1.0)
 
@@ -140,6 +135,6 @@
         if self.out_since is not None:
             self.ramp.tokens -= 1
             self.trials_sent += 1
-        elif self.ramp_from is not None and not self._one_by_one(now):
+        elif self.ramp_from is not None and not (self.doubted and now < self.sound_until):
             self.ramp.tokens -= 1
             self.cold_calls += 1
