Begin an outage anew where the slow start before it is over

Seen on reading the change: an endpoint on which nothing was sent since its slow start was over still had it, so its next outage went on with a bucket that had filled up: no lot, and one call of each sender at once; a sibling in that state was never in doubt. At fault: strike, begin_cold and doubt asked whether a slow start had begun, not whether it goes on. Change: they ask Recovery.recovers. Measured: the new test fails without it; 17 tests of the slow start and module passed.

--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -468,7 +468,7 @@
         """
         for other in self.together_with(endpoint):
             sound = other.answered_at > endpoint.row_since
-            if not sound and other.out_since is None and other.ramp_from is None:
+            if not sound and not other.recovers(self.now):
                 other.begin_doubt(self.now, self.rng)
                 self.recovering[other] = None
 
--- a/rowanspindle/slow_start.py
+++ b/rowanspindle/slow_start.py
@@ -43,7 +43,7 @@
 
     def strike(self, now: int, since: int, rng: Random) -> None:
         """An outage begins; one that begins within a slow start goes on, and so does its budget."""
-        again = self.ramp_from is not None
+        again = self.recovers(now)
         self.struck_at = self.struck_at if again else since
         self.out_since, self.ramp_from = since, None
         self.trials_sent = 0
@@ -81,7 +81,7 @@
     def begin_cold(self, now: int, at: int, rng: Random) -> None:
         """It has been shut, and may be back from then on: the slow start begins then, or begins anew."""
         if self.out_since is None:
-            if self.ramp_from is None:
+            if not self.recovers(now):
                 self.struck_at, self.cold_calls = now, 0
                 self.ramp.tokens = rng.random()
             self.ramp.filled_at = max(self.ramp.filled_at, at)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from random import Random
 
 import pytest
 
@@ -107,6 +108,16 @@
     assert hearsay.informed(caller.now)
 
 
+@pytest.mark.parametrize("again", ["strike", "begin_cold"])
+def test_a_slow_start_that_is_over_leaves_no_full_bucket(again: str) -> None:
+    """Nothing had been sent since it was over, and the next outage went on with all saved up."""
+    caller = sender()
+    endpoint, end = caller.forwarder.endpoints["a"], caller.now + LONG
+    endpoint.recover(caller.now, True, Random(1))
+    getattr(endpoint, again)(end, end, Random(1))
+    assert endpoint.next_send(end, None) > end
+
+
 def test_trials_of_a_fleet_that_learns_together_keep_the_budget() -> None:
     """All had work from before, and set their first trial by the few that could have got some just then."""
     times: list[int] = []
