--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -142,7 +142,11 @@
         exchange = self.exchange
         classes = list(exchange.settings.classes)
         return exchange.metrics.exposition(
-            classes, len(exchange.messages), len(exchange.endpoint_list.names()), exchange.ejected
+            classes,
+            len(exchange.messages),
+            len(exchange.endpoint_list.names()),
+            exchange.ejected,
+            exchange.waits_in_force,
         )
 
     def detach(self, name: str) -> bool:
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -25,7 +25,7 @@
     Progress,
     Refusal,
 )
-from rowanrack.core.metrics import Metrics
+from rowanrack.core.metrics import HeldBackReason, Metrics
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.load_shedder import LoadShedder
 from rowanspindle import (
@@ -48,6 +48,7 @@
     Outcome,
     Refuse,
     Result,
+    RetryAfterWait,
     Send,
     Settings,
     TimerFired,
@@ -55,8 +56,8 @@
     WatchEndpointList,
     Withdrawn,
 )
-from rowanspindle.data_structures import DeadlineQueue
 from rowanspindle.notes import Note
+from rowanspindle.retry_after_waits import RetryAfterWaits
 
 log = logging.getLogger(__name__)
 
@@ -77,6 +78,7 @@
 MAX_ANSWER_CHECK_COUNT = 4
 # Delay before a round is tried again in which the decision module failed without reading an event.
 DECISION_RETRY_US = 1_000_000
+MIN_LOGGED_WAIT_US = 1_000_000  # rate limits ask for shorter waits, too often for the log
 ROUND_OVERDUE_US = 20_000  # a round that is this late is run by the next code path that gets the event loop
 
 
@@ -193,7 +195,7 @@
         self.frozen = False
         self._pumping = False
         self._round_due_us: int | None = None  # when the next round is due
-        self._retry_after_waits: DeadlineQueue[str | int] = DeadlineQueue()
+        self._retry_after_waits = RetryAfterWaits()
         # Attempts whose call has not been sent yet, by endpoint name.
         self._unstarted_attempts: dict[str, dict[Attempt, None]] = {}
         # Calls that the current round has gathered, by endpoint name.
@@ -396,8 +398,7 @@
                 self.endpoint_calls.close_idle(name)
         # State kept by endpoint name is dropped with the endpoint: another may reuse its name or address.
         for name in change.removed:
-            self._retry_after_waits.drop(name)
-        self._retry_after_waits.due(self.clock.now_us())  # also drops waits that have expired
+            self._retry_after_waits.drop_endpoint(name)
 
     def begin(self, attempt: Attempt) -> bool:
         """Return whether a call may still be sent, and record that it begins.
@@ -407,27 +408,20 @@
         message = attempt.message
         if attempt.settled:
             return False
-        # The call was decided on earlier and has waited for a connection. In the meantime the destination may
-        # have asked for a wait, or the endpoint may have been drained or removed.
-        waiting = (self._retry_after_waits.get(self._wait_scope(attempt)) or 0) > self.clock.now_us()
-        not_allowed = (
-            waiting
-            or not self._is_owned(message)
-            or not self.endpoint_list.accepts_calls(attempt.endpoint.name)
-        )
-        # The key may also have expired while a repeated call waited for a connection.
-        not_allowed = not_allowed or self._key_expired(message)
+        if (reason := self._reason_to_hold_back(attempt)) is not None:
+            self._hold_back(attempt, reason)
+            return False
         # The store records the call first: after a restart, an unrecorded call could take effect a second
         # time.
-        if not_allowed or not self.store.begin(message, attempt.attempt_number):
-            self.settle(attempt, Result.MOOT if not_allowed else NOT_RECORDED_VERDICT)
+        if not self.store.begin(message, attempt.attempt_number):
+            self._hold_back(attempt, HeldBackReason.NOT_RECORDED)
             return False
         # The key may also have expired while the store was writing.
         key_expired_meanwhile = self._key_expired(message)
         message.unsettled[attempt.attempt_number] = self.clock.unix_us()
         attempt.begun = True
         if key_expired_meanwhile:
-            self.settle(attempt, Result.MOOT)
+            self._hold_back(attempt, HeldBackReason.KEY_EXPIRED)
             return False
         self.metrics.forwarded(message.cls)
         self._remove_unstarted(attempt)
@@ -435,6 +429,32 @@
             observer.began(attempt)
         return True
 
+    def _reason_to_hold_back(self, attempt: Attempt) -> HeldBackReason | None:
+        """Return why a call may not be sent any more; it may have waited long for a connection."""
+        if self._wait_left_us(attempt.endpoint) > 0:
+            return HeldBackReason.RETRY_AFTER_WAIT
+        if not self._is_owned(attempt.message):
+            return HeldBackReason.MESSAGE_ENDED
+        if not self.endpoint_list.accepts_calls(attempt.endpoint.name):
+            return HeldBackReason.ENDPOINT_CLOSED
+        if self._key_expired(attempt.message):
+            return HeldBackReason.KEY_EXPIRED
+        return None
+
+    def _hold_back(self, attempt: Attempt, reason: HeldBackReason) -> None:
+        """Settle an attempt whose call is not sent."""
+        self.metrics.held_back_calls[reason] += 1
+        wait_left_us = self._wait_left_us(attempt.endpoint)
+        if reason is HeldBackReason.RETRY_AFTER_WAIT and wait_left_us >= MIN_LOGGED_WAIT_US:
+            log.info(
+                "message %s: not sent to %s, destination %d asked for a wait, %.1f s of it are left",
+                attempt.message.id,
+                attempt.endpoint.name,
+                attempt.endpoint.dest,
+                wait_left_us / 1e6,
+            )
+        self.settle(attempt, NOT_RECORDED_VERDICT if reason is HeldBackReason.NOT_RECORDED else Result.MOOT)
+
     def settle(self, attempt: Attempt, verdict: CallVerdict | Result) -> None:
         """Record that an attempt has ended, and end its message if the verdict says so.
 
@@ -454,9 +474,8 @@
         message.attempts_out.pop(attempt.attempt_number, None)
         self._remove_unstarted(attempt)
         self._release_ref(message)
-        if wait_us:
-            scope = self._wait_scope(attempt)
-            self._retry_after_waits.set(scope, max(now + wait_us, self._retry_after_waits.get(scope) or 0))
+        if wait_us and attempt.begun:
+            self._record_wait(attempt, wait_us, now)
         is_owned = self._is_owned(message)
         if attempt.begun and result not in MAY_HAVE_RUN_RESULTS and result is not Result.OK:
             message.unsettled.pop(attempt.attempt_number, None)
@@ -489,15 +508,35 @@
             if not waiting:
                 del self._unstarted_attempts[attempt.endpoint.name]
 
-    def _wait_scope(self, attempt: Attempt) -> str | int:
-        """Return what a retry-after wait applies to.
+    def _record_wait(self, attempt: Attempt, wait_us: int, now: int) -> None:
+        """Record a wait that an answer has asked for.
 
-        That is the whole destination, or the single endpoint if the endpoints of its kind are limited
-        separately.
+        It holds for the whole destination, or for the single endpoint if the endpoints of its kind are
+        limited separately.
         """
         endpoint = attempt.endpoint
         apart = self.settings.kinds.get(endpoint.kind, DestinationKind()).apart
-        return endpoint.name if apart else endpoint.dest
+        wait = RetryAfterWait(endpoint.dest, endpoint.name if apart else None, now + wait_us)
+        began = self._wait_left_us(endpoint) <= 0
+        self._retry_after_waits.record(wait, now)
+        self.metrics.waits_told += 1
+        if began and wait_us >= MIN_LOGGED_WAIT_US:
+            log.info(
+                "message %s: refused by %s, destination %d asked for a wait of %.1f s",
+                attempt.message.id,
+                endpoint.name,
+                endpoint.dest,
+                wait_us / 1e6,
+            )
+
+    def _wait_left_us(self, endpoint: Endpoint) -> int:
+        """Return how long a wait still forbids calls to an endpoint; 0 or less if none does."""
+        return self._retry_after_waits.until(endpoint.dest, endpoint.name) - self.clock.now_us()
+
+    @property
+    def waits_in_force(self) -> int:
+        """Number of destinations, or endpoints limited separately, that are in a wait they asked for."""
+        return len(self._retry_after_waits.in_force(self.clock.now_us()))
 
     # Interface to the other senders.
 
--- a/rowanrack/core/metrics.py
+++ b/rowanrack/core/metrics.py
@@ -1,8 +1,9 @@
-"""Counters by message class since the start, and their text exposition format. No I/O, no clock."""
+"""Counters since the start, and their text exposition format. No I/O, no clock."""
 
 from __future__ import annotations
 
 from collections import Counter
+from enum import Enum
 
 from rowanrack.core.messages import Ending
 
@@ -15,16 +16,31 @@
 }
 
 
+class HeldBackReason(Enum):
+    """Why a call that was decided on is not begun."""
+
+    RETRY_AFTER_WAIT = "wait"  # the destination has asked for a wait in the meantime
+    MESSAGE_ENDED = "ended"
+    ENDPOINT_CLOSED = "endpoint"  # the endpoint drains, was removed or was detached
+    KEY_EXPIRED = "key"  # a repeated call is no longer safe
+    NOT_RECORDED = "journal"  # the journal could not record it
+
+
 def _label(value: str) -> str:
     """Escape a label value for the exposition format."""
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
 
 
 class Metrics:
-    """Counts by class: messages delivered, refused or handed back, and failed; calls sent to endpoints."""
+    """Counts by class: messages delivered, refused or handed back, and failed; calls sent to endpoints.
+
+    Over all classes: retry-after waits that answers asked for, and calls that were held back.
+    """
 
     def __init__(self) -> None:
         self.counts: dict[str, Counter[str]] = {name: Counter() for name in COUNTER_NAMES}
+        self.waits_told = 0
+        self.held_back_calls: Counter[HeldBackReason] = Counter()
 
     def ended(self, cls: str, ending: Ending) -> None:
         """Count the final answer to an accepted message."""
@@ -38,13 +54,22 @@
         """Count a call that is about to be sent to an endpoint."""
         self.counts["forwards"][cls] += 1
 
-    def exposition(self, classes: list[str], outstanding: int, discovered: int, ejected: int) -> str:
+    def exposition(
+        self, classes: list[str], outstanding: int, discovered: int, ejected: int, waits: int = 0
+    ) -> str:
         """Return all metrics in the text exposition format; each class is listed, if only with 0."""
         lines: list[str] = []
         for name in COUNTER_NAMES:
             lines.append(f"# TYPE svc_{name} counter")
             seen = sorted(set(classes) | set(self.counts[name]))
             lines += [f'svc_{name}{{service="{_label(c)}"}} {self.counts[name][c]}' for c in seen]
-        for name, value in (("outstanding", outstanding), ("discovered", discovered), ("ejected", ejected)):
+        lines += ["# TYPE svc_waits_told counter", f"svc_waits_told {self.waits_told}"]
+        lines.append("# TYPE svc_held_back counter")
+        lines += [
+            f'svc_held_back{{reason="{reason.value}"}} {self.held_back_calls[reason]}'
+            for reason in HeldBackReason
+        ]
+        gauges = {"outstanding": outstanding, "discovered": discovered, "ejected": ejected, "waits": waits}
+        for name, value in gauges.items():
             lines += [f"# TYPE svc_{name} gauge", f"svc_{name} {value}"]
         return "\n".join(lines) + "\n"
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -247,6 +247,20 @@
     outages: tuple[Outage, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class RetryAfterWait:
+    """A wait that a destination has asked for, or one of its endpoints if they are limited separately."""
+
+    dest: int
+    target: str | None  # None: the wait holds for all endpoints of the destination
+    until: int  # monotonic time; it may come from another process on this machine
+
+    @property
+    def scope(self) -> int | str:
+        """What the wait holds for: the number of the destination, or the name of the endpoint."""
+        return self.dest if self.target is None else self.target
+
+
 Event = Accept | Outcome | EndpointListUpdate | Withdrawn | TimerFired | NoteReceived | OutagesRestored
 
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,6 +11,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, Batch, CallVerdict, End, Ending, Message, Progress
+from rowanrack.core.metrics import HeldBackReason
 from rowanrack.core.wheel import TimerWheel
 from rowanrack.store.journal import Journal
 from rowanspindle import EndpointStatus, Fail, Result, UpdateScope
@@ -92,6 +93,25 @@
     assert harness.exchange.begin(harness.calls[2])
 
 
+def test_told_wait_and_call_held_back_by_it_are_logged_and_counted(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO")
+    harness = ExchangeHarness(tmp_path)
+    first, second = harness.submit("m1"), harness.submit("m2")
+    assert harness.exchange.begin(first)
+    harness.exchange.settle(first, CallVerdict(Result.FULL, 8 * SECOND_US))
+    harness.now += SECOND_US
+    assert not harness.exchange.begin(second)
+    assert [record.getMessage() for record in caplog.records] == [
+        "message m1: refused by i0, destination 7 asked for a wait of 8.0 s",
+        "message m2: not sent to i0, destination 7 asked for a wait, 7.0 s of it are left",
+    ]
+    metrics = harness.exchange.metrics
+    assert metrics.waits_told == 1 and harness.exchange.waits_in_force == 1
+    assert metrics.held_back_calls == {HeldBackReason.RETRY_AFTER_WAIT: 1}
+
+
 def test_message_gets_a_final_answer_even_if_the_decision_module_fails(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -11,7 +11,7 @@
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.net.http import Reply
 from rowanrack.store.journal import EXPIRY_CHECK_END_COUNT, Journal
-from rowanspindle import EndpointStatus, UpdateScope
+from rowanspindle import EndpointStatus, RetryAfterWait, UpdateScope
 from tests.rig import Rig, answers, make_endpoint, on_loop
 
 OK = Reply(200, {})
@@ -62,14 +62,12 @@
         client, exchange = await rig.client(), rig.sender.exchange
         for n in range(100):
             exchange.update_endpoints(UpdateScope.FULL, [make_endpoint(f"n{n}", rig.servers[0].port)])
-            exchange._retry_after_waits.set(f"n{n}", 1 << 60)
+            exchange._retry_after_waits.record(RetryAfterWait(7, f"n{n}", 1 << 60), exchange.clock.now_us())
             await client.submit(f"m{n}")
             await rig.wait_for_end(f"m{n}")
         exchange.update_endpoints(UpdateScope.FULL, ())
         exchange.pump()
-        assert (
-            not rig.sender.pool.idle and not rig.sender.pool._idle_by_age and not exchange._retry_after_waits
-        )
+        assert not rig.sender.pool.idle and not rig.sender.pool._idle_by_age and not exchange.waits_in_force
         forwarder = exchange.forwarder
         assert not forwarder.endpoints and not forwarder.unlisted and not forwarder.attempts
         assert not exchange.endpoint_list.names() and not exchange._messages_by_ref
