--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -40,6 +40,7 @@
 from rowanrack.store.bans import DetachedEndpointFile
 from rowanrack.store.journal import Journal
 from rowanrack.store.outages import OutageFile
+from rowanrack.store.wait_file import WAIT_FILES_BYTES, RetryAfterWaitFiles
 from rowanspindle import UpdateScope
 
 if TYPE_CHECKING:
@@ -86,7 +87,7 @@
         retention_us = {PLATFORM: PLATFORM_RETENTION_US}
         self.journal = Journal(
             config.state,
-            config.disk_bytes,
+            config.disk_bytes - WAIT_FILES_BYTES,
             self.clock.unix_us,
             retention_us_by_front=retention_us,
             attempts=config.settings.try_limit,
@@ -105,6 +106,7 @@
         self.recorder: Recorder | None = None
         self.bans = DetachedEndpointFile(config.state)
         self.outages = OutageFile(config.state)
+        self.waits = RetryAfterWaitFiles(config.state)
         # Ban changes in force but not on disk yet: True for a ban, False for a lifted one.
         self.unwritten_bans: dict[str, bool] = {}
         self.mgmt: ManagementServer | None = None
@@ -221,10 +223,11 @@
             self.exchange.ban(name)
 
     async def _watch_state_folder(self) -> None:
-        """Follow the other process's bans, and save the known outages."""
+        """Follow the other process's bans, and save the known outages and unwritten waits."""
         while True:
             await pause(self.exchange.after, STATE_CHECK_INTERVAL_US)
             self.outages.write_if_changed(self.exchange.outages(), self.clock.now_us())
+            self.waits.flush(self.clock.now_us())
             self._read_bans()
             if self.unwritten_bans and not self._write_bans():
                 log.info("mgmt: the list of detached endpoints has been written")
@@ -274,6 +277,8 @@
             # Before anything is sent, because a pushed list counts as known from the start.
             await self.watch.wait_for_first_list()
         self.exchange.restore_outages(self.outages.read(self.clock.now_us(), self.config.settings.ramp_us))
+        self.waits.open(self.journal.slot, self.journal.other_slot, self.clock.now_us())
+        self.exchange.share_waits(self.waits)
         self.shutdown.mark_messages_owned()
         own_recovered(self.exchange, self.forms, outstanding)
         self.exchange.pump()
@@ -498,6 +503,7 @@
                 source.close()
         if self.recorder is not None:
             self.recorder.close()
+        self.waits.close()
         self.journal.close()
 
 
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -26,6 +26,7 @@
     Refusal,
 )
 from rowanrack.core.metrics import HeldBackReason, Metrics
+from rowanrack.core.shared_waits import SharedWaits, UnsharedWaits, WaitStore
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.load_shedder import LoadShedder
 from rowanspindle import (
@@ -49,6 +50,7 @@
     Refuse,
     Result,
     RetryAfterWait,
+    RetryAfterWaitsReported,
     Send,
     Settings,
     TimerFired,
@@ -57,7 +59,6 @@
     Withdrawn,
 )
 from rowanspindle.notes import Note
-from rowanspindle.retry_after_waits import RetryAfterWaits
 
 log = logging.getLogger(__name__)
 
@@ -195,7 +196,7 @@
         self.frozen = False
         self._pumping = False
         self._round_due_us: int | None = None  # when the next round is due
-        self._retry_after_waits = RetryAfterWaits()
+        self._waits = SharedWaits(UnsharedWaits())
         # Attempts whose call has not been sent yet, by endpoint name.
         self._unstarted_attempts: dict[str, dict[Attempt, None]] = {}
         # Calls that the current round has gathered, by endpoint name.
@@ -398,7 +399,7 @@
                 self.endpoint_calls.close_idle(name)
         # State kept by endpoint name is dropped with the endpoint: another may reuse its name or address.
         for name in change.removed:
-            self._retry_after_waits.drop_endpoint(name)
+            self._waits.drop_endpoint(name)
 
     def begin(self, attempt: Attempt) -> bool:
         """Return whether a call may still be sent, and record that it begins.
@@ -431,6 +432,7 @@
 
     def _reason_to_hold_back(self, attempt: Attempt) -> HeldBackReason | None:
         """Return why a call may not be sent any more; it may have waited long for a connection."""
+        self._receive_waits()
         if self._wait_left_us(attempt.endpoint) > 0:
             return HeldBackReason.RETRY_AFTER_WAIT
         if not self._is_owned(attempt.message):
@@ -518,7 +520,7 @@
         apart = self.settings.kinds.get(endpoint.kind, DestinationKind()).apart
         wait = RetryAfterWait(endpoint.dest, endpoint.name if apart else None, now + wait_us)
         began = self._wait_left_us(endpoint) <= 0
-        self._retry_after_waits.record(wait, now)
+        self._waits.record(wait, now)
         self.metrics.waits_told += 1
         if began and wait_us >= MIN_LOGGED_WAIT_US:
             log.info(
@@ -531,12 +533,31 @@
 
     def _wait_left_us(self, endpoint: Endpoint) -> int:
         """Return how long a wait still forbids calls to an endpoint; 0 or less if none does."""
-        return self._retry_after_waits.until(endpoint.dest, endpoint.name) - self.clock.now_us()
+        return self._waits.until_us(endpoint.dest, endpoint.name) - self.clock.now_us()
+
+    def share_waits(self, store: WaitStore) -> None:
+        """Share retry-after waits with the other processes of this sender; called before anything is sent."""
+        self._waits = SharedWaits(store)
+        self._receive_waits()
+
+    def _receive_waits(self) -> None:
+        """Obey the waits that other processes of this sender were told since the last call."""
+        now = self.clock.now_us()
+        if not (waits := self._waits.receive(now)):
+            return
+        for wait in waits:
+            if wait.until - now >= MIN_LOGGED_WAIT_US:
+                log.info(
+                    "destination %d asked another process of this sender for a wait, %.1f s of it are left",
+                    wait.dest,
+                    (wait.until - now) / 1e6,
+                )
+        self._queue_event(RetryAfterWaitsReported(waits))
 
     @property
     def waits_in_force(self) -> int:
         """Number of destinations, or endpoints limited separately, that are in a wait they asked for."""
-        return len(self._retry_after_waits.in_force(self.clock.now_us()))
+        return len(self._waits.in_force(self.clock.now_us()))
 
     # Interface to the other senders.
 
@@ -594,6 +615,7 @@
             self.load_shedder.record_delay(now, now - self._round_due_us)
         self._round_due_us = None
         self.wheel.advance(now)
+        self._receive_waits()
         batch, self._events = self._events, []
         if batch and not self.frozen:
             self._decide(now, EventFeed(batch))
--- a/rowanspindle/api.py
+++ b/rowanspindle/api.py
@@ -261,7 +261,23 @@
         return self.dest if self.target is None else self.target
 
 
-Event = Accept | Outcome | EndpointListUpdate | Withdrawn | TimerFired | NoteReceived | OutagesRestored
+@dataclass(frozen=True, slots=True)
+class RetryAfterWaitsReported:
+    """Waits that another process of this sender was told: the previous one, or the other of a hot restart."""
+
+    waits: tuple[RetryAfterWait, ...]
+
+
+Event = (
+    Accept
+    | Outcome
+    | EndpointListUpdate
+    | Withdrawn
+    | TimerFired
+    | NoteReceived
+    | OutagesRestored
+    | RetryAfterWaitsReported
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -26,6 +26,7 @@
     Outcome,
     Refuse,
     Result,
+    RetryAfterWaitsReported,
     Send,
     TimerFired,
     UpdateScope,
@@ -106,6 +107,8 @@
                     self.apply_note(event)
                 case OutagesRestored():
                     self.restore_outages(event)
+                case RetryAfterWaitsReported():
+                    self.apply_reported_waits(event)
                 case Withdrawn() if event.ref in self.messages:
                     self.end(self.messages[event.ref])
                 case TimerFired() if event.token == self.token:
@@ -204,6 +207,7 @@
                 self.endpoints[entry.target] = destination.endpoints[entry.target] = endpoint
                 self.endpoints_by_digest[endpoint_digest(entry.target)] = endpoint
                 self.restore_outage(endpoint)
+                self.restore_wait(endpoint)
                 limit.endpoint_count += 1
                 self.changed_lists.add(entry.dest)
             else:
@@ -462,6 +466,24 @@
                 )
             )
 
+    def apply_reported_waits(self, event: RetryAfterWaitsReported) -> None:
+        """Obey waits that another process of this sender was told, as if they had been told here."""
+        for wait in event.waits:
+            self.known_waits.record(wait, self.now)
+            destination = self.destinations[wait.dest] if wait.dest in self.destinations else Destination()
+            for endpoint in destination.endpoints.values():
+                if wait.target in (None, endpoint.target):
+                    endpoint.shared_limit.record_heard_refusal(self.now, wait.until - self.now, self.rng)
+                    self.restore_wait(endpoint)
+            self.mark_changed(wait.dest)
+
+    def restore_wait(self, endpoint: Endpoint) -> None:
+        """Apply a wait that is known from before the endpoint was listed, or from another process."""
+        until = self.known_waits.until(endpoint.dest, endpoint.target)
+        if until > self.now:
+            endpoint.shared_limit.opens_at = max(endpoint.shared_limit.opens_at, until)
+            self.begin_cold_after_wait(endpoint, until - self.now)
+
     def detect_silence(self) -> None:
         """Declare an outage for calls that are overdue without a later answer, before their time-out."""
         for endpoint in self.silences.due(self.now):
--- a/rowanspindle/state.py
+++ b/rowanspindle/state.py
@@ -21,6 +21,7 @@
 )
 from rowanspindle.list_watch import ListWatch
 from rowanspindle.notes import endpoint_digest
+from rowanspindle.retry_after_waits import RetryAfterWaits
 
 
 class TrackedLimit(Protocol):
@@ -108,6 +109,8 @@
         self.recovering: dict[E, None] = {}  # endpoints in an outage or slow start; some may have ended
         # Outages of endpoints that are not listed, and until when they are taken to be valid.
         self.known_outages: dict[str, tuple[Outage, int]] = {}
+        # Waits by destination, also while it is not listed: its next endpoint must keep them.
+        self.known_waits = RetryAfterWaits()
         self.changed_lists: set[int] = set()  # destinations whose endpoint list changed in this round
         self.answered: dict[E, None] = {}  # endpoints with a connection that may be closed as idle
         self.zone_times: dict[str, RunningMean] = {}  # answer times of each zone
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -226,7 +226,15 @@
         """Start a sender on the state folder; after `sender.close()` this acts as a restart after SIGKILL."""
         self.sender = Sender(self.config())
         await self.sender.start()
-        self._record_outcomes()
+        self._record_outcomes(self.sender)
+
+    async def start_second(self) -> Sender:
+        """Start a second sender on the state folder, as during a hot restart; it has ports of its own."""
+        second = Sender(self.config())
+        self.callback(second.close)
+        await second.start()
+        self._record_outcomes(second)
+        return second
 
     def config(self, pushed: bool = False) -> Config:
         """Return the configuration of a sender that uses the stand-ins."""
@@ -242,8 +250,8 @@
         )
         return replace(config, **self.config_changes)
 
-    def _record_outcomes(self) -> None:
-        exchange, settle = self.sender.exchange, self.sender.exchange.settle
+    def _record_outcomes(self, sender: Sender) -> None:
+        exchange, settle = sender.exchange, sender.exchange.settle
 
         def settle_and_record(attempt: Attempt, verdict: CallVerdict | Result) -> None:
             settle(attempt, verdict)
@@ -278,9 +286,9 @@
         await self.wait_until(lambda: message_id in dict(self.ends))
         return dict(self.ends)[message_id]
 
-    async def client(self) -> Client:
-        """Open a client connection to the platform front."""
-        return Client(await self.connect(0))
+    async def client(self, sender: Sender | None = None) -> Client:
+        """Open a client connection to the platform front, of the first sender by default."""
+        return Client(await self.connect(0, sender))
 
     async def export(self, body: bytes, path: str = "/v1/logs", **header_values: str) -> Reply:
         """Make an export request on a new connection."""
@@ -291,9 +299,9 @@
             Call("POST", path, headers, body)
         )
 
-    async def connect(self, front: int) -> Stream:
+    async def connect(self, front: int, sender: Sender | None = None) -> Stream:
         """Open a connection to the platform front (0) or to the OTLP front (1)."""
-        stream = await Stream.connect("127.0.0.1", self.sender.fronts[front][0].port)
+        stream = await Stream.connect("127.0.0.1", (sender or self.sender).fronts[front][0].port)
         self.callback(stream.abort)
         return stream
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -62,7 +62,7 @@
         client, exchange = await rig.client(), rig.sender.exchange
         for n in range(100):
             exchange.update_endpoints(UpdateScope.FULL, [make_endpoint(f"n{n}", rig.servers[0].port)])
-            exchange._retry_after_waits.record(RetryAfterWait(7, f"n{n}", 1 << 60), exchange.clock.now_us())
+            exchange._waits.record(RetryAfterWait(7, f"n{n}", 1 << 60), exchange.clock.now_us())
             await client.submit(f"m{n}")
             await rig.wait_for_end(f"m{n}")
         exchange.update_endpoints(UpdateScope.FULL, ())
--- a/tests/test_hot_restart_waits.py
+++ b/tests/test_hot_restart_waits.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import signal
 from pathlib import Path
 
-from rowanrack.net.http import Reply
+import pytest
+
+from rowanrack.app import Sender
+from rowanrack.net.http import Reply, Request
 from tests.rig import Process, Rig, answers, on_loop
 
 WAIT_S = 2.0
@@ -14,6 +18,11 @@
 DEADLINE_MS = 20_000
 
 
+async def submit(rig: Rig, sender: Sender, message_id: str) -> None:
+    """Submit a message to one of the senders."""
+    assert await (await rig.client(sender)).submit(message_id, d=DEADLINE_MS) == b"+OK\r\n"
+
+
 @on_loop
 async def test_destination_is_not_called_by_the_next_process_of_a_hot_restart_during_its_wait(
     tmp_path: Path,
@@ -29,3 +38,55 @@
         assert await (await process.client()).submit("m2", d=DEADLINE_MS) == b"+OK\r\n"
         await endpoint.wait_for_requests(2)
         assert endpoint.times[1] - endpoint.times[0] >= WAIT_S
+
+
+@pytest.mark.parametrize("told", ["first", "second"])
+@on_loop
+async def test_wait_told_to_one_of_two_running_processes_holds_for_the_other(
+    tmp_path: Path, told: str
+) -> None:
+    async with Rig(tmp_path, answers(REFUSAL_WITH_WAIT, DELIVERED)) as rig:
+        first, second = rig.sender, await rig.start_second()
+        senders = (first, second) if told == "first" else (second, first)
+        endpoint = rig.servers[0]
+        await submit(rig, senders[0], "m1")
+        await rig.wait_until(lambda: len(rig.results) == 1)
+        await submit(rig, senders[1], "m2")
+        await endpoint.wait_for_requests(2)
+        assert endpoint.times[1] - endpoint.times[0] >= WAIT_S
+
+
+@on_loop
+async def test_wait_that_answers_a_call_of_the_stopping_process_holds_for_the_next(tmp_path: Path) -> None:
+    released, answer_first = asyncio.Event(), answers(REFUSAL_WITH_WAIT, DELIVERED)
+
+    async def answer_once_released(request: Request) -> Reply | None:
+        await released.wait()
+        return await answer_first(request)
+
+    rig = Rig(tmp_path, answer_once_released)
+    rig.config_changes = {"otlp": None}  # with OTLP the first process would go on making calls
+    async with rig:
+        second, endpoint = await rig.start_second(), rig.servers[0]
+        await submit(rig, rig.sender, "m1")
+        await endpoint.wait_for_requests(1)
+        rig.sender.request_stop()
+        rig.sender.shutdown.advance()
+        assert rig.sender.exchange.frozen
+        released_at = asyncio.get_running_loop().time()
+        released.set()
+        await rig.wait_until(lambda: len(rig.results) == 1)
+        await submit(rig, second, "m2")
+        await endpoint.wait_for_requests(2)
+        assert endpoint.times[1] - released_at >= WAIT_S
+
+
+@on_loop
+async def test_wait_holds_after_a_kill_and_a_restart(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(REFUSAL_WITH_WAIT, DELIVERED)) as rig:
+        await submit(rig, rig.sender, "m1")
+        await rig.wait_until(lambda: len(rig.results) == 1)
+        rig.sender.close()
+        await rig.start()
+        await rig.servers[0].wait_for_requests(2)
+        assert rig.servers[0].times[1] - rig.servers[0].times[0] >= WAIT_S
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -18,6 +18,8 @@
     Outcome,
     Refuse,
     Result,
+    RetryAfterWait,
+    RetryAfterWaitsReported,
     Send,
     UpdateScope,
     Withdrawn,
@@ -128,6 +130,39 @@
     assert {a.target for _, a in caller.sends(since=refused_at)} == {"t1", "t2"} - {refused_target}
 
 
+def test_wait_reported_by_another_process_stops_the_whole_destination() -> None:
+    caller = Caller(endpoint_entry("t1"), endpoint_entry("t2"))
+    wait = RetryAfterWait(1, None, caller.now + 2 * SECOND_US)
+    caller.step(
+        RetryAfterWaitsReported((wait,)), EndpointListUpdate(UpdateScope.DELTA, (endpoint_entry("t3"),))
+    )
+    for _ in range(4):
+        caller.accept()
+    caller.wait(2 * SECOND_US - 1)
+    assert not caller.sends()
+    caller.wait(2 * SECOND_US)
+    assert caller.sends()
+
+
+def test_wait_reported_by_another_process_stops_only_its_endpoint_where_limits_are_separate() -> None:
+    caller = Caller(endpoint_entry("t1", kind="apart"), endpoint_entry("t2", kind="apart"))
+    caller.step(RetryAfterWaitsReported((RetryAfterWait(1, "t1", caller.now + 2 * SECOND_US),)))
+    for _ in range(4):
+        caller.accept()
+    assert {action.target for _, action in caller.sends()} == {"t2"}
+
+
+def test_wait_reported_before_its_destination_is_listed_holds() -> None:
+    caller = Caller(endpoint_entry("other", dest=9))
+    ref = caller.accept()
+    caller.step(RetryAfterWaitsReported((RetryAfterWait(1, None, caller.now + 2 * SECOND_US),)))
+    caller.step(EndpointListUpdate(UpdateScope.DELTA, (endpoint_entry("t1"),)))
+    caller.wait(2 * SECOND_US - 1)
+    assert not caller.is_out(ref)
+    caller.wait(2 * SECOND_US)
+    assert caller.is_out(ref)
+
+
 def test_messages_of_one_key_are_sent_in_order_and_block_no_others() -> None:
     caller = Caller(key_rest_us=SECOND_US)
     first, second, other = (
