--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -458,6 +458,8 @@
         outage, until = self.known_outages.pop(endpoint.target, (None, 0))
         if outage is not None and self.now < until:
             endpoint.restore(self.now, outage, self.rng)
+            if outage.back_at is not None:  # while that lies ahead, its destination has asked for a wait
+                endpoint.shared_limit.opens_at = max(endpoint.shared_limit.opens_at, outage.back_at)
             self.recovering[endpoint] = None
             self.actions.append(
                 LogLine(
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -95,6 +95,17 @@
     assert set(caller.forwarder.outages(caller.now)) == set(outages)
 
 
+def test_restored_slow_start_that_begins_later_lets_no_call_go_before_it_begins() -> None:
+    caller = sender()
+    back_at = caller.now + 4 * SECOND_US
+    caller.step(OutagesRestored((Outage("a", caller.now - SECOND_US, back_at),)))
+    refs = [caller.accept(left_us=LONG_US) for _ in range(4)]
+    caller.wait(4 * SECOND_US - 1)
+    assert not caller.sends()
+    caller.wait(LONG_US)
+    assert any(caller.attempts_sent.get(ref) for ref in refs)
+
+
 @pytest.mark.parametrize(("away_us", "known"), [(20 * SECOND_US, True), (40 * SECOND_US, False)])
 def test_outage_is_remembered_for_a_while_after_its_endpoint_left_the_list(away_us: int, known: bool) -> None:
     caller = Caller(endpoint_entry("a", weight=8.0), replicas=SENDERS)
