--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -26,6 +26,7 @@
     Outcome,
     Refuse,
     Result,
+    RetryAfterWait,
     RetryAfterWaitsReported,
     Send,
     TimerFired,
@@ -252,6 +253,8 @@
         self.mark_changed(call.endpoint.dest)
         wait_until = self.now + event.wait_us + 1 if event.wait_us else 0  # may differ by message (h80106d)
         call.endpoint.shared_limit.opens_at = max(call.endpoint.shared_limit.opens_at, wait_until)
+        if wait_until:
+            self.record_told_wait(call.endpoint, wait_until)
         if event.reported_limit:
             call.endpoint.shared_limit.record_reported_limit(event.reported_limit)
         if not call.learned_from:
@@ -468,6 +471,12 @@
                 )
             )
 
+    def record_told_wait(self, endpoint: Endpoint, until: int) -> None:
+        """Remember a wait of the endpoint's destination, or its own, for endpoints that are listed later."""
+        apart = self.settings.kinds.get(endpoint.kind, DestinationKind()).apart
+        target = endpoint.target if apart else None
+        self.known_waits.record(RetryAfterWait(endpoint.dest, target, until), self.now)
+
     def apply_reported_waits(self, event: RetryAfterWaitsReported) -> None:
         """Obey waits that another process of this sender was told, as if they had been told here."""
         for wait in event.waits:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -322,6 +322,20 @@
     assert caller.is_out(ref)
 
 
+def test_destination_whose_only_endpoint_moved_away_keeps_its_wait() -> None:
+    caller = Caller(endpoint_entry("t1"))
+    caller.end(caller.accept(left_us=SECOND_US), Result.FULL, wait_us=4 * SECOND_US)
+    refused_at = caller.now
+    caller.wait(SECOND_US)
+    moved, successor = endpoint_entry("t1", dest=2), endpoint_entry("t2")
+    caller.step(EndpointListUpdate(UpdateScope.DELTA, (moved, successor)))
+    ref = caller.accept()
+    caller.wait(refused_at + 4 * SECOND_US - caller.now - 1)
+    assert not caller.is_out(ref)
+    caller.wait(4 * SECOND_US)
+    assert caller.is_out(ref)
+
+
 def test_idle_state_is_dropped() -> None:
     caller = Caller()
     ref = caller.accept("ordered", key="k")
