--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -223,15 +223,25 @@
             self.exchange.ban(name)
 
     async def _watch_state_folder(self) -> None:
-        """Follow the other process's bans, and save the known outages and unwritten waits."""
+        """Follow the other process's bans and outages, and save the known outages and unwritten waits."""
         while True:
             await pause(self.exchange.after, STATE_CHECK_INTERVAL_US)
-            self.outages.write_if_changed(self.exchange.outages(), self.clock.now_us())
+            self._follow_outages()
             self.waits.flush(self.clock.now_us())
             self._read_bans()
             if self.unwritten_bans and not self._write_bans():
                 log.info("mgmt: the list of detached endpoints has been written")
 
+    def _follow_outages(self) -> None:
+        """Take over the outages that the other process of a hot restart has found, and save the known ones.
+
+        A frozen process learns nothing more, and must not replace what its successor has saved.
+        """
+        now = self.clock.now_us()
+        self.exchange.restore_outages(self.outages.read_if_changed(now, self.config.settings.ramp_us))
+        if not (self.exchange.frozen and self.journal.other_process_running()):
+            self.outages.write_if_changed(self.exchange.outages(), now)
+
     async def _take_over_journals(self) -> None:
         """Own the previous process's messages once it releases its journal.
 
@@ -276,7 +286,9 @@
         if self.watch is not None and self.config.platform is not None and self.config.platform.pushed:
             # Before anything is sent, because a pushed list counts as known from the start.
             await self.watch.wait_for_first_list()
-        self.exchange.restore_outages(self.outages.read(self.clock.now_us(), self.config.settings.ramp_us))
+        self.exchange.restore_outages(
+            self.outages.read_if_changed(self.clock.now_us(), self.config.settings.ramp_us)
+        )
         self.waits.open(self.journal.slot, self.journal.other_slot, self.clock.now_us())
         self.exchange.share_waits(self.waits)
         self.shutdown.mark_messages_owned()
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -355,7 +355,7 @@
         return self.forwarder.outages(self.clock.now_us())
 
     def restore_outages(self, outages: tuple[Outage, ...]) -> None:
-        """Restore the outages that the previous process saved; called before anything is sent."""
+        """Restore the outages that another process of this sender saved, ended or running."""
         if outages:
             self._queue_event(OutagesRestored(outages))
 
--- a/rowanrack/store/outages.py
+++ b/rowanrack/store/outages.py
@@ -10,7 +10,7 @@
 import logging
 from pathlib import Path
 
-from rowanrack.store.atomic_file import replace_file
+from rowanrack.store.atomic_file import FileVersion, file_version, replace_file
 from rowanspindle import Outage
 
 log = logging.getLogger(__name__)
@@ -28,6 +28,18 @@
         self._written_outages: tuple[Outage, ...] = ()
         self._written_at_us = 0
         self._reported_failure = False
+        self._known_version: FileVersion | None = None  # of the last read or write here
+
+    def read_if_changed(self, now_us: int, max_age_us: int) -> tuple[Outage, ...]:
+        """Return the recorded outages if another process has written them since the last read or write."""
+        try:
+            version = file_version(self.path)
+        except OSError:
+            return ()
+        if version == self._known_version:
+            return ()
+        self._known_version = version
+        return self.read(now_us, max_age_us)
 
     def read(self, now_us: int, max_age_us: int) -> tuple[Outage, ...]:
         """Return the recorded outages; none if the file is older than `max_age_us`, missing or invalid."""
@@ -56,7 +68,7 @@
             return
         rows = [[outage.target, outage.began_at, outage.back_at] for outage in outages]
         try:
-            replace_file(self.path, json.dumps({"known_us": now_us, "outages": rows}))
+            self._known_version = replace_file(self.path, json.dumps({"known_us": now_us, "outages": rows}))
         except OSError as error:
             if not self._reported_failure:
                 log.warning(
--- a/rowanspindle/logic.py
+++ b/rowanspindle/logic.py
@@ -449,7 +449,7 @@
         return tuple(endpoint.to_outage(endpoint.target) for endpoint in self.recovering)
 
     def restore_outages(self, event: OutagesRestored) -> None:
-        """Restore the outages known to the previous process, including those of endpoints not listed yet.
+        """Restore the outages known to another process, including those of endpoints not listed yet.
 
         Otherwise a fleet that restarts in an outage calls at once and overloads a returning endpoint."""
         self.remember_outages(event.outages)
@@ -457,9 +457,14 @@
             self.restore_outage(endpoint)
 
     def restore_outage(self, endpoint: Endpoint) -> None:
-        """Restore the outage of a listed endpoint if one is known from before a restart or its removal."""
+        """Restore the outage of a listed endpoint if one is known from another process or before its removal.
+
+        What this process has found of the endpoint since then counts more.
+        """
         outage, until = self.known_outages.pop(endpoint.target, (None, 0))
-        if outage is not None and self.now < until:
+        if outage is None or endpoint.is_recovering(self.now) or endpoint.answered_at > outage.began_at:
+            return
+        if self.now < until:
             endpoint.restore(self.now, outage, self.rng)
             if outage.back_at is not None:  # while that lies ahead, its destination has asked for a wait
                 endpoint.shared_limit.opens_at = max(endpoint.shared_limit.opens_at, outage.back_at)
--- a/tests/test_hot_restart_waits.py
+++ b/tests/test_hot_restart_waits.py
@@ -1,4 +1,4 @@
-"""Waits that a destination asks for hold for the sender, whichever of its processes was told."""
+"""Waits and outages are known to the whole sender, whichever of its processes has met them."""
 
 from __future__ import annotations
 
@@ -8,8 +8,11 @@
 
 import pytest
 
-from rowanrack.app import Sender
+from rowanrack.app import STATE_CHECK_INTERVAL_US, Sender
 from rowanrack.net.http import Reply, Request
+from rowanrack.net.timing import pause
+from rowanrack.store.outages import REWRITE_INTERVAL_US, OutageFile
+from rowanspindle import Outage
 from tests.rig import Process, Rig, answers, on_loop
 
 WAIT_S = 2.0
@@ -90,3 +93,35 @@
         await rig.start()
         await rig.servers[0].wait_for_requests(2)
         assert rig.servers[0].times[1] - rig.servers[0].times[0] >= WAIT_S
+
+
+@on_loop
+async def test_outage_found_by_one_of_two_running_processes_is_known_to_the_other(tmp_path: Path) -> None:
+    async with Rig(tmp_path, answers(None)) as rig:
+        second = await rig.start_second()
+        await submit(rig, rig.sender, "m1")
+        while not (known := second.exchange.outages()):
+            await pause(second.exchange.after, STATE_CHECK_INTERVAL_US)
+        assert [outage.target for outage in known] == ["i0"]
+
+
+@on_loop
+async def test_stopping_process_does_not_replace_the_outages_that_its_successor_has_saved(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with Rig(tmp_path, answers(DELIVERED), answers(DELIVERED)) as rig:
+        first, second = rig.sender, await rig.start_second()
+        now_us = first.clock.now_us()
+        for sender, endpoint in ((first, "i0"), (second, "i1")):
+            sender.exchange.restore_outages((Outage(endpoint, now_us, None),))
+            sender.exchange.pump()
+        first._follow_outages()
+        first.exchange.freeze()
+        for _ in range(2):
+            second._follow_outages()
+            second.exchange.pump()
+        later_us = now_us + 2 * REWRITE_INTERVAL_US
+        monkeypatch.setattr(first.clock, "now_us", lambda: later_us)
+        first._follow_outages()
+        saved = OutageFile(tmp_path).read(later_us, 2 * REWRITE_INTERVAL_US)
+        assert {outage.target for outage in saved} == {"i0", "i1"}
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -95,6 +95,23 @@
     assert set(caller.forwarder.outages(caller.now)) == set(outages)
 
 
+def test_outage_of_another_process_does_not_replace_what_this_one_has_found_since() -> None:
+    caller = sender()
+    answered = caller.accept(left_us=LONG_US)
+    target = caller.attempts_in_flight[answered, 0]
+    caller.end(answered)
+    other = next(name for name in ("a", "b") if name != target)
+    before, since = (Outage(target, caller.now + delay, None) for delay in (-SECOND_US, SECOND_US))
+    caller.step(OutagesRestored((before,)))
+    assert not caller.forwarder.endpoints[target].is_recovering(caller.now)
+    caller.step(OutagesRestored((since, Outage(other, caller.now, None))))
+    assert caller.forwarder.endpoints[target].suspected
+    began_at = caller.forwarder.endpoints[other].began_at
+    caller.wait(SECOND_US)
+    caller.step(OutagesRestored((Outage(other, caller.now, caller.now),)))
+    assert caller.forwarder.endpoints[other].began_at == began_at
+
+
 def test_restored_slow_start_that_begins_later_lets_no_call_go_before_it_begins() -> None:
     caller = sender()
     back_at = caller.now + 4 * SECOND_US
