--- a/rowanrack/console/snapshot.py
+++ b/rowanrack/console/snapshot.py
@@ -6,7 +6,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanspindle.endpoint import Endpoint
-from rowanspindle.logic import Destination
+from rowanspindle.shared_knowledge import Destination
 
 
 def endpoint_state(endpoint: Endpoint, now_us: int) -> str:
