--- a/rowanrack/store/wait_file.py
+++ b/rowanrack/store/wait_file.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import os
@@ -124,7 +125,8 @@
 
     def write(self, waits: Sequence[RetryAfterWait], now_us: int) -> None:
         """Replace the waits. Raises OSError; the previous ones then stay."""
-        self.reserve()
+        with contextlib.suppress(OSError):
+            self.reserve()  # if it failed before; without it the write itself may still succeed
         sequence_number = self._last_sequence_number + 1
         content = encode_waits(waits)
         fields = FIELDS.pack(MAGIC, sequence_number, now_us, len(content))
@@ -151,9 +153,9 @@
         try:
             self._own = SlotWaits(self._folder / f"{slot}{SUFFIX}")
             self._other = SlotWaits(self._folder / f"{other_slot}{SUFFIX}")
-            self._own.reserve()
             for file in (self._own, self._other):
                 self._from_before += file.read_if_changed(now_us)
+            self._own.reserve()
         except OSError as error:
             self._report_unshared(error)
 
--- a/tests/contracts/test_wait_stores.py
+++ b/tests/contracts/test_wait_stores.py
@@ -114,6 +114,24 @@
         assert set(receiver.received()) == set(waits)
 
 
+def test_start_on_a_full_disk_keeps_what_was_published_before_the_room_was_reserved(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    receiver = open_wait_files(tmp_path, 1)
+    for waits in ((FIRST,), (SECOND,)):
+        open_wait_files(tmp_path).publish(waits, NOW_US)
+        receiver.received()
+    os.truncate(tmp_path / f"{SLOTS[0]}.waits", BANK_BYTES + 1000)
+    disk = FaultyDisk()
+    for module in ("journal_file", "wait_file"):
+        monkeypatch.setattr(f"rowanrack.store.{module}.os", disk)
+    disk.mode = "full"
+    publisher = open_wait_files(tmp_path)
+    assert list(publisher.received()) == [SECOND]
+    publisher.publish((THIRD,), NOW_US)
+    assert list(receiver.received()) == [THIRD]
+
+
 def test_publication_that_failed_is_repeated_and_reported_once(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
 ) -> None:
