--- a/rowanrack/store/wait_file.py
+++ b/rowanrack/store/wait_file.py
@@ -74,9 +74,11 @@
 class SlotWaits:
     """The file of one slot."""
 
-    def __init__(self, path: Path) -> None:
+    def __init__(self, path: Path, opened: contextlib.ExitStack) -> None:
+        """Open the file, and have `opened` close it. Raises OSError."""
         self.path = path
         self._fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        opened.callback(self.close)
         self._last_sequence_number = 0  # the last one read or written
 
     def close(self) -> None:
@@ -142,66 +144,91 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
+        self._slots: tuple[str, str] | None = None  # the own one and the other, while open
         self._own: SlotWaits | None = None
         self._other: SlotWaits | None = None
         self._from_before: list[RetryAfterWait] = []
         self._unwritten: tuple[RetryAfterWait, ...] | None = None  # the last `publish`, if it failed
-        self._reported_read_failure = False
+        self._reported_write_failure = self._reported_read_failure = False
 
     def open(self, slot: str, other_slot: str, now_us: int) -> None:
-        """Open the files, and read what earlier processes and the running one have published."""
+        """Open the files, and read what earlier processes and the running one have published.
+
+        If that fails, `flush` tries again.
+        """
+        self._slots = slot, other_slot
+        self._open_files(now_us)
+
+    def _open_files(self, now_us: int) -> None:
+        if self._slots is None:
+            return
+        with contextlib.ExitStack() as opened:
+            try:
+                files = [SlotWaits(self._folder / f"{slot}{SUFFIX}", opened) for slot in self._slots]
+            except OSError as error:
+                self._report_write_failure(error)
+                return
+            opened.pop_all()
+        self._own, self._other = files
+        for file in files:
+            self._from_before += self._read(file, now_us)
         try:
-            self._own = SlotWaits(self._folder / f"{slot}{SUFFIX}")
-            self._other = SlotWaits(self._folder / f"{other_slot}{SUFFIX}")
-            for file in (self._own, self._other):
-                self._from_before += file.read_if_changed(now_us)
             self._own.reserve()
         except OSError as error:
-            self._report_unshared(error)
+            self._report_write_failure(error)
 
     def close(self) -> None:
         """Close the files."""
         for file in (self._own, self._other):
             if file is not None:
                 file.close()
-        self._own = self._other = None
+        self._slots = self._own = self._other = None
 
     def publish(self, waits: Sequence[RetryAfterWait], now_us: int) -> None:
         """Replace the waits that this process publishes. A failed write is repeated by `flush`."""
+        self._unwritten = tuple(waits)
         if self._own is None:
             return
         try:
             self._own.write(waits, now_us)
         except OSError as error:
-            if self._unwritten is None:
-                self._report_unshared(error)
-            self._unwritten = tuple(waits)
+            self._report_write_failure(error)
             return
-        if self._unwritten is not None:
+        if self._reported_write_failure:
             log.info("waits: written again")
-        self._unwritten = None
+        self._unwritten, self._reported_write_failure = None, False
 
     def flush(self, now_us: int) -> None:
         """Repeat the last `publish` if it failed."""
+        if self._own is None:
+            self._open_files(now_us)
         if self._unwritten is not None:
             self.publish(self._unwritten, now_us)
 
     def received(self) -> Sequence[RetryAfterWait]:
         """Return the waits that other processes have published since the last call, or before the first."""
         waits, self._from_before = self._from_before, []
-        if self._other is None:
-            return waits
+        if self._other is not None:
+            waits += self._read(self._other)
+        return waits
+
+    def _read(self, file: SlotWaits, now_us: int | None = None) -> tuple[RetryAfterWait, ...]:
+        """Return the waits of a file if they were written since the last read; none if it cannot be read."""
         try:
-            waits += self._other.read_if_changed()
-            self._reported_read_failure = False
+            waits = file.read_if_changed(now_us)
         except OSError as error:
             if not self._reported_read_failure:
-                log.error("waits: cannot read the other process's waits: %s", error.strerror or error)
+                log.error("waits: cannot read %s: %s", file.path.name, error.strerror or error)
             self._reported_read_failure = True
+            return ()
+        self._reported_read_failure = False
         return waits
 
-    def _report_unshared(self, error: OSError) -> None:
-        log.error(
-            "waits: cannot be written, another process of this sender would not keep them: %s",
-            error.strerror or error,
-        )
+    def _report_write_failure(self, error: OSError) -> None:
+        """Log the first failure of a series."""
+        if not self._reported_write_failure:
+            log.error(
+                "waits: cannot be written, another process of this sender would not keep them: %s",
+                error.strerror or error,
+            )
+        self._reported_write_failure = True
--- a/tests/contracts/test_wait_stores.py
+++ b/tests/contracts/test_wait_stores.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
@@ -151,6 +152,31 @@
     assert caplog.text.count("another process of this sender would not keep them") == 2
 
 
+def test_files_that_cannot_be_opened_at_first_are_opened_by_a_flush(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    open_wait_files(tmp_path, 1).publish((FIRST,), NOW_US)
+    disk = FaultyDisk()
+    monkeypatch.setattr("rowanrack.store.wait_file.os", disk)
+    descriptors = len(os.listdir("/proc/self/fd"))
+
+    def open_only_the_own(path: Path, *arguments: int) -> int:
+        if path.name.startswith(SLOTS[1]):
+            raise OSError(errno.EMFILE, "Too many open files")
+        return os.open(path, *arguments)
+
+    monkeypatch.setattr(disk, "open", open_only_the_own, raising=False)
+    publisher = open_wait_files(tmp_path)
+    publisher.publish((SECOND,), NOW_US)
+    publisher.flush(NOW_US)
+    assert len(os.listdir("/proc/self/fd")) == descriptors
+    assert list(publisher.received()) == [] and caplog.text.count("waits: cannot be written") == 1
+    monkeypatch.undo()
+    publisher.flush(NOW_US)
+    assert list(publisher.received()) == [FIRST]
+    assert list(open_wait_files(tmp_path, 1).received()) == [FIRST, SECOND]
+
+
 def test_kill_at_any_byte_of_a_publication_leaves_the_previous_one(tmp_path: Path) -> None:
     open_wait_files(tmp_path).publish((FIRST,), NOW_US)
     path = tmp_path / f"{SLOTS[0]}.waits"
