--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -23,6 +23,7 @@
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
+from rowanrack.failure_log import FailureLog
 from rowanrack.fronts.mgmt.calls import NotWrittenError
 from rowanrack.fronts.mgmt.server import ManagementServer
 from rowanrack.fronts.otlp import FRONT_NAME as OTLP
@@ -97,6 +98,7 @@
         self.descriptor_budget = DescriptorBudget.of(config.sockets, config.settings.slots)
         self.pool = EndpointPool(self.exchange, self.forms, self.descriptor_budget.idle)
         self.exchange.endpoint_calls = self.pool
+        self.exchange.add_observer(FailureLog(self.clock.now_us))
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
         self.watch: DiscoveryWatch | None = None
         self.consul: ConsulSource | None = None
--- a/rowanrack/core/metrics.py
+++ b/rowanrack/core/metrics.py
@@ -34,12 +34,14 @@
 class Metrics:
     """Counts by class: messages delivered, refused or handed back, and failed; calls sent to endpoints.
 
-    Over all classes: retry-after waits that answers asked for, and calls that were held back.
+    Over all classes: retry-after waits that answers asked for, calls that were held back, and connections to
+    endpoints on which bytes came that answer no call.
     """
 
     def __init__(self) -> None:
         self.counts: dict[str, Counter[str]] = {name: Counter() for name in COUNTER_NAMES}
         self.waits_told = 0
+        self.unsolicited_responses = 0
         self.held_back_calls: Counter[HeldBackReason] = Counter()
 
     def ended(self, cls: str, ending: Ending) -> None:
@@ -69,6 +71,8 @@
             f'svc_held_back{{reason="{reason.value}"}} {self.held_back_calls[reason]}'
             for reason in HeldBackReason
         ]
+        lines.append("# TYPE svc_unsolicited_responses counter")
+        lines.append(f"svc_unsolicited_responses {self.unsolicited_responses}")
         gauges = {"outstanding": outstanding, "discovered": discovered, "ejected": ejected, "waits": waits}
         for name, value in gauges.items():
             lines += [f"# TYPE svc_{name} gauge", f"svc_{name} {value}"]
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -65,7 +65,7 @@
         self._callers: dict[Batch, HttpClientConnection] = {}  # of calls in progress
         self._idle_by_age: dict[IdleConnection, None] = {}  # all idle connections, longest idle first
         self._max_idle = max_idle
-        self._warnings = RateLimitedLog(log)
+        self._warnings, self._broken_calls = RateLimitedLog(log), RateLimitedLog(log)
         self._idle_timeout_us = int(exchange.settings.keepalive_us * IDLE_TIMEOUT_FRACTION)
 
     # Called by the exchange.
@@ -160,7 +160,7 @@
         except CallNotSentError:
             result = Result.CONNECT_FAILED
         except CallBrokenError as error:
-            self._warnings.warning(
+            self._broken_calls.warning(
                 "call to endpoint %s failed and may have run: %s", part[0].endpoint.name, error
             )
             result = Result.RESET
@@ -212,6 +212,7 @@
 
         def expire() -> None:
             if idle in waiting:
+                self._record_unsolicited_input(idle)
                 waiting.remove(idle)
                 self._discard(idle)
             if not waiting and self.idle.get(endpoint.name) is waiting:
@@ -225,6 +226,18 @@
             self.idle[oldest.endpoint.name].remove(oldest)
             self._discard(oldest)
 
+    def _record_unsolicited_input(self, idle: IdleConnection) -> None:
+        """Count and log bytes that came on an idle connection: they answer no call."""
+        if not idle.caller.stream.unread_bytes:
+            return
+        self.exchange.metrics.unsolicited_responses += 1
+        self._warnings.warning(
+            "endpoint %s: %d bytes that answer no call came %.1f ms after the last answer on that connection",
+            idle.endpoint.name,
+            idle.caller.stream.unread_bytes,
+            (self.exchange.clock.now_us() - idle.since_us) / 1000,
+        )
+
     def _discard(self, idle: IdleConnection) -> None:
         self._idle_by_age.pop(idle, None)
         idle.watch.cancel()
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -64,6 +64,11 @@
         """Whether there is unread input, even if it is still in the kernel."""
         return bool(len(self.receive_buffer)) or self.unread_beyond_buffer
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of received bytes that are unread; those still in the kernel are not counted."""
+        return len(self.receive_buffer) + self._reader.received_bytes - self._read_bytes
+
     @property
     def unread_beyond_buffer(self) -> bool:
         """Whether there is unread input that is not in the receive buffer yet."""
