Let the lab's partners send answers twice, and check that no message has two calls out

Change: partner keys copied and copy_delay_ms; the books note each copy; the checker's rule 'concurrent', excused by disruptions of the sender or endpoint as the others are. A stand-in that gets the next call early now answers both, in order, as endpoints do; it took that for the end of the connection.

Measured: the checker's cases pass, the new one fails without the rule.

--- a/rowanrack/lab/checker.py
+++ b/rowanrack/lab/checker.py
@@ -113,6 +113,7 @@
         for entry in self.entries:
             self._record(entry)
         self._check_calls()
+        self._check_concurrent_calls()
         self._check_cold_returns()
         for message, history in self.histories.items():
             self._check_final_answers(message, history)
@@ -191,6 +192,30 @@
                     "end", call.at, call.message, f"{call.who} called after the final answer, {notice.note}"
                 )
 
+    def _check_concurrent_calls(self) -> None:
+        """Check that no message is called while an earlier call of it is still to be answered.
+
+        A call that its sender gives up is never answered, unless a fault keeps its end from the endpoint.
+        """
+        answered_at: defaultdict[tuple[str, str, str], list[int]] = defaultdict(list)
+        for entry in self.entries:
+            if entry.what == "answer":
+                answered_at[entry.who, entry.message, entry.place].append(entry.at)
+        earlier_calls: defaultdict[str, list[Entry]] = defaultdict(list)
+        for call in self.entries:
+            if call.what != "call":
+                continue
+            for earlier in earlier_calls[call.message]:
+                answers = answered_at[earlier.who, call.message, earlier.place]
+                first_answer_at = next((at for at in answers if at >= earlier.at), NEVER_US)
+                is_excused = any(
+                    self.disruptions.overlap(name, earlier.at, call.at) for name in (call.who, earlier.place)
+                )
+                if call.at + IN_FLIGHT_US < first_answer_at < NEVER_US and not is_excused:
+                    text = f"{call.who} called {call.place} while its call to {earlier.place} was out"
+                    self._add_violation("concurrent", call.at, call.message, text)
+            earlier_calls[call.message].append(call)
+
     def _check_cold_returns(self) -> None:
         """Check that an endpoint that returns from an outage gets no more calls than it can bear.
 
@@ -263,6 +288,7 @@
         "notices": dict(Counter(entry.note for entry in entries if entry.what == "notice")),
         "calls": counts["call"],
         "answers": dict(sorted(statuses.items())),
+        "copies": counts["copy"],
         "ms_p50": durations_us[len(durations_us) // 2] // 1000 if durations_us else None,
         "ms_p99": durations_us[len(durations_us) * 99 // 100] // 1000 if durations_us else None,
         "evenness": evenness(entries),
--- a/rowanrack/lab/partners.py
+++ b/rowanrack/lab/partners.py
@@ -36,6 +36,8 @@
     ramp_ms: int = 6000
     overload: float = 2.0
     fall_ms: int = 2000
+    copied: float = 0.0  # share of answers that are sent a second time on their connection
+    copy_delay_ms: tuple[int, int] = (0, 10)  # from the answer to its second copy
 
     def cold_call_limit(self, endpoints: int) -> int:
         """Return how many calls an endpoint can bear within `fall_ms` after it returns from an outage."""
@@ -71,6 +73,14 @@
         self.busy, self.queue = 0, list[asyncio.Future[None]]()
         self.rng = Random(f"{host.seed} {name}")
 
+    def copy_delay_s(self) -> float | None:
+        """Draw whether and when the answer just sent is sent a second time."""
+        parameters = self.partner.parameters
+        if self.rng.random() >= parameters.copied:
+            return None
+        self._add("copy", "", "")
+        return self.rng.uniform(*parameters.copy_delay_ms) / 1000
+
     def _add(self, what: str, who: str, message: str, value: int = 0, note: str = "") -> None:
         self.host.book.add(what, who, message, self.name, self.partner.parameters.dest, value, note)
 
--- a/rowanrack/lab/stand_in.py
+++ b/rowanrack/lab/stand_in.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
-from rowanrack.net.http import HttpError, HttpServerConnection, Reply, Request
+from rowanrack.net.http import HttpError, HttpServerConnection, Reply, Request, reason_phrase
 from rowanrack.net.stream import Stream, stream_protocol
 
 Behaviour = Callable[[Request], Awaitable[Reply | None]]
@@ -28,6 +28,14 @@
         return str(sock.getpeername()[0])
 
 
+def encode_reply(reply: Reply) -> bytes:
+    """Encode a reply outside the state of any connection."""
+    head = [f"HTTP/1.1 {reply.status} {reason_phrase(reply.status)}"]
+    head += [f"{name}: {value}" for name, value in reply.headers.items()]
+    head.append(f"Content-Length: {len(reply.body)}")
+    return "\r\n".join([*head, "", ""]).encode() + reply.body
+
+
 def sender_address(number: int) -> str:
     """Return the source address of a sender's links, by which stand-ins identify the caller."""
     return f"127.1.{number // 250}.{number % 250 + 1}"
@@ -46,6 +54,10 @@
         """Return the reply to a request."""
         raise NotImplementedError
 
+    def copy_delay_s(self) -> float | None:
+        """Return the time after which the answer just sent is sent a second time, or None for never."""
+        return None
+
     def connection_broken(self) -> None:
         """Called after this server has broken a connection."""
 
@@ -93,6 +105,8 @@
             answering = asyncio.ensure_future(self.answer(request, peer))
             ending = asyncio.ensure_future(stream.wait_for_input())
             await asyncio.wait({answering, ending}, return_when=asyncio.FIRST_COMPLETED)
+            if not answering.done() and not stream.ended:
+                await asyncio.wait({answering})  # the input is the next call, which has come early
             reply = answering.result() if answering.done() else None
             for task in (answering, ending):
                 task.cancel()
@@ -102,6 +116,14 @@
                 stream.abort()
                 return
             more = await served.answer(reply)
+            if (delay_s := self.copy_delay_s()) is not None:
+                asyncio.get_running_loop().call_later(delay_s, send_copy, stream, encode_reply(reply))
+
+
+def send_copy(stream: Stream, data: bytes) -> None:
+    """Send a second copy of an answer, unless the connection has ended."""
+    if not stream.closing:
+        stream.send_now(data)
 
 
 def resp(*words: str | bytes) -> bytes:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -233,6 +233,17 @@
             [*submitted_entries("x"), *call_entries(1600, "x")],
             [e(960, "down", "s0"), e(1500, "up", "s0")],
         ),
+        (
+            "concurrent",
+            [
+                *submitted_entries("x", "safe"),
+                e(3000, "call", "s0", "x", "p-0"),
+                *call_entries(3400, "x")[:1],
+                e(3900, "ran", "s0", "x", "p-0"),
+                e(3900, "answer", "s0", "x", "p-0", note="200"),
+            ],
+            [e(3100, "down", "s0"), e(3300, "up", "s0")],
+        ),
         ("owner", [e(2500, "call", "s0", "x", "p-0")], None),
         ("answer", [e(2500, "bad", "s0", "a")], None),
         ("cold", [e(2050, "state", place="p-0", note="up", value=0)], None),
