--- a/rowanrack/lab/partners.py
+++ b/rowanrack/lab/partners.py
@@ -36,6 +36,7 @@
     ramp_ms: int = 6000
     overload: float = 2.0
     fall_ms: int = 2000
+    refused: float = 0.0  # share of calls that are refused at random
     copied: float = 0.0  # share of answers that are sent a second time on their connection
     copy_delay_ms: tuple[int, int] = (0, 10)  # from the answer to its second copy
 
@@ -128,7 +129,7 @@
             1000 * parameters.wait_ms[1] if self.state == "shut" else self.partner.take_token(now_us())
         )
         full = self.busy >= parameters.width and len(self.queue) >= parameters.queue
-        if wait_for_token_us or full:
+        if wait_for_token_us or full or self.rng.random() < parameters.refused:
             if self.rng.random() >= parameters.told:
                 return Reply(503, {})
             wait_ms = max(wait_for_token_us // 1000 + 1, self.rng.randint(*parameters.wait_ms))
