Tell the answer to a call from a late copy of an earlier answer on its connection

What callers saw: messages that an endpoint had refused were neither tried again nor ended by a notice; others ran twice, or had two attempts out at once.

Cause: HttpClientConnection takes whatever comes next on the connection for the answer to the call written last. A second copy of an answer that comes a few ms late meets the next call: the copy settles it, its own answer settles the call behind it, and so on. The pool looked for stray input only before it wrote a call.

Class: an answer that is attributed by its position instead of by an identity; the answers of the protocol have none.

Change: AnswerGuard (no I/O) holds what gives a late copy away. A connection is quiet for 50 ms between an answer and its next call, and for four times the delay of late input seen at that endpoint; an answer to a later call of a connection that comes within a quarter of the shortest first answer of its zone is held until no other one has followed, and if one does, the last one counts. A wait told in a held answer is obeyed at once. Idle connections moved out of pool.py.

Why it works: a copy within 50 ms of its answer meets a connection without a call, and any that a call provokes comes sooner than the endpoint can answer. What is left: a copy later than both (docs/incidents).

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -511,16 +511,10 @@
                 del self._unstarted_attempts[attempt.endpoint.name]
 
     def _record_wait(self, attempt: Attempt, wait_us: int, now: int) -> None:
-        """Record a wait that an answer has asked for.
-
-        It holds for the whole destination, or for the single endpoint if the endpoints of its kind are
-        limited separately.
-        """
+        """Record a wait that an answer has asked for."""
         endpoint = attempt.endpoint
-        apart = self.settings.kinds.get(endpoint.kind, DestinationKind()).apart
-        wait = RetryAfterWait(endpoint.dest, endpoint.name if apart else None, now + wait_us)
         began = self._wait_left_us(endpoint) <= 0
-        self._waits.record(wait, now)
+        self._waits.record(self._wait_for(endpoint, now + wait_us), now)
         self.metrics.waits_told += 1
         if began and wait_us >= MIN_LOGGED_WAIT_US:
             log.info(
@@ -531,6 +525,19 @@
                 wait_us / 1e6,
             )
 
+    def record_told_wait(self, attempt: Attempt, wait_us: int) -> None:
+        """Obey a wait from an answer that may turn out not to belong to this attempt; 0 is no wait."""
+        if not wait_us:
+            return
+        now = self.clock.now_us()
+        self._record_wait(attempt, wait_us, now)
+        self._queue_event(RetryAfterWaitsReported((self._wait_for(attempt.endpoint, now + wait_us),)))
+
+    def _wait_for(self, endpoint: Endpoint, until_us: int) -> RetryAfterWait:
+        """Return the wait of an endpoint's destination, or of the endpoint alone if its kind is apart."""
+        apart = self.settings.kinds.get(endpoint.kind, DestinationKind()).apart
+        return RetryAfterWait(endpoint.dest, endpoint.name if apart else None, until_us)
+
     def _wait_left_us(self, endpoint: Endpoint) -> int:
         """Return how long a wait still forbids calls to an endpoint; 0 or less if none does."""
         return self._waits.until_us(endpoint.dest, endpoint.name) - self.clock.now_us()
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -5,6 +5,7 @@
 import json
 import re
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -151,7 +152,7 @@
         self.stream, self._host, self._body_limit = stream, host, body_limit
         self._after, self._rest_timeout_us = after, rest_timeout_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
-        self._has_carried_call = False  # whether the connection has carried a call
+        self.carried_calls = 0  # calls that were written, the current one included
         self._response_head = bytearray()  # the response from its status line on, up to MAX_HEAD_BYTES
 
     @property
@@ -159,6 +160,11 @@
         """Whether the connection may carry another call: the response is read and nothing follows it."""
         return self._h11.our_state is h11.IDLE and not self.stream.ended and not self.stream.unread
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether input has arrived behind the response."""
+        return bool(self._h11.trailing_data[0]) or self.stream.unread
+
     @property
     def progress(self) -> Progress:
         """Progress of the current call at this moment; the task that makes it may not know yet."""
@@ -171,7 +177,7 @@
         if not self.reusable:
             # Bytes that arrive between the choice of a connection and its use do not answer this call, but
             # would be read as its response.
-            error_type = StaleConnectionError if self._has_carried_call else CallNotSentError
+            error_type = StaleConnectionError if self.carried_calls else CallNotSentError
             raise error_type("the connection was closed, or received unexpected bytes, before the call")
         try:
             await self.stream.send(self._encode_request(call))
@@ -184,7 +190,7 @@
         self.stream.send_now(self._encode_request(call))
 
     def _encode_request(self, call: Call) -> bytes:
-        self._has_carried_call = True
+        self.carried_calls += 1
         self._response_head.clear()
         head = [("Host", self._host), *call.headers, ("Content-Length", str(len(call.body)))]
         return b"".join(
@@ -217,6 +223,18 @@
             raise CallBrokenError(f"response with status {head.status_code} has an invalid body")
         return Reply(head.status_code, headers, bytes(body), whole)
 
+    async def following_reply(self) -> Reply | None:
+        """Return the response behind the one that was read, or None if what follows is not a response.
+
+        The connection is not reusable afterwards.
+        """
+        surplus, self._h11 = self._h11.trailing_data[0], response_parser()
+        if surplus:
+            self._h11.receive_data(surplus)
+        with suppress(CallBrokenError):
+            return await self.reply()
+        return None
+
     def _has_unread(self) -> bool:
         return self.stream.unread
 
@@ -240,10 +258,8 @@
         if STATUS_LINE_200.match(self._response_head):
             return Reply(200, {}, complete=False)
         # A malformed X-Pressure header makes h11 reject the head: parse the head again without that header.
-        cleaned, parser = PRESSURE_HEADER.sub(b"", bytes(self._response_head)), h11.Connection(h11.CLIENT)
+        cleaned, parser = PRESSURE_HEADER.sub(b"", bytes(self._response_head)), response_parser()
         if cleaned != self._response_head:
-            parser.send(h11.Request(method="POST", target="/", headers=[("Host", "x")]))
-            parser.send(h11.EndOfMessage())
             parser.receive_data(cleaned)
             try:
                 head, rest = parser.next_event(), parser.next_event()
@@ -284,6 +300,14 @@
         self._h11.receive_data(data)
 
 
+def response_parser() -> h11.Connection:
+    """Return a parser that expects a response."""
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    parser.send(h11.Request(method="POST", target="/", headers=[("Host", "x")]))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
 def _reject_merged_status_lines(head: object) -> None:
     """Reject a partial status line merged with a second one: the first status is not the response's."""
     if isinstance(head, h11.Response) and b"HTTP/" in head.reason:
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
-from collections import defaultdict
 from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Progress
-from rowanrack.core.wheel import WheelTimer
+from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import (
     Call,
     CallBrokenError,
@@ -19,6 +20,7 @@
     Reply,
     StaleConnectionError,
 )
+from rowanrack.net.idle_connections import IdleConnections
 from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
@@ -26,11 +28,10 @@
 
 log = logging.getLogger(__name__)
 
-# Part of the keep-alive time, after which an endpoint may close an idle connection: close well before it.
-IDLE_TIMEOUT_FRACTION = 0.6
 MAX_RESPONSE_BODY_BYTES = 64 * 1024
 # For the rest of a response: the result of the message is known from its beginning.
 RESPONSE_REST_TIMEOUT_US = 200_000
+TIMEOUT_MARGIN_US = 20_000  # before a call times out, by which a premature answer is settled
 
 
 class CallProtocol(Protocol):
@@ -46,13 +47,21 @@
         """Return the verdict of the response on each attempt."""
 
 
-class IdleConnection:
-    """An idle connection; any input meanwhile closes it."""
+@dataclass(slots=True)
+class PooledConnection:
+    """A connection in use, and how long it was idle before."""
 
-    def __init__(self, endpoint: Endpoint, caller: HttpClientConnection, now_us: int) -> None:
-        self.endpoint, self.caller, self.since_us = endpoint, caller, now_us
-        self.watch = asyncio.create_task(caller.stream.wait_for_input())
-        self.timer: WheelTimer | None = None
+    caller: HttpClientConnection
+    idle_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TimedReply:
+    """A reply, the time that it took, and the time that was left then until the call times out."""
+
+    reply: Reply
+    time_us: int
+    left_us: int
 
 
 class EndpointPool:
@@ -60,13 +69,11 @@
 
     def __init__(self, exchange: Exchange, forms: dict[str, CallProtocol], max_idle: int) -> None:
         self.exchange, self.forms = exchange, forms
-        self.idle: defaultdict[str, list[IdleConnection]] = defaultdict(list)
+        self.answer_guard = AnswerGuard(exchange.clock.now_us)
+        self.idle = IdleConnections(exchange, self.answer_guard, max_idle)
         self.tasks: dict[Batch, asyncio.Task[None]] = {}
         self._callers: dict[Batch, HttpClientConnection] = {}  # of calls in progress
-        self._idle_by_age: dict[IdleConnection, None] = {}  # all idle connections, longest idle first
-        self._max_idle = max_idle
-        self._warnings, self._broken_calls = RateLimitedLog(log), RateLimitedLog(log)
-        self._idle_timeout_us = int(exchange.settings.keepalive_us * IDLE_TIMEOUT_FRACTION)
+        self._broken_calls, self._late_answers = RateLimitedLog(log), RateLimitedLog(log)
 
     # Called by the exchange.
 
@@ -93,25 +100,25 @@
 
     def close_idle(self, name: str) -> None:
         """Close the idle connections to an endpoint."""
-        for idle in self.idle.pop(name, []):
-            self._discard(idle)
+        self.idle.close(name)
+        if not self.exchange.endpoint_list.accepts_calls(name):
+            self.answer_guard.forget(name)
 
     def close(self) -> None:
         """Cancel all calls and close all connections."""
         for batch in list(self.tasks):
             self.abandon(batch)
-        for name in list(self.idle):
-            self.close_idle(name)
+        for name in list(self.idle.by_endpoint):
+            self.idle.close(name)
 
     # Calls of one batch.
 
     async def _run(self, batch: Batch) -> None:
-        """Make the calls of a batch one after the other, on one connection: a batch has one slot."""
-        caller: HttpClientConnection | None = None
+        """Make the calls of a batch one after the other: a batch has one slot."""
+        connection: PooledConnection | None = None
         try:
             while waiting := batch.waiting():
-                if caller is None:
-                    caller = await self._take_idle(batch.endpoint) or await self._connect(batch.endpoint)
+                connection = connection or await self._take(batch.endpoint)
                 form = self.forms[waiting[0].message.front]
                 same_form = [attempt for attempt in waiting if self.forms[attempt.message.front] is form]
                 part = [
@@ -121,18 +128,14 @@
                 ]
                 if not part:
                     continue
-                verdicts = await self._call(caller, form, part)
-                if not caller.reusable:
-                    caller.stream.abort()
-                    caller = None
-                elif len(part) == len(waiting):
-                    self._keep_idle(batch.endpoint, caller)
-                    caller = None
+                verdicts = await self._call(connection, form, part)
+                self._release(batch.endpoint, connection)
+                connection = None
                 for attempt, verdict in zip(part, verdicts, strict=True):
                     self.exchange.settle(attempt, verdict)
-            if caller is not None:
-                self._keep_idle(batch.endpoint, caller)
-                caller = None
+            if connection is not None:
+                self._release(batch.endpoint, connection)
+                connection = None
         except (OSError, TimeoutError):
             # Only opening a connection raises these: no waiting attempt has been written.
             for attempt in batch.waiting():
@@ -142,19 +145,35 @@
             for attempt in batch.attempts:
                 self.exchange.settle(attempt, Result.RESET if attempt.begun else Result.CONNECT_FAILED)
         finally:
-            if caller is not None:
-                caller.stream.abort()
+            if connection is not None:
+                connection.caller.stream.abort()
+
+    async def _take(self, endpoint: Endpoint) -> PooledConnection:
+        """Return an idle connection to the endpoint, or else a new one."""
+        if (taken := await self.idle.take(endpoint)) is not None:
+            return PooledConnection(*taken)
+        return PooledConnection(await self._connect(endpoint))
+
+    def _release(self, endpoint: Endpoint, connection: PooledConnection) -> None:
+        """Keep a connection for later calls if it is reusable."""
+        if connection.caller.reusable:
+            self.idle.keep(endpoint, connection.caller)
+        else:
+            connection.caller.stream.abort()
 
     async def _call(
-        self, caller: HttpClientConnection, form: CallProtocol, part: list[Attempt]
+        self, connection: PooledConnection, form: CallProtocol, part: list[Attempt]
     ) -> list[CallVerdict]:
         """Make one call and return the verdict on each attempt in it."""
         now = self.exchange.clock.now_us()
         left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in part)
-        batch = part[0].batch
+        batch, caller = part[0].batch, connection.caller
         self._callers[batch] = caller
         try:
-            return form.verdicts(part, await caller.call(form.call(part, max(1000, left_us))))
+            reply = await caller.call(form.call(part, max(1000, left_us)))
+            time_us = self.exchange.clock.now_us() - now
+            answer = TimedReply(reply, time_us, left_us - time_us)
+            return form.verdicts(part, await self._own_answer(connection, form, part, answer))
         except StaleConnectionError:
             result = Result.MOOT  # says nothing about the endpoint: only the idle connection was stale
         except CallNotSentError:
@@ -168,6 +187,55 @@
             del self._callers[batch]
         return [CallVerdict(result)] * len(part)
 
+    async def _own_answer(
+        self, connection: PooledConnection, form: CallProtocol, part: list[Attempt], answer: TimedReply
+    ) -> Reply:
+        """Return the answer to the call: the reply, or one behind it if the reply repeats an earlier answer.
+
+        Raise CallBrokenError if the reply may be such a copy and the connection ends without another one.
+        """
+        endpoint, caller, reply = part[0].endpoint, connection.caller, answer.reply
+        if caller.carried_calls == 1:
+            self.answer_guard.record_first_answer(endpoint.zone, answer.time_us)
+            return reply
+        premature = self.answer_guard.is_premature(endpoint.zone, answer.time_us)
+        if not caller.has_surplus:
+            if not premature:
+                return reply
+            # The wait that an answer asks for begins with the answer, whichever call it belongs to.
+            for attempt, verdict in zip(part, form.verdicts(part, reply), strict=True):
+                self.exchange.record_told_wait(attempt, verdict.wait_us)
+            if not await self._input_follows(endpoint, caller, answer.left_us - TIMEOUT_MARGIN_US):
+                self.answer_guard.record_confirmed_answer(endpoint.zone, answer.time_us)
+                return reply
+        following = await caller.following_reply() if reply.complete else None
+        if following is None:
+            if premature:
+                raise CallBrokenError("an answer came too soon to be this call's, and no other one followed")
+            return reply
+        self._record_late_answer(endpoint, connection.idle_us + answer.time_us)
+        return following
+
+    async def _input_follows(self, endpoint: Endpoint, caller: HttpClientConnection, limit_us: int) -> bool:
+        """Wait for input behind a premature answer; return False if none comes within the time for it."""
+        wait_us = min(limit_us, self.answer_guard.confirmation_us(endpoint.zone))
+        with suppress(TimeoutError):
+            async with time_limit(self.exchange.after, max(0, wait_us)):
+                await caller.stream.wait_for_input()
+                return True
+        return False
+
+    def _record_late_answer(self, endpoint: Endpoint, delay_us: int) -> None:
+        """Record an answer that belongs to an earlier call of its connection."""
+        self.exchange.metrics.unsolicited_responses += 1
+        self.answer_guard.record_late_answer(endpoint.name, delay_us)
+        self._late_answers.warning(
+            "endpoint %s: an answer came again, %.1f ms after the last one on that connection, "
+            "and was followed by the answer to the call",
+            endpoint.name,
+            delay_us / 1000,
+        )
+
     async def _connect(self, endpoint: Endpoint) -> HttpClientConnection:
         async with time_limit(self.exchange.after, self.exchange.settings.connect_timeout_us):
             stream = await Stream.connect(endpoint.host, endpoint.port)
@@ -175,72 +243,3 @@
         return HttpClientConnection(
             stream, host, MAX_RESPONSE_BODY_BYTES, self.exchange.after, RESPONSE_REST_TIMEOUT_US
         )
-
-    async def _take_idle(self, endpoint: Endpoint) -> HttpClientConnection | None:
-        """Return the most recently used idle connection that is still usable, or None."""
-        waiting = self.idle.get(endpoint.name, [])
-        while waiting:
-            idle = waiting.pop()
-            self._idle_by_age.pop(idle, None)
-            if idle.timer is not None:
-                idle.timer.cancel()
-            # Only one task may read from a connection: until the cancelled watch task has ended, the read of
-            # the call would fail.
-            idle.watch.cancel()
-            try:
-                await asyncio.wait([idle.watch])
-            except asyncio.CancelledError:
-                idle.caller.stream.abort()
-                raise
-            moved = (endpoint.host, endpoint.port) != (idle.endpoint.host, idle.endpoint.port)
-            # The timer may fire late: by then the endpoint may have closed the connection unnoticed.
-            expired = self.exchange.clock.now_us() - idle.since_us >= self._idle_timeout_us
-            if idle.watch.cancelled() and idle.caller.reusable and not (moved or expired):
-                return idle.caller
-            idle.caller.stream.abort()
-        return None
-
-    def _keep_idle(self, endpoint: Endpoint, caller: HttpClientConnection) -> None:
-        if not self.exchange.endpoint_list.accepts_calls(endpoint.name):
-            # No new calls go to an endpoint that drains or is removed: release the connection.
-            caller.stream.abort()
-            return
-        idle = IdleConnection(endpoint, caller, self.exchange.clock.now_us())
-        waiting = self.idle[endpoint.name]
-        waiting.append(idle)
-        self._idle_by_age[idle] = None
-
-        def expire() -> None:
-            if idle in waiting:
-                self._record_unsolicited_input(idle)
-                waiting.remove(idle)
-                self._discard(idle)
-            if not waiting and self.idle.get(endpoint.name) is waiting:
-                del self.idle[endpoint.name]  # endpoint names keep changing: empty entries would accumulate
-
-        idle.timer = self.exchange.after(self._idle_timeout_us, expire)
-        idle.watch.add_done_callback(lambda _: expire())
-        if len(self._idle_by_age) > self._max_idle:
-            # File descriptors are limited: close the connection that has been idle longest.
-            oldest = next(iter(self._idle_by_age))
-            self.idle[oldest.endpoint.name].remove(oldest)
-            self._discard(oldest)
-
-    def _record_unsolicited_input(self, idle: IdleConnection) -> None:
-        """Count and log bytes that came on an idle connection: they answer no call."""
-        if not idle.caller.stream.unread_bytes:
-            return
-        self.exchange.metrics.unsolicited_responses += 1
-        self._warnings.warning(
-            "endpoint %s: %d bytes that answer no call came %.1f ms after the last answer on that connection",
-            idle.endpoint.name,
-            idle.caller.stream.unread_bytes,
-            (self.exchange.clock.now_us() - idle.since_us) / 1000,
-        )
-
-    def _discard(self, idle: IdleConnection) -> None:
-        self._idle_by_age.pop(idle, None)
-        idle.watch.cancel()
-        if idle.timer is not None:
-            idle.timer.cancel()
-        idle.caller.stream.abort()
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -7,18 +7,36 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
-from rowanspindle import UpdateScope
-from tests.rig import Rig, make_endpoint, on_loop
+import pytest
+
+from rowanrack.net.answer_guard import (
+    LATE_ANSWER_MEMORY_US,
+    MAX_ENDPOINTS,
+    MAX_SHARED_QUIET_US,
+    MIN_FIRST_ANSWERS,
+    MIN_QUIET_US,
+    QUIET_FACTOR,
+    AnswerGuard,
+)
+from rowanrack.net.http import Reply
+from rowanspindle import Result, UpdateScope
+from tests.rig import SETTINGS, Rig, answers, make_endpoint, on_loop
 
 ANSWER_DELAY_S = 0.1
 DEADLINE_MS = 10_000
+ANSWER = b"HTTP/1.1 %d Status\r\nContent-Length: 0\r\nX-Retry-In-Ms: 300\r\n\r\n"
 
 
 class CopyingEndpoint:
-    """Answers its calls with given statuses in order; the next call on a connection brings a copy first."""
+    """Answers its calls with given statuses in order, and the first call a second time.
+
+    The copy comes after `copy_delay_s`, or on receipt of the next call on the connection if that is None. The
+    first answer comes at once if its copy has a delay: then no later answer is too soon.
+    """
 
-    def __init__(self, *statuses: int) -> None:
-        self.statuses, self.calls = list(statuses), 0
+    def __init__(self, *statuses: int, copy_delay_s: float | None = None) -> None:
+        self.statuses, self.calls, self.copy_delay_s = list(statuses), 0, copy_delay_s
+        self.closes_after_copy = False
         self.delivered = list[str]()  # messages answered with 200
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -30,14 +48,21 @@
                 message = head.lower().partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode()
                 status = self.statuses[min(self.calls, len(self.statuses) - 1)]
                 self.calls += 1
-                if self.calls == 2:
+                if self.calls == 2 and self.copy_delay_s is None:
                     writer.write(last_answer)
-                await asyncio.sleep(ANSWER_DELAY_S)
+                    if self.closes_after_copy:
+                        break
+                if self.copy_delay_s is None or self.calls > 1:
+                    await asyncio.sleep(ANSWER_DELAY_S)
                 if status == 200:
                     self.delivered.append(message)
-                last_answer = b"HTTP/1.1 %d Status\r\nContent-Length: 0\r\n\r\n" % status
+                last_answer = ANSWER % status
                 writer.write(last_answer)
+                if self.calls == 1 and self.copy_delay_s is not None:
+                    asyncio.get_running_loop().call_later(self.copy_delay_s, writer.write, last_answer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
+            pass
+        finally:
             writer.close()
 
 
@@ -50,12 +75,122 @@
         yield
 
 
+def one_slot_rig(folder: Path) -> Rig:
+    """Return a rig whose calls follow each other."""
+    return Rig(folder, settings_changes={"extra": SETTINGS["extra"] | {"slots": 1}})
+
+
+def expect_answers_of(rig: Rig, seconds: float) -> None:
+    """Let the sender know only first answers that took so long, as if it had made some calls before."""
+    rig.sender.pool.answer_guard = AnswerGuard(rig.sender.clock.now_us)
+    for _ in range(MIN_FIRST_ANSWERS):
+        rig.sender.pool.answer_guard.record_first_answer("a", int(seconds * 1e6))
+
+
+@pytest.mark.parametrize("copy_delay_s", [None, 0.01])
 @on_loop
-async def test_copied_200_does_not_deliver_the_next_message(tmp_path: Path) -> None:
-    endpoint = CopyingEndpoint(200, 503, 200)
-    async with Rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+async def test_copied_200_does_not_deliver_the_next_message(
+    tmp_path: Path, copy_delay_s: float | None
+) -> None:
+    endpoint = CopyingEndpoint(200, 503, 200, copy_delay_s=copy_delay_s)
+    async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        if copy_delay_s is None:
+            expect_answers_of(rig, ANSWER_DELAY_S)
         client = await rig.client()
         for message_id in ("m1", "m2"):
             await client.submit(message_id, "print-order", d=DEADLINE_MS)
+        for message_id in ("m1", "m2"):
+            await rig.wait_for_end(message_id)
+        assert sorted(endpoint.delivered) == ["m1", "m2"]
+        assert rig.sender.exchange.metrics.unsolicited_responses == 1
+
+
+@pytest.mark.parametrize("copy_delay_s", [None, 0.01])
+@on_loop
+async def test_copied_refusal_does_not_send_the_next_message_twice(
+    tmp_path: Path, copy_delay_s: float | None
+) -> None:
+    endpoint = CopyingEndpoint(503, 200, copy_delay_s=copy_delay_s)
+    async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        if copy_delay_s is None:
+            expect_answers_of(rig, ANSWER_DELAY_S)
+        client = await rig.client()
+        for message_id in ("m1", "m2"):
+            await client.submit(message_id, "print-order", d=DEADLINE_MS)
+        for message_id in ("m1", "m2"):
+            await rig.wait_for_end(message_id)
+        assert sorted(endpoint.delivered) == ["m1", "m2"]
+
+
+@on_loop
+async def test_premature_answer_followed_by_the_end_of_the_connection_may_have_run(tmp_path: Path) -> None:
+    endpoint = CopyingEndpoint(503, 200)
+    async with Rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        expect_answers_of(rig, 1.0)
+        endpoint.closes_after_copy = True
+        await (await rig.client()).submit("m1", "print-order", d=DEADLINE_MS)
+        await rig.wait_for_end("m1")
+        assert rig.results[-1] is Result.RESET
+
+
+@on_loop
+async def test_wait_in_a_premature_answer_is_obeyed_at_once(tmp_path: Path) -> None:
+    endpoint = CopyingEndpoint(429, 200)
+    async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        expect_answers_of(rig, ANSWER_DELAY_S)
+        exchange = rig.sender.exchange
+        await (await rig.client()).submit("m1", d=DEADLINE_MS)
+        await rig.wait_until(lambda: len(rig.results) == 1)
+        while endpoint.calls < 2:
+            await asyncio.sleep(0)
+        while exchange.metrics.waits_told < 2:
+            await asyncio.sleep(0)
+        assert exchange.waits_in_force == 1 and not endpoint.delivered
+        await rig.wait_for_end("m1")
+        assert endpoint.delivered == ["m1"]
+
+
+@on_loop
+async def test_fast_answer_that_nothing_follows_is_believed_and_lowers_the_shortest_time(
+    tmp_path: Path,
+) -> None:
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        client = await rig.client()
+        await client.submit("m1")
+        await rig.wait_for_end("m1")
+        expect_answers_of(rig, 1.0)
+        for message_id in ("m2", "m3"):
+            await client.submit(message_id)
             await rig.wait_for_end(message_id)
-        assert endpoint.delivered == ["m1", "m2"]
+        assert rig.servers[0].connections == 1
+        assert not rig.sender.pool.answer_guard.is_premature("a", 100_000)
+
+
+def test_late_answer_extends_the_quiet_time_of_its_endpoint_and_a_little_of_the_others() -> None:
+    now = [0]
+    guard = AnswerGuard(lambda: now[0])
+    assert guard.quiet_us("a") == MIN_QUIET_US
+    guard.record_late_answer("a", 1_000_000)
+    assert guard.quiet_us("a") == QUIET_FACTOR * 1_000_000
+    assert guard.quiet_us("b") == MAX_SHARED_QUIET_US
+    now[0] = LATE_ANSWER_MEMORY_US
+    assert guard.quiet_us("a") == guard.quiet_us("b") == MIN_QUIET_US
+
+
+def test_answer_is_premature_below_a_fraction_of_the_shortest_of_several_first_answers() -> None:
+    guard = AnswerGuard(lambda: 0)
+    for _ in range(MIN_FIRST_ANSWERS - 1):
+        guard.record_first_answer("a", 900_000)
+    assert not guard.is_premature("a", 1)
+    guard.record_first_answer("a", 100_000)
+    assert guard.is_premature("a", 24_000) and not guard.is_premature("a", 26_000)
+    assert not guard.is_premature("b", 1)
+    guard.record_confirmed_answer("a", 5_000)
+    assert not guard.is_premature("a", 6_000)
+
+
+def test_endpoints_that_sent_no_late_answer_for_longest_are_forgotten() -> None:
+    guard = AnswerGuard(lambda: 0)
+    for number in range(MAX_ENDPOINTS + 1):
+        guard.record_late_answer(str(number), 100)
+    assert len(guard.endpoint_names()) == MAX_ENDPOINTS and "0" not in guard.endpoint_names()
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -27,13 +27,13 @@
         await (await rig.client()).submit("m1")
         await rig.wait_for_end("m1")
         pool, (server,) = rig.sender.pool, rig.servers
-        assert len(pool.idle["i0"]) == 1
+        assert len(pool.idle.by_endpoint["i0"]) == 1
         (serving,) = server.tasks
         rig.sender.exchange.update_endpoints(
             UpdateScope.DELTA, [replace(rig.known_endpoints[0], status=status)]
         )
         await asyncio.wait({serving})  # the endpoint has seen the end of its connection
-        assert not pool.idle and not pool._idle_by_age
+        assert not pool.idle.by_endpoint and not pool.idle.by_age
 
 
 @on_loop
@@ -51,7 +51,7 @@
         rig.sender.exchange.update_endpoints(UpdateScope.FULL, ())
         answer.set()
         await rig.wait_for_end("m1")
-        assert not rig.sender.pool.idle
+        assert not rig.sender.pool.idle.by_endpoint
         await asyncio.wait({serving})
 
 
@@ -67,7 +67,9 @@
             await rig.wait_for_end(f"m{n}")
         exchange.update_endpoints(UpdateScope.FULL, ())
         exchange.pump()
-        assert not rig.sender.pool.idle and not rig.sender.pool._idle_by_age and not exchange.waits_in_force
+        idle = rig.sender.pool.idle
+        assert not idle.by_endpoint and not idle.by_age and not exchange.waits_in_force
+        assert not rig.sender.pool.answer_guard.endpoint_names()
         forwarder = exchange.forwarder
         assert not forwarder.endpoints and not forwarder.unlisted and not forwarder.attempts
         assert not exchange.endpoint_list.names() and not exchange._messages_by_ref
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -44,7 +44,7 @@
 @on_loop
 async def test_idle_connections_over_the_limit_are_closed(tmp_path: Path) -> None:
     async with Rig(tmp_path, *(answers(OK) for _ in range(4))) as rig:
-        rig.sender.pool._max_idle = 2
+        rig.sender.pool.idle.max_count = 2
         rig.sender.exchange.update_endpoints(
             UpdateScope.FULL, [replace(i, dest=n) for n, i in enumerate(rig.known_endpoints)]
         )
@@ -52,7 +52,12 @@
         for n in range(4):
             await client.submit(f"m{n}", dest=n)
             await rig.wait_for_end(f"m{n}")
-        assert [bool(rig.sender.pool.idle[f"i{n}"]) for n in range(4)] == [False, False, True, True]
+        assert [bool(rig.sender.pool.idle.by_endpoint.get(f"i{n}")) for n in range(4)] == [
+            False,
+            False,
+            True,
+            True,
+        ]
 
 
 @pytest.mark.parametrize(("read", "accepted"), [(True, 1), (False, 0)])
