Send each batch of notices on a connection of its own

Change: a connection carries one batch; after its confirmation it is opened anew at once, so that one stays ready for a notice that has to be written in the step in which its message ends.

Measured: test_copied_204_does_not_confirm_the_next_notice failed before, passes now; the tests of notices, shutdown, restart pass.

--- a/rowanrack/fronts/platform/notices.py
+++ b/rowanrack/fronts/platform/notices.py
@@ -36,7 +36,10 @@
 
 
 class NoticeConnection:
-    """A persistent connection for notices. While it is idle, a notice is written to it without delay."""
+    """A connection for one batch of notices. While it is idle, a notice is written to it without delay.
+
+    It is opened anew after each batch, so that a late copy of a confirmation never confirms another batch.
+    """
 
     def __init__(self) -> None:
         self.caller: HttpClientConnection | None = None  # None while the connection is not open
@@ -64,7 +67,8 @@
     """Sends every notice until the platform confirms it with 204.
 
     The first connection is opened at the start, so that a notice can be written in the step in which its
-    message ends, in time even on an overloaded event loop. The others are opened while answers are awaited.
+    message ends, in time even on an overloaded event loop. The others are opened while answers are awaited,
+    and all of them again after each confirmation.
     """
 
     def __init__(self, host: str, port: int, after: After, on_confirmed: Callable[[str], None]) -> None:
@@ -154,38 +158,37 @@
                     stream = await Stream.connect(self._host, self._port)
                 address = f"{self._host}:{self._port}"
                 connection.caller = HttpClientConnection(stream, address, 4096, self._after)
-                reason = await self._confirm_batches(connection, connection.caller)
+                reason = await self._confirm_batch(connection, connection.caller)
             except CALL_ERRORS as error:
                 reason = str(error) or type(error).__name__
             except Exception:
                 log.exception("notices: sending failed unexpectedly")  # a defect must not end this task
             unconfirmed = connection.close()
             self._requeue(unconfirmed)
-            if unconfirmed or self._unsent:
+            if self._unsent:
+                connection.needed.set()
+            if unconfirmed or (reason and self._unsent):
                 log.warning(
                     "notices: not confirmed, sending again: %s", reason or "the connection was closed"
                 )
-                connection.needed.set()
                 await pause(self._after, RECONNECT_DELAY_US)
 
-    async def _confirm_batches(self, connection: NoticeConnection, caller: HttpClientConnection) -> str:
-        """Read the answer to each batch; return the reason why the connection is no longer usable."""
+    async def _confirm_batch(self, connection: NoticeConnection, caller: HttpClientConnection) -> str:
+        """Read the answer to a batch; return the reason why the batch is not confirmed."""
         self.flush()
-        while True:
-            await caller.stream.wait_for_input()  # until the answer to a batch or the end of the connection
-            if not connection.batch:
-                return ""
-            reply = await caller.reply()
-            if connection.timer is not None:
-                connection.timer.cancel()
-            if reply.status != 204:
-                return f"answered {reply.status}"
-            for message_id, end in connection.batch.items():
-                if self.pending.get(message_id) is end:
-                    del self.pending[message_id]
-                    self._unsent.pop(message_id, None)
-                    self._on_confirmed(message_id)
-            connection.batch = {}
-            if not caller.reusable:
-                return ""
-            self.flush()
+        await caller.stream.wait_for_input()  # until the answer to a batch or the end of the connection
+        if not connection.batch:
+            return ""
+        reply = await caller.reply()
+        if connection.timer is not None:
+            connection.timer.cancel()
+        if reply.status != 204:
+            return f"answered {reply.status}"
+        for message_id, end in connection.batch.items():
+            if self.pending.get(message_id) is end:
+                del self.pending[message_id]
+                self._unsent.pop(message_id, None)
+                self._on_confirmed(message_id)
+        connection.batch = {}
+        connection.needed.set()
+        return ""
--- a/tests/test_copied_service_answers.py
+++ b/tests/test_copied_service_answers.py
@@ -7,6 +7,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from rowanrack.core.messages import End, Ending
+from rowanrack.fronts.platform.notices import Notices
 from rowanrack.net.http import HttpClient
 from rowanrack.net.timing import after
 from tests.rig import on_loop
@@ -53,3 +55,15 @@
         client = HttpClient(after, "127.0.0.1", port, 4096)
         documents = [(await client.get_json("/v1/servers"))[1] for _ in range(3)]
         assert documents == [1, 2, 3]
+
+
+@on_loop
+async def test_copied_204_does_not_confirm_the_next_notice() -> None:
+    service, confirmed = CopyingService(b"204 No Content"), asyncio.Queue[str]()
+    async with listening(service) as port:
+        notices = Notices("127.0.0.1", port, after, confirmed.put_nowait)
+        for message_id in ("m1", "m2", "m3"):
+            notices.queue_notice(message_id, End(Ending.FAILED))
+            assert await confirmed.get() == message_id
+            assert any(message_id.encode() in body for body in service.bodies)
+        notices.close()
