Give each call to another site's log a connection of its own

Measured: test_copied_answer_of_another_site_is_not_the_answer_to_the_next_exchange got body 1 for the second call before, 2 now; contract tests of links and the tests of exchanges pass. What the connections cost was not measured yet.

--- a/rowanrack/channels_io/links.py
+++ b/rowanrack/channels_io/links.py
@@ -13,7 +13,6 @@
 LOG_PATH = "/v1/log"
 MAX_BODY_BYTES = 900 * 1024  # of a request or an answer
 MAX_CALLS_PER_SITE = 4  # concurrent calls to one site: one for an exchange, the others for reads
-MAX_IDLE_PER_SITE = 2  # connections to one site that stay open between calls
 RETRY_AFTER_HEADER = "retry-after"
 MSGPACK_HEADERS = (("Content-Type", "application/msgpack"),)
 
@@ -21,11 +20,13 @@
 
 
 class HttpLinks:
-    """Calls the sites of the site file. Cancelling a call closes its connection; no call is sent twice."""
+    """Calls the sites of the site file. Cancelling a call closes its connection; no call is sent twice.
+
+    Each call has a connection of its own: a late copy of an earlier answer is never taken for its answer.
+    """
 
     def __init__(self, after: After, sites: Mapping[str, Address]) -> None:
         self._after, self._sites = after, dict(sites)
-        self._idle: dict[str, list[HttpClientConnection]] = {name: [] for name in sites}
         self._running: dict[str, set[asyncio.Task[None]]] = {name: set() for name in sites}
 
     def call(self, site: str, body: bytes, timeout_us: int, done: Answered) -> Callable[[], None]:
@@ -61,14 +62,14 @@
         caller: HttpClientConnection | None = None
         try:
             async with time_limit(self._after, timeout_us):
-                caller = await self._connection(site, timeout_us)
+                caller = await self._connect(site, timeout_us)
                 reply = await caller.call(Call("POST", LOG_PATH, MSGPACK_HEADERS, body))
         except CALL_ERRORS as error:
             timed_out = isinstance(error, TimeoutError)
             end(None, 0, "no answer in time" if timed_out else str(error) or type(error).__name__)
             return
         finally:
-            if caller is not None and not (caller.reusable and self._keep_idle(site, caller)):
+            if caller is not None:
                 caller.stream.abort()
         if reply.status == 200 and reply.complete:
             end(reply.body, 0, "")
@@ -77,29 +78,15 @@
             wait_us = int(retry_after) * 1_000_000 if retry_after.isdecimal() and len(retry_after) < 6 else 0
             end(None, wait_us, f"answered {reply.status}" if reply.status != 200 else "a spoilt answer")
 
-    async def _connection(self, site: str, timeout_us: int) -> HttpClientConnection:
-        idle = self._idle[site]
-        while idle:
-            if (caller := idle.pop()).reusable:
-                return caller
-            caller.stream.abort()
+    async def _connect(self, site: str, timeout_us: int) -> HttpClientConnection:
         host, port = self._sites[site]
         stream = await Stream.connect(host, port)
         return HttpClientConnection(stream, f"{host}:{port}", MAX_BODY_BYTES, self._after, timeout_us)
 
-    def _keep_idle(self, site: str, caller: HttpClientConnection) -> bool:
-        idle = self._idle[site]
-        if len(idle) >= MAX_IDLE_PER_SITE:
-            return False
-        idle.append(caller)
-        return True
-
     def close(self) -> None:
-        """Cancel the running calls and close all connections."""
+        """Cancel the running calls, which closes their connections."""
         for task in [t for tasks in self._running.values() for t in tasks]:
             task.cancel()
-        for caller in [c for idle in self._idle.values() for c in idle]:
-            caller.stream.abort()
 
 
 def discard_result(_: object) -> None:
--- a/tests/test_copied_service_answers.py
+++ b/tests/test_copied_service_answers.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from rowanrack.channels_io.links import HttpLinks
 from rowanrack.core.messages import End, Ending
 from rowanrack.fronts.platform.notices import Notices
 from rowanrack.net.http import HttpClient
@@ -14,6 +15,7 @@
 from tests.rig import on_loop
 
 CONTENT_LENGTH = re.compile(rb"(?i)content-length: (\d+)")
+SECOND_US = 1_000_000
 
 
 class CopyingService:
@@ -67,3 +69,14 @@
             assert await confirmed.get() == message_id
             assert any(message_id.encode() in body for body in service.bodies)
         notices.close()
+
+
+@on_loop
+async def test_copied_answer_of_another_site_is_not_the_answer_to_the_next_exchange() -> None:
+    answers = asyncio.Queue[bytes | None]()
+    async with listening(CopyingService()) as port:
+        links = HttpLinks(after, {"b": ("127.0.0.1", port)})
+        for number in (b"1", b"2", b"3"):
+            links.call("b", b"request", SECOND_US, lambda answer, _wait_us, _why: answers.put_nowait(answer))
+            assert await answers.get() == number
+        links.close()
