Judge answers too soon from the third first answer of a zone on

Change: three. A false suspicion holds one call for at most 2 s and lowers the shortest time, so it does not repeat.

--- a/rowanrack/net/answer_guard.py
+++ b/rowanrack/net/answer_guard.py
@@ -21,7 +21,7 @@
 # The first call on a connection takes a few round trips more, for its setup: a later call may take less time,
 # but not this little of it.
 PREMATURE_FRACTION = 0.25
-MIN_FIRST_ANSWERS = 8  # in a zone, before the shortest of them tells anything
+MIN_FIRST_ANSWERS = 3  # in a zone, before the shortest of them tells anything
 CONFIRMATION_FACTOR = 4  # the wait for a second answer after a premature one, in mean answer times
 MIN_CONFIRMATION_US, MAX_CONFIRMATION_US = 200_000, 2_000_000
 MEAN_WEIGHT = 0.1  # of the latest answer in the mean answer time
