Read past several copies of earlier answers, and reuse no connection that had one

Change: a loop, bounded at 16 answers, that asks of each whether it came too soon or another one follows; following_reply marks its connection as out of step; waits of copies are recorded in both cases.

Measured: test_copied_200_does_not_deliver_the_next_message with two copies failed before, passes now.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -150,12 +150,14 @@
         self._after, self._rest_timeout_us = after, rest_timeout_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.carried_calls = 0  # calls that were written, the current one included
+        self._is_out_of_step = False  # whether more responses than calls have come
         self._response_head = bytearray()  # the response from its status line on, up to MAX_HEAD_BYTES
 
     @property
     def reusable(self) -> bool:
         """Whether the connection may carry another call: the response is read and nothing follows it."""
-        return self._h11.our_state is h11.IDLE and not self.stream.ended and not self.stream.unread
+        is_ready = self._h11.our_state is h11.IDLE and not self._is_out_of_step
+        return is_ready and not self.stream.ended and not self.stream.unread
 
     @property
     def has_surplus(self) -> bool:
@@ -225,6 +227,7 @@
 
         The connection is not reusable afterwards.
         """
+        self._is_out_of_step = True
         surplus, self._h11 = self._h11.trailing_data[0], response_parser()
         if surplus:
             self._h11.receive_data(surplus)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -31,6 +31,7 @@
 MAX_RESPONSE_BODY_BYTES = 64 * 1024
 # For the rest of a response: the result of the message is known from its beginning.
 RESPONSE_REST_TIMEOUT_US = 200_000
+MAX_COPIES = 16  # of earlier answers ahead of the answer to a call
 TIMEOUT_MARGIN_US = 20_000  # before a call times out, by which a premature answer is settled
 
 
@@ -55,15 +56,6 @@
     idle_us: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class TimedReply:
-    """A reply, the time that it took, and the time that was left then until the call times out."""
-
-    reply: Reply
-    time_us: int
-    left_us: int
-
-
 class EndpointPool:
     """Connections to endpoints, each with one call at a time, and a task for each batch of attempts."""
 
@@ -171,9 +163,11 @@
         self._callers[batch] = caller
         try:
             reply = await caller.call(form.call(part, max(1000, left_us)))
-            time_us = self.exchange.clock.now_us() - now
-            answer = TimedReply(reply, time_us, left_us - time_us)
-            return form.verdicts(part, await self._own_answer(connection, form, part, answer))
+            if caller.carried_calls == 1:
+                self.answer_guard.record_first_answer(batch.endpoint.zone, self.exchange.clock.now_us() - now)
+            else:
+                reply = await self._own_answer(connection, form, part, reply, now)
+            return form.verdicts(part, reply)
         except StaleConnectionError:
             result = Result.MOOT  # says nothing about the endpoint: only the idle connection was stale
         except CallNotSentError:
@@ -188,39 +182,48 @@
         return [CallVerdict(result)] * len(part)
 
     async def _own_answer(
-        self, connection: PooledConnection, form: CallProtocol, part: list[Attempt], answer: TimedReply
+        self,
+        connection: PooledConnection,
+        form: CallProtocol,
+        part: list[Attempt],
+        reply: Reply,
+        called_at_us: int,
     ) -> Reply:
-        """Return the answer to the call: the reply, or one behind it if the reply repeats an earlier answer.
+        """Return the answer to a later call of its connection, of which the reply may not be the answer.
 
-        Raise CallBrokenError if the reply may be such a copy and the connection ends without another one.
+        A reply that another one follows, or that came too soon, may repeat an earlier answer. Raise
+        CallBrokenError if it may be such a copy and the connection ends without another one.
         """
-        endpoint, caller, reply = part[0].endpoint, connection.caller, answer.reply
-        if caller.carried_calls == 1:
-            self.answer_guard.record_first_answer(endpoint.zone, answer.time_us)
-            return reply
-        premature = self.answer_guard.is_premature(endpoint.zone, answer.time_us)
-        if not caller.has_surplus:
-            if not premature:
+        endpoint, caller = part[0].endpoint, connection.caller
+        for _ in range(MAX_COPIES):
+            time_us = self.exchange.clock.now_us() - called_at_us
+            premature = self.answer_guard.is_premature(endpoint.zone, time_us)
+            if not (premature or caller.has_surplus):
                 return reply
             # The wait that an answer asks for begins with the answer, whichever call it belongs to.
             for attempt, verdict in zip(part, form.verdicts(part, reply), strict=True):
                 self.exchange.record_told_wait(attempt, verdict.wait_us)
-            if not await self._input_follows(endpoint, caller, answer.left_us - TIMEOUT_MARGIN_US):
-                self.answer_guard.record_confirmed_answer(endpoint.zone, answer.time_us)
+            if not caller.has_surplus and not await self._input_follows(part, caller):
+                self.answer_guard.record_confirmed_answer(endpoint.zone, time_us)
+                return reply
+            following = await caller.following_reply() if reply.complete else None
+            if following is None:
+                if premature:
+                    raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
-        following = await caller.following_reply() if reply.complete else None
-        if following is None:
-            if premature:
-                raise CallBrokenError("an answer came too soon to be this call's, and no other one followed")
-            return reply
-        self._record_late_answer(endpoint, connection.idle_us + answer.time_us)
-        return following
-
-    async def _input_follows(self, endpoint: Endpoint, caller: HttpClientConnection, limit_us: int) -> bool:
+            self._record_late_answer(endpoint, connection.idle_us + time_us)
+            reply = following
+        raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
+
+    async def _input_follows(self, part: list[Attempt], caller: HttpClientConnection) -> bool:
         """Wait for input behind a premature answer; return False if none comes within the time for it."""
-        wait_us = min(limit_us, self.answer_guard.confirmation_us(endpoint.zone))
+        now = self.exchange.clock.now_us()
+        left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in part)
+        confirmation_us = self.answer_guard.confirmation_us(part[0].endpoint.zone)
         with suppress(TimeoutError):
-            async with time_limit(self.exchange.after, max(0, wait_us)):
+            async with time_limit(
+                self.exchange.after, max(0, min(left_us - TIMEOUT_MARGIN_US, confirmation_us))
+            ):
                 await caller.stream.wait_for_input()
                 return True
         return False
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -28,14 +28,15 @@
 
 
 class CopyingEndpoint:
-    """Answers its calls with given statuses in order, and the first call a second time.
+    """Answers its calls with given statuses in order, and sends copies of the first answer.
 
-    The copy comes after `copy_delay_s`, or on receipt of the next call on the connection if that is None. The
+    One comes after `copy_delay_s`, or all on receipt of the next call on the connection if that is None. The
     first answer comes at once if its copy has a delay: then no later answer is too soon.
     """
 
-    def __init__(self, *statuses: int, copy_delay_s: float | None = None) -> None:
-        self.statuses, self.calls, self.copy_delay_s = list(statuses), 0, copy_delay_s
+    def __init__(self, *statuses: int, copy_delay_s: float | None = None, copies: int = 1) -> None:
+        self.statuses, self.calls = list(statuses), 0
+        self.copy_delay_s, self.copies = copy_delay_s, copies
         self.closes_after_copy = False
         self.delivered = list[str]()  # messages answered with 200
 
@@ -49,7 +50,7 @@
                 status = self.statuses[min(self.calls, len(self.statuses) - 1)]
                 self.calls += 1
                 if self.calls == 2 and self.copy_delay_s is None:
-                    writer.write(last_answer)
+                    writer.write(last_answer * self.copies)
                     if self.closes_after_copy:
                         break
                 if self.copy_delay_s is None or self.calls > 1:
@@ -87,12 +88,12 @@
         rig.sender.pool.answer_guard.record_first_answer("a", int(seconds * 1e6))
 
 
-@pytest.mark.parametrize("copy_delay_s", [None, 0.01])
+@pytest.mark.parametrize(("copy_delay_s", "copies"), [(None, 1), (None, 2), (0.01, 1)])
 @on_loop
 async def test_copied_200_does_not_deliver_the_next_message(
-    tmp_path: Path, copy_delay_s: float | None
+    tmp_path: Path, copy_delay_s: float | None, copies: int
 ) -> None:
-    endpoint = CopyingEndpoint(200, 503, 200, copy_delay_s=copy_delay_s)
+    endpoint = CopyingEndpoint(200, 503, 200, copy_delay_s=copy_delay_s, copies=copies)
     async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
         if copy_delay_s is None:
             expect_answers_of(rig, ANSWER_DELAY_S)
@@ -102,7 +103,7 @@
         for message_id in ("m1", "m2"):
             await rig.wait_for_end(message_id)
         assert sorted(endpoint.delivered) == ["m1", "m2"]
-        assert rig.sender.exchange.metrics.unsolicited_responses == 1
+        assert rig.sender.exchange.metrics.unsolicited_responses == copies
 
 
 @pytest.mark.parametrize("copy_delay_s", [None, 0.01])
