Time an answer by its first byte when judging whether it came too soon

Change: HttpClientConnection notes when the first byte of a response was read; the pool judges by that.

Measured: test_copied_200_that_comes_in_pieces_does_not_deliver_the_next_message failed before (the refused message counted as delivered), passes now, with the 11 others.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import re
 from collections.abc import Callable, Iterable
@@ -150,6 +151,9 @@
         self._after, self._rest_timeout_us = after, rest_timeout_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.carried_calls = 0  # calls that were written, the current one included
+        self.response_began_us = (
+            0  # when the first byte of the last response was read, by the event loop's clock
+        )
         self._is_out_of_step = False  # whether more responses than calls have come
         self._response_head = bytearray()  # the response from its status line on, up to MAX_HEAD_BYTES
 
@@ -244,6 +248,7 @@
             self._response_head[:] = self._h11.trailing_data[0]
             if not self._response_head:
                 await self._receive()
+            self.response_began_us = int(asyncio.get_running_loop().time() * 1_000_000)
             async with time_limit(self._after, self._rest_timeout_us, self._has_unread):
                 head = await self._next_event()
             if not isinstance(head, h11.InformationalResponse):
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -196,7 +196,7 @@
         """
         endpoint, caller = part[0].endpoint, connection.caller
         for _ in range(MAX_COPIES):
-            time_us = self.exchange.clock.now_us() - called_at_us
+            time_us = caller.response_began_us - called_at_us
             premature = self.answer_guard.is_premature(endpoint.zone, time_us)
             if not (premature or caller.has_surplus):
                 return reply
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -24,6 +24,7 @@
 
 ANSWER_DELAY_S = 0.1
 DEADLINE_MS = 10_000
+HALF_STATUS_LINE_BYTES = 8
 ANSWER = b"HTTP/1.1 %d Status\r\nContent-Length: 0\r\nX-Retry-In-Ms: 300\r\n\r\n"
 
 
@@ -37,7 +38,7 @@
     def __init__(self, *statuses: int, copy_delay_s: float | None = None, copies: int = 1) -> None:
         self.statuses, self.calls = list(statuses), 0
         self.copy_delay_s, self.copies = copy_delay_s, copies
-        self.closes_after_copy = False
+        self.closes_after_copy = self.drips_copy = False
         self.delivered = list[str]()  # messages answered with 200
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -50,7 +51,10 @@
                 status = self.statuses[min(self.calls, len(self.statuses) - 1)]
                 self.calls += 1
                 if self.calls == 2 and self.copy_delay_s is None:
-                    writer.write(last_answer * self.copies)
+                    writer.write(last_answer[:HALF_STATUS_LINE_BYTES])
+                    if self.drips_copy:
+                        await asyncio.sleep(ANSWER_DELAY_S)
+                    writer.write(last_answer[HALF_STATUS_LINE_BYTES:] + last_answer * (self.copies - 1))
                     if self.closes_after_copy:
                         break
                 if self.copy_delay_s is None or self.calls > 1:
@@ -106,6 +110,20 @@
         assert rig.sender.exchange.metrics.unsolicited_responses == copies
 
 
+@on_loop
+async def test_copied_200_that_comes_in_pieces_does_not_deliver_the_next_message(tmp_path: Path) -> None:
+    endpoint = CopyingEndpoint(200, 503, 200)
+    endpoint.drips_copy = True
+    async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        expect_answers_of(rig, ANSWER_DELAY_S)
+        client = await rig.client()
+        for message_id in ("m1", "m2"):
+            await client.submit(message_id, "print-order", d=DEADLINE_MS)
+        for message_id in ("m1", "m2"):
+            await rig.wait_for_end(message_id)
+        assert sorted(endpoint.delivered) == ["m1", "m2"]
+
+
 @pytest.mark.parametrize("copy_delay_s", [None, 0.01])
 @on_loop
 async def test_copied_refusal_does_not_send_the_next_message_twice(
