Share the seeds and series of restarts of the soaks

Need: the second soak had a copy of the first one's seeds and restarts, and three tests of copied answers the same lines.

Change: tests/soak.py; send_two_orders.

--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -92,6 +92,15 @@
         rig.sender.pool.answer_guard.record_first_answer("a", int(seconds * 1e6))
 
 
+async def send_two_orders(rig: Rig) -> None:
+    """Submit m1 and m2, and wait for their ends."""
+    client = await rig.client()
+    for message_id in ("m1", "m2"):
+        await client.submit(message_id, "print-order", d=DEADLINE_MS)
+    for message_id in ("m1", "m2"):
+        await rig.wait_for_end(message_id)
+
+
 @pytest.mark.parametrize(("copy_delay_s", "copies"), [(None, 1), (None, 2), (0.01, 1)])
 @on_loop
 async def test_copied_200_does_not_deliver_the_next_message(
@@ -101,11 +110,7 @@
     async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
         if copy_delay_s is None:
             expect_answers_of(rig, ANSWER_DELAY_S)
-        client = await rig.client()
-        for message_id in ("m1", "m2"):
-            await client.submit(message_id, "print-order", d=DEADLINE_MS)
-        for message_id in ("m1", "m2"):
-            await rig.wait_for_end(message_id)
+        await send_two_orders(rig)
         assert sorted(endpoint.delivered) == ["m1", "m2"]
         assert rig.sender.exchange.metrics.unsolicited_responses == copies
 
@@ -116,11 +121,7 @@
     endpoint.drips_copy = True
     async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
         expect_answers_of(rig, ANSWER_DELAY_S)
-        client = await rig.client()
-        for message_id in ("m1", "m2"):
-            await client.submit(message_id, "print-order", d=DEADLINE_MS)
-        for message_id in ("m1", "m2"):
-            await rig.wait_for_end(message_id)
+        await send_two_orders(rig)
         assert sorted(endpoint.delivered) == ["m1", "m2"]
 
 
@@ -133,11 +134,7 @@
     async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
         if copy_delay_s is None:
             expect_answers_of(rig, ANSWER_DELAY_S)
-        client = await rig.client()
-        for message_id in ("m1", "m2"):
-            await client.submit(message_id, "print-order", d=DEADLINE_MS)
-        for message_id in ("m1", "m2"):
-            await rig.wait_for_end(message_id)
+        await send_two_orders(rig)
         assert sorted(endpoint.delivered) == ["m1", "m2"]
 
 
--- a/tests/test_hot_restart_soak.py
+++ b/tests/test_hot_restart_soak.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from pathlib import Path
 from random import Random
 
@@ -15,6 +14,7 @@
 from rowanrack.lab.__main__ import play_with_time_limit
 from rowanrack.lab.plan import make_plan
 from rowanrack.lab.scenario import Fault, PartnerTable, Scenario
+from tests.soak import restarts, seeds
 
 DEFAULT_SEEDS = "1-2"
 SECONDS = 14.0
@@ -24,30 +24,17 @@
 USUAL_RATE, CROWD_RATE = 30.0, 120.0  # messages per second
 
 
-def seeds() -> range:
-    first, _, last = os.environ.get("HOT_RESTART_SEEDS", DEFAULT_SEEDS).partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
-def hot_restarts(rng: Random, sender: str) -> list[Fault]:
-    """Upgrade a sender again and again; some of the restarts are plain kills."""
-    faults, at_s = list[Fault](), rng.uniform(1.0, 3.0)
-    while at_s < SECONDS - 2:
-        if rng.random() < 0.2:
-            faults.append(Fault(what="kill", on=sender, at_s=at_s, for_s=0.6))
-        else:
-            faults.append(Fault(what="upgrade", on=sender, at_s=at_s, by=rng.uniform(0.0, 0.4)))
-        at_s += rng.uniform(5.5, 6.5)  # a process needs up to 1 s to start and 3.7 s to end
-    return faults
-
-
 def scenario(seed: int) -> Scenario:
     rng = Random(f"{seed} hot restarts")
     partners = [
         PartnerTable(name=f"p{dest}", dest=dest, rate=12.0, told=1.0, wait_ms=WAIT_MS)
         for dest in range(1, DESTINATIONS + 1)
     ]
-    faults = [fault for sender in SENDERS for fault in hot_restarts(rng, sender)]
+    faults = [
+        fault
+        for sender in SENDERS
+        for fault in restarts(rng, sender, rng.uniform(1.0, 3.0), SECONDS - 2, kill_share=0.2)
+    ]
     for partner in partners:
         at_s = rng.uniform(1.0, 6.0)
         for number in range(partner.endpoints):
@@ -62,7 +49,7 @@
     )
 
 
-@pytest.mark.parametrize("seed", seeds())
+@pytest.mark.parametrize("seed", seeds("HOT_RESTART_SEEDS", DEFAULT_SEEDS))
 def test_waits_told_during_a_series_of_hot_restarts_are_kept(tmp_path: Path, seed: int) -> None:
     planned = scenario(seed)
     result = asyncio.run(play_with_time_limit(planned, make_plan(planned, seed), tmp_path, seed))
