Let connections carry one call where answers come too late for the quiet time

A quiet time of four times the delay, and of 250 ms at most elsewhere, learned too slowly and kept some reuse.

Change: once input that answers no call has come later than the 50 ms for which connections are quiet, connections to that endpoint carry one call for ten minutes, which is exact; after two such endpoints those to all do. Simpler than the factors it replaces.

--- a/rowanrack/net/answer_guard.py
+++ b/rowanrack/net/answer_guard.py
@@ -4,7 +4,8 @@
 sends an answer twice and the second copy comes late, that copy would be taken for the answer to the next
 call, and every later answer for that of the call after its own. Two properties of a late copy give it away:
 it comes within some time of the answer that it repeats, so a connection has to be quiet for that time before
-its next call; and it comes sooner than the endpoint can answer that call. This module does no I/O.
+its next call; and it comes sooner than the endpoint can answer that call. Where copies come later than that,
+a connection carries one call only. This module does no I/O.
 """
 
 from __future__ import annotations
@@ -14,10 +15,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-MIN_QUIET_US = 50_000  # how long a connection must be quiet between an answer and its next call
-QUIET_FACTOR = 4  # the quiet time, in multiples of the longest delay of a late answer
-MAX_SHARED_QUIET_US = 250_000  # the most that the late answers of one endpoint demand of other endpoints
-LATE_ANSWER_MEMORY_US = 600_000_000  # for which a late answer extends the quiet time
+QUIET_US = 50_000  # how long a connection must be quiet between an answer and its next call
+LATE_ANSWER_MEMORY_US = (
+    600_000_000  # for which connections carry one call after an answer came later than that
+)
+MIN_SUSPECT_ENDPOINTS = 2  # that sent such answers, for connections to all others to carry one call, too
 # The first call on a connection takes a few round trips more, for its setup: a later call may take less time,
 # but not this little of it.
 PREMATURE_FRACTION = 0.25
@@ -28,26 +30,6 @@
 MAX_ENDPOINTS = 4096  # with late answers; those that sent none for longest are forgotten
 
 
-@dataclass(slots=True)
-class LateAnswers:
-    """The longest delay of answers that came late, and when the last one came."""
-
-    delay_us: int = 0
-    seen_at_us: int = 0
-
-    def record(self, delay_us: int, now_us: int) -> None:
-        """Record a late answer."""
-        self.delay_us = max(delay_us, self.delay_us if self._remembered(now_us) else 0)
-        self.seen_at_us = now_us
-
-    def quiet_us(self, now_us: int) -> int:
-        """Return the quiet time that the late answers demand."""
-        return QUIET_FACTOR * self.delay_us if self._remembered(now_us) else 0
-
-    def _remembered(self, now_us: int) -> bool:
-        return now_us - self.seen_at_us < LATE_ANSWER_MEMORY_US
-
-
 @dataclass(slots=True)
 class AnswerTimes:
     """The answer times of one zone: the mean, and the shortest plausible one."""
@@ -68,26 +50,28 @@
 
     def __init__(self, now_us: Callable[[], int]) -> None:
         self._now_us = now_us
-        self._late_by_endpoint: OrderedDict[str, LateAnswers] = OrderedDict()
-        self._late_anywhere = LateAnswers()
+        # When each endpoint last sent an answer that came too late for the quiet time, the latest one last.
+        self._late_answers: OrderedDict[str, int] = OrderedDict()
         self._times_by_zone: defaultdict[str, AnswerTimes] = defaultdict(AnswerTimes)
 
-    def quiet_us(self, endpoint: str) -> int:
-        """Return how long a connection to the endpoint must be quiet between an answer and its next call."""
-        now = self._now_us()
-        late = self._late_by_endpoint.get(endpoint)
-        own_us = late.quiet_us(now) if late is not None else 0
-        shared_us = min(self._late_anywhere.quiet_us(now), MAX_SHARED_QUIET_US)
-        return max(MIN_QUIET_US, own_us, shared_us)
+    def allows_reuse(self, endpoint: str) -> bool:
+        """Whether a connection to the endpoint may carry another call after its first one."""
+        self._drop_old_answers()
+        return endpoint not in self._late_answers and len(self._late_answers) < MIN_SUSPECT_ENDPOINTS
 
     def record_late_answer(self, endpoint: str, delay_us: int) -> None:
         """Record input that came this long after the last answer of its connection and answers no call."""
-        now = self._now_us()
-        self._late_by_endpoint.setdefault(endpoint, LateAnswers()).record(delay_us, now)
-        self._late_by_endpoint.move_to_end(endpoint)
-        if len(self._late_by_endpoint) > MAX_ENDPOINTS:
-            self._late_by_endpoint.popitem(last=False)
-        self._late_anywhere.record(delay_us, now)
+        if delay_us < QUIET_US:
+            return
+        self._late_answers[endpoint] = self._now_us()
+        self._late_answers.move_to_end(endpoint)
+        if len(self._late_answers) > MAX_ENDPOINTS:
+            self._late_answers.popitem(last=False)
+
+    def _drop_old_answers(self) -> None:
+        oldest_us = self._now_us() - LATE_ANSWER_MEMORY_US
+        while self._late_answers and next(iter(self._late_answers.values())) <= oldest_us:
+            self._late_answers.popitem(last=False)
 
     def record_first_answer(self, zone: str, time_us: int) -> None:
         """Record the answer to the first call on a connection, which is certainly the answer to that call."""
@@ -110,8 +94,8 @@
 
     def forget(self, endpoint: str) -> None:
         """Forget an endpoint that is no longer listed: another one may take over its name."""
-        self._late_by_endpoint.pop(endpoint, None)
+        self._late_answers.pop(endpoint, None)
 
     def endpoint_names(self) -> set[str]:
         """Return the names of the endpoints of which anything is known."""
-        return set(self._late_by_endpoint)
+        return set(self._late_answers)
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -11,7 +11,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
 from rowanrack.core.wheel import WheelTimer
-from rowanrack.net.answer_guard import AnswerGuard
+from rowanrack.net.answer_guard import QUIET_US, AnswerGuard
 from rowanrack.net.http import HttpClientConnection
 from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import time_limit
@@ -20,8 +20,6 @@
 
 # Part of the keep-alive time, after which an endpoint may close an idle connection: close well before it.
 IDLE_TIMEOUT_FRACTION = 0.6
-# The longest wait for a connection to have been quiet; opening another one costs its endpoint more.
-MAX_QUIET_WAIT_US = 50_000
 IDLE_TIMEOUT_RESPONSE = re.compile(rb"HTTP/1\.[01] 408 ")  # a server may send this before it closes
 STATUS_LINE_BYTES = 16  # of input, which tell an idle timeout from other input
 
@@ -49,7 +47,7 @@
     async def take(self, endpoint: Endpoint) -> tuple[HttpClientConnection, int] | None:
         """Return a connection that is still usable and how long it was idle, or None.
 
-        A connection that has not been quiet for long enough is waited for, if that does not take long.
+        One that has not been quiet for long enough is waited for: another one would cost its endpoint more.
         """
         while (idle := self._choose(endpoint)) is not None:
             self._remove(idle)
@@ -71,8 +69,9 @@
 
     def keep(self, endpoint: Endpoint, caller: HttpClientConnection) -> None:
         """Keep a connection for later calls."""
-        if not self._exchange.endpoint_list.accepts_calls(endpoint.name):
-            # No new calls go to an endpoint that drains or is removed: release the connection.
+        # No new calls go to an endpoint that drains or is removed: release the connection.
+        is_needed = self._exchange.endpoint_list.accepts_calls(endpoint.name)
+        if not (is_needed and self._may_carry_a_call(endpoint, caller)):
             caller.stream.abort()
             return
         idle = IdleConnection(endpoint, caller, self._exchange.clock.now_us())
@@ -99,26 +98,28 @@
             self.by_age.pop(idle, None)
             self._discard(idle)
 
+    def _may_carry_a_call(self, endpoint: Endpoint, caller: HttpClientConnection) -> bool:
+        return not caller.carried_calls or self._guard.allows_reuse(endpoint.name)
+
     def _choose(self, endpoint: Endpoint) -> IdleConnection | None:
         """Return the most recently used connection that has been quiet for long enough, or soon will have."""
-        waiting = self.by_endpoint.get(endpoint.name, [])
-        if not waiting:
-            return None
-        quiet_us = self._guard.quiet_us(endpoint.name)
+        waiting = [
+            idle
+            for idle in self.by_endpoint.get(endpoint.name, ())
+            if self._may_carry_a_call(endpoint, idle.caller)
+        ]
         for idle in reversed(waiting):
-            if self._quiet_wait_us(idle, quiet_us) <= 0:
+            if self._quiet_wait_us(idle) <= 0:
                 return idle
-        longest_idle = waiting[0]
-        return longest_idle if self._quiet_wait_us(longest_idle, quiet_us) <= MAX_QUIET_WAIT_US else None
+        return waiting[0] if waiting else None
 
-    def _quiet_wait_us(self, idle: IdleConnection, quiet_us: int) -> int:
+    def _quiet_wait_us(self, idle: IdleConnection) -> int:
         """Return how much longer a connection must be quiet; one that has carried no call need not be."""
-        return quiet_us - self._idle_us(idle) if idle.caller.carried_calls else 0
+        return QUIET_US - self._idle_us(idle) if idle.caller.carried_calls else 0
 
     async def _wait_until_quiet(self, idle: IdleConnection) -> None:
         """Wait for the rest of the quiet time, or until input arrives; then stop watching the connection."""
-        wait_us = self._quiet_wait_us(idle, self._guard.quiet_us(idle.endpoint.name))
-        if wait_us > 0:
+        if (wait_us := self._quiet_wait_us(idle)) > 0:
             with suppress(TimeoutError):
                 async with time_limit(self._exchange.after, wait_us):
                     await asyncio.wait([idle.watch])
