Give up a message whose 200 belonged to an earlier call after all

Found by the soak with copies 50 to 1,000 ms late: a copied 200 that is not recognised delivers a refused message; its refusal comes on the connection right after, and was only counted.

Cause: what answers no call was never looked at.

Measured: test_delivery_by_a_copied_200_is_retracted_when_the_call_is_refused_after_all, on a real process, times out without it.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -504,6 +504,16 @@
             )
         )
 
+    def retract_delivery(self, message: Message) -> None:
+        """End a message as failed after all: the answer that delivered it belonged to an earlier call."""
+        if self.store.ended(message.id) != End(Ending.DELIVERED):
+            return
+        log.warning("message %s: not delivered, the 200 belonged to an earlier call; given up", message.id)
+        failed = End(Ending.FAILED)
+        self.store.end(message, failed)
+        if (listener := self.listeners.get(message.front)) is not None:
+            listener(message, failed)
+
     def _remove_unstarted(self, attempt: Attempt) -> None:
         if (waiting := self._unstarted_attempts.get(attempt.endpoint.name)) is not None:
             waiting.pop(attempt, None)
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -150,6 +150,7 @@
         self.stream, self._host, self._body_limit = stream, host, body_limit
         self._after, self._rest_timeout_us = after, rest_timeout_us
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.statuses = set[int]()  # of all responses so far
         self.carried_calls = 0  # calls that were written, the current one included
         self.response_began_us = (
             0  # when the first byte of the last response was read, by the event loop's clock
@@ -213,6 +214,7 @@
             return self._handle_unreadable_head(str(error) or "incomplete response head")
         if not isinstance(head, h11.Response):
             return self._handle_unreadable_head("connection closed without a response")
+        self.statuses.add(head.status_code)
         headers, body, whole = decode_headers(head.headers), bytearray(), True
         if head.status_code in BODILESS_STATUSES or FRAMING_HEADERS & headers.keys():
             try:
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -6,10 +6,12 @@
 import logging
 import re
 from collections import defaultdict
+from collections.abc import Sequence
 from contextlib import suppress
+from http import HTTPStatus
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Endpoint
+from rowanrack.core.messages import Endpoint, Message
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.answer_guard import QUIET_US, AnswerGuard
 from rowanrack.net.http import HttpClientConnection
@@ -20,15 +22,22 @@
 
 # Part of the keep-alive time, after which an endpoint may close an idle connection: close well before it.
 IDLE_TIMEOUT_FRACTION = 0.6
-IDLE_TIMEOUT_RESPONSE = re.compile(rb"HTTP/1\.[01] 408 ")  # a server may send this before it closes
-STATUS_LINE_BYTES = 16  # of input, which tell an idle timeout from other input
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3}) ")
+STATUS_LINE_BYTES = 16  # of input, which tell whether it is a response
+IDLE_TIMEOUT_STATUS = 408  # a server may send this before it closes an idle connection
 
 
 class IdleConnection:
-    """An idle connection; any input meanwhile closes it."""
-
-    def __init__(self, endpoint: Endpoint, caller: HttpClientConnection, now_us: int) -> None:
-        self.endpoint, self.caller, self.since_us = endpoint, caller, now_us
+    """An idle connection and the messages that its last call delivered; any input meanwhile closes it."""
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        caller: HttpClientConnection,
+        delivered: Sequence[Message],
+        now_us: int,
+    ) -> None:
+        self.endpoint, self.caller, self.delivered, self.since_us = endpoint, caller, delivered, now_us
         self.watch = asyncio.create_task(caller.stream.wait_for_input())
         self.timer: WheelTimer | None = None
 
@@ -67,14 +76,16 @@
             idle.caller.stream.abort()
         return None
 
-    def keep(self, endpoint: Endpoint, caller: HttpClientConnection) -> None:
-        """Keep a connection for later calls."""
+    def keep(
+        self, endpoint: Endpoint, caller: HttpClientConnection, delivered: Sequence[Message] = ()
+    ) -> None:
+        """Keep a connection, whose last call has delivered these messages, for later calls."""
         # No new calls go to an endpoint that drains or is removed: release the connection.
         is_needed = self._exchange.endpoint_list.accepts_calls(endpoint.name)
         if not (is_needed and self._may_carry_a_call(endpoint, caller)):
             caller.stream.abort()
             return
-        idle = IdleConnection(endpoint, caller, self._exchange.clock.now_us())
+        idle = IdleConnection(endpoint, caller, delivered, self._exchange.clock.now_us())
         self.by_endpoint[endpoint.name].append(idle)
         self.by_age[idle] = None
 
@@ -134,10 +145,12 @@
     def _record_input(self, idle: IdleConnection) -> None:
         """Record, count and log input that came on an idle connection: it answers no call."""
         stream = idle.caller.stream
-        if not stream.unread_bytes or IDLE_TIMEOUT_RESPONSE.match(
-            stream.receive_buffer.peek(STATUS_LINE_BYTES)
-        ):
+        status_line = STATUS_LINE.match(stream.receive_buffer.peek(STATUS_LINE_BYTES))
+        status = int(status_line[1]) if status_line else 0
+        if not stream.unread_bytes or status == IDLE_TIMEOUT_STATUS:
             return
+        if status and status != HTTPStatus.OK and status not in idle.caller.statuses:
+            self._retract_deliveries(idle)
         delay_us = self._idle_us(idle)
         self._exchange.metrics.unsolicited_responses += 1
         if idle.caller.carried_calls:
@@ -149,6 +162,12 @@
             delay_us / 1000,
         )
 
+    def _retract_deliveries(self, idle: IdleConnection) -> None:
+        """Retract what the last call delivered: an answer unlike all before it is that call's own."""
+        if idle.caller.carried_calls > 1:
+            for message in idle.delivered:
+                self._exchange.retract_delivery(message)
+
     def _remove(self, idle: IdleConnection) -> None:
         """Remove a connection from both lists, and stop its timer."""
         self.by_age.pop(idle, None)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -6,11 +6,11 @@
 import logging
 from collections.abc import Sequence
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Progress
+from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Message, Progress
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import (
     Call,
@@ -56,6 +56,11 @@
     idle_us: int = 0
 
 
+def delivered_messages(settled: Sequence[tuple[Attempt, CallVerdict]]) -> list[Message]:
+    """Return the messages that a call has delivered, without their bodies."""
+    return [replace(attempt.message, body=b"") for attempt, verdict in settled if verdict.result is Result.OK]
+
+
 class EndpointPool:
     """Connections to endpoints, each with one call at a time, and a task for each batch of attempts."""
 
@@ -121,9 +126,10 @@
                 if not part:
                     continue
                 verdicts = await self._call(connection, form, part)
-                self._release(batch.endpoint, connection)
+                settled = list(zip(part, verdicts, strict=True))
+                self._release(batch.endpoint, connection, delivered_messages(settled))
                 connection = None
-                for attempt, verdict in zip(part, verdicts, strict=True):
+                for attempt, verdict in settled:
                     self.exchange.settle(attempt, verdict)
             if connection is not None:
                 self._release(batch.endpoint, connection)
@@ -146,10 +152,12 @@
             return PooledConnection(*taken)
         return PooledConnection(await self._connect(endpoint))
 
-    def _release(self, endpoint: Endpoint, connection: PooledConnection) -> None:
-        """Keep a connection for later calls if it is reusable."""
+    def _release(
+        self, endpoint: Endpoint, connection: PooledConnection, delivered: Sequence[Message] = ()
+    ) -> None:
+        """Keep a connection for later calls if it is reusable; its last call delivered these messages."""
         if connection.caller.reusable:
-            self.idle.keep(endpoint, connection.caller)
+            self.idle.keep(endpoint, connection.caller, delivered)
         else:
             connection.caller.stream.abort()
 
@@ -192,7 +200,8 @@
         """Return the answer to a later call of its connection, of which the reply may not be the answer.
 
         A reply that another one follows, or that came too soon, may repeat an earlier answer. Raise
-        CallBrokenError if it may be such a copy and the connection ends without another one.
+        CallBrokenError if the connection ends without another one, or if they differ: which of them belongs
+        to the call is unknown then.
         """
         endpoint, caller = part[0].endpoint, connection.caller
         for _ in range(MAX_COPIES):
