Count a call with two different answers as one that may have run

Cause: the repair took the order copy, then answer, for granted; copies can be later than the answer.

Change: if two answers to one call differ, the call may have run: a class that may repeat is sent again, others are given up.

--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -221,7 +221,8 @@
                     raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
             self._record_late_answer(endpoint, connection.idle_us + time_us)
-            reply = following
+            if following.status != reply.status:
+                raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
         raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
 
     async def _input_follows(self, part: list[Attempt], caller: HttpClientConnection) -> bool:
