Tell a copy right behind its answer from one that came late

Cause: a copy right behind a good answer, read together with it, was recorded as late by the idle time of its connection; after two such endpoints all connections carried one call (log: 'an answer came again, 681.7 ms after the last one', n0 at 2.95 s).

Change: two equal answers of which the first did not come too soon are an answer and its copy right behind; that is no late answer.

--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -220,8 +220,10 @@
                 if premature:
                     raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
-            self._record_late_answer(endpoint, connection.idle_us + time_us)
-            if following.status != reply.status:
+            differs = following.status != reply.status
+            if premature or differs:  # otherwise the second one is a copy right behind its answer
+                self._record_late_answer(endpoint, connection.idle_us + time_us)
+            if differs:
                 raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
         raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
 
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -37,7 +37,7 @@
     def __init__(self, *statuses: int, copy_delay_s: float | None = None, copies: int = 1) -> None:
         self.statuses, self.calls = list(statuses), 0
         self.copy_delay_s, self.copies = copy_delay_s, copies
-        self.closes_after_copy = self.drips_copy = False
+        self.closes_after_copy = self.drips_copy = self.repeats_later_answers = False
         self.delivered = list[str]()  # messages answered with 200
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -50,10 +50,11 @@
                 status = self.statuses[min(self.calls, len(self.statuses) - 1)]
                 self.calls += 1
                 if self.calls == 2 and self.copy_delay_s is None:
-                    writer.write(last_answer[:HALF_STATUS_LINE_BYTES])
+                    copies = last_answer * self.copies
+                    writer.write(copies[:HALF_STATUS_LINE_BYTES])
                     if self.drips_copy:
                         await asyncio.sleep(ANSWER_DELAY_S)
-                    writer.write(last_answer[HALF_STATUS_LINE_BYTES:] + last_answer * (self.copies - 1))
+                    writer.write(copies[HALF_STATUS_LINE_BYTES:])
                     if self.closes_after_copy:
                         break
                 if self.copy_delay_s is None or self.calls > 1:
@@ -62,6 +63,8 @@
                     self.delivered.append(message)
                 last_answer = ANSWER % status
                 writer.write(last_answer)
+                if self.calls > 1 and self.repeats_later_answers:
+                    writer.write(last_answer)
                 if self.calls == 1 and self.copy_delay_s is not None:
                     asyncio.get_running_loop().call_later(self.copy_delay_s, writer.write, last_answer)
         except (asyncio.IncompleteReadError, asyncio.CancelledError, OSError):
@@ -154,6 +157,15 @@
         assert rig.results[-1] is Result.RESET
 
 
+@on_loop
+async def test_copy_right_behind_its_answer_does_not_end_the_reuse_of_connections(tmp_path: Path) -> None:
+    endpoint = CopyingEndpoint(200, copies=0)
+    endpoint.repeats_later_answers = True
+    async with one_slot_rig(tmp_path) as rig, listed_endpoint(rig, endpoint):
+        await check_two_messages(rig, endpoint, "print-order")
+        assert endpoint.calls == 2 and rig.sender.pool.answer_guard.allows_reuse("copying")
+
+
 @on_loop
 async def test_delivery_by_a_copied_200_is_retracted_when_the_call_is_refused_after_all(
     tmp_path: Path,
