--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -32,9 +32,10 @@
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
 from rowanrack.fronts.platform.inbox import InboxCallProtocol
 from rowanrack.fronts.platform.notices import Notices
+from rowanrack.net.answer_finder import CallProtocol
 from rowanrack.net.listener import Listener
 from rowanrack.net.peers import PeerPort
-from rowanrack.net.pool import CallProtocol, EndpointPool
+from rowanrack.net.pool import EndpointPool
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.recovery import own_recovered
 from rowanrack.shutdown import Phase, Shutdown
--- /dev/null
+++ b/rowanrack/net/answer_finder.py
@@ -0,0 +1,119 @@
+"""Finds the answer to a call among the responses that come on its connection."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import Protocol
+
+from rowanrack.core.exchange import Exchange
+from rowanrack.core.messages import Attempt, CallVerdict, Endpoint
+from rowanrack.net.answer_guard import AnswerGuard
+from rowanrack.net.http import Call, CallBrokenError, HttpClientConnection, Reply
+from rowanrack.net.rate_limited_log import RateLimitedLog
+from rowanrack.net.timing import time_limit
+
+log = logging.getLogger(__name__)
+
+MAX_COPIES = 16  # of earlier answers ahead of the answer to a call
+TIMEOUT_MARGIN_US = 20_000  # before a call times out, by which a premature answer is settled
+
+
+class CallProtocol(Protocol):
+    """How messages of a front are sent to endpoints."""
+
+    def batch_size(self, waiting: Sequence[Attempt]) -> int:
+        """Return how many attempts, from the first on, go into one call; all are for one endpoint."""
+
+    def call(self, part: Sequence[Attempt], left_us: int) -> Call:
+        """Return the request for attempts that have this time left."""
+
+    def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[CallVerdict]:
+        """Return the verdict of the response on each attempt."""
+
+
+@dataclass(slots=True)
+class PooledConnection:
+    """A connection in use, and how long it was idle before."""
+
+    caller: HttpClientConnection
+    idle_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CallInProgress:
+    """A call that was sent: its connection, its protocol, the attempts in it, and when it began."""
+
+    connection: PooledConnection
+    protocol: CallProtocol
+    part: Sequence[Attempt]
+    began_us: int
+
+    @property
+    def endpoint(self) -> Endpoint:
+        """The endpoint of the call."""
+        return self.part[0].endpoint
+
+
+class AnswerFinder:
+    """Tells the answer to a call from second copies of earlier answers."""
+
+    def __init__(self, exchange: Exchange, guard: AnswerGuard) -> None:
+        self._exchange, self._guard = exchange, guard
+        self._late_answers = RateLimitedLog(log)
+
+    async def find(self, call: CallInProgress, reply: Reply) -> Reply:
+        """Return the answer to a later call of its connection, of which the reply may not be the answer.
+
+        A reply that another one follows, or that came too soon, may repeat an earlier answer. Raise
+        CallBrokenError if the connection ends without another one, or if they differ: which of them belongs
+        to the call is unknown then.
+        """
+        caller = call.connection.caller
+        for _ in range(MAX_COPIES):
+            time_us = caller.response_began_us - call.began_us
+            premature = self._guard.is_premature(call.endpoint.zone, time_us)
+            if not (premature or caller.has_surplus):
+                return reply
+            # The wait that an answer asks for begins with the answer, whichever call it belongs to.
+            for attempt, verdict in zip(call.part, call.protocol.verdicts(call.part, reply), strict=True):
+                self._exchange.record_told_wait(attempt, verdict.wait_us)
+            if not caller.has_surplus and not await self._input_follows(call):
+                self._guard.record_confirmed_answer(call.endpoint.zone, time_us)
+                return reply
+            following = await caller.following_reply() if reply.complete else None
+            if following is None:
+                if premature:
+                    raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
+                return reply
+            differs = following.status != reply.status
+            if premature or differs:  # otherwise the second one is a copy right behind its answer
+                self._record_late_answer(call.endpoint, call.connection.idle_us + time_us)
+            if differs:
+                raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
+        raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
+
+    async def _input_follows(self, call: CallInProgress) -> bool:
+        """Wait for input behind a premature answer; return False if none comes within the time for it."""
+        now = self._exchange.clock.now_us()
+        left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in call.part)
+        confirmation_us = self._guard.confirmation_us(call.endpoint.zone)
+        wait_us = max(0, min(left_us - TIMEOUT_MARGIN_US, confirmation_us))
+        with suppress(TimeoutError):
+            async with time_limit(self._exchange.after, wait_us):
+                await call.connection.caller.stream.wait_for_input()
+                return True
+        return False
+
+    def _record_late_answer(self, endpoint: Endpoint, delay_us: int) -> None:
+        """Record an answer that belongs to an earlier call of its connection."""
+        self._exchange.metrics.unsolicited_responses += 1
+        self._guard.record_late_answer(endpoint.name, delay_us)
+        self._late_answers.warning(
+            "endpoint %s: an answer came again, %.1f ms after the last one on that connection, "
+            "and was followed by the answer to the call",
+            endpoint.name,
+            delay_us / 1000,
+        )
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -5,19 +5,16 @@
 import asyncio
 import logging
 from collections.abc import Sequence
-from contextlib import suppress
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import replace
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Message, Progress
+from rowanrack.net.answer_finder import AnswerFinder, CallInProgress, CallProtocol, PooledConnection
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import (
-    Call,
     CallBrokenError,
     CallNotSentError,
     HttpClientConnection,
-    Reply,
     StaleConnectionError,
 )
 from rowanrack.net.idle_connections import IdleConnections
@@ -31,29 +28,6 @@
 MAX_RESPONSE_BODY_BYTES = 64 * 1024
 # For the rest of a response: the result of the message is known from its beginning.
 RESPONSE_REST_TIMEOUT_US = 200_000
-MAX_COPIES = 16  # of earlier answers ahead of the answer to a call
-TIMEOUT_MARGIN_US = 20_000  # before a call times out, by which a premature answer is settled
-
-
-class CallProtocol(Protocol):
-    """How messages of a front are sent to endpoints."""
-
-    def batch_size(self, waiting: Sequence[Attempt]) -> int:
-        """Return how many attempts, from the first on, go into one call; all are for one endpoint."""
-
-    def call(self, part: Sequence[Attempt], left_us: int) -> Call:
-        """Return the request for attempts that have this time left."""
-
-    def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[CallVerdict]:
-        """Return the verdict of the response on each attempt."""
-
-
-@dataclass(slots=True)
-class PooledConnection:
-    """A connection in use, and how long it was idle before."""
-
-    caller: HttpClientConnection
-    idle_us: int = 0
 
 
 def delivered_messages(settled: Sequence[tuple[Attempt, CallVerdict]]) -> list[Message]:
@@ -70,7 +44,8 @@
         self.idle = IdleConnections(exchange, self.answer_guard, max_idle)
         self.tasks: dict[Batch, asyncio.Task[None]] = {}
         self._callers: dict[Batch, HttpClientConnection] = {}  # of calls in progress
-        self._broken_calls, self._late_answers = RateLimitedLog(log), RateLimitedLog(log)
+        self._answers = AnswerFinder(exchange, self.answer_guard)
+        self._broken_calls = RateLimitedLog(log)
 
     # Called by the exchange.
 
@@ -174,7 +149,7 @@
             if caller.carried_calls == 1:
                 self.answer_guard.record_first_answer(batch.endpoint.zone, self.exchange.clock.now_us() - now)
             else:
-                reply = await self._own_answer(connection, form, part, reply, now)
+                reply = await self._answers.find(CallInProgress(connection, form, part, now), reply)
             return form.verdicts(part, reply)
         except StaleConnectionError:
             result = Result.MOOT  # says nothing about the endpoint: only the idle connection was stale
@@ -189,68 +164,6 @@
             del self._callers[batch]
         return [CallVerdict(result)] * len(part)
 
-    async def _own_answer(
-        self,
-        connection: PooledConnection,
-        form: CallProtocol,
-        part: list[Attempt],
-        reply: Reply,
-        called_at_us: int,
-    ) -> Reply:
-        """Return the answer to a later call of its connection, of which the reply may not be the answer.
-
-        A reply that another one follows, or that came too soon, may repeat an earlier answer. Raise
-        CallBrokenError if the connection ends without another one, or if they differ: which of them belongs
-        to the call is unknown then.
-        """
-        endpoint, caller = part[0].endpoint, connection.caller
-        for _ in range(MAX_COPIES):
-            time_us = caller.response_began_us - called_at_us
-            premature = self.answer_guard.is_premature(endpoint.zone, time_us)
-            if not (premature or caller.has_surplus):
-                return reply
-            # The wait that an answer asks for begins with the answer, whichever call it belongs to.
-            for attempt, verdict in zip(part, form.verdicts(part, reply), strict=True):
-                self.exchange.record_told_wait(attempt, verdict.wait_us)
-            if not caller.has_surplus and not await self._input_follows(part, caller):
-                self.answer_guard.record_confirmed_answer(endpoint.zone, time_us)
-                return reply
-            following = await caller.following_reply() if reply.complete else None
-            if following is None:
-                if premature:
-                    raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
-                return reply
-            differs = following.status != reply.status
-            if premature or differs:  # otherwise the second one is a copy right behind its answer
-                self._record_late_answer(endpoint, connection.idle_us + time_us)
-            if differs:
-                raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
-        raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
-
-    async def _input_follows(self, part: list[Attempt], caller: HttpClientConnection) -> bool:
-        """Wait for input behind a premature answer; return False if none comes within the time for it."""
-        now = self.exchange.clock.now_us()
-        left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in part)
-        confirmation_us = self.answer_guard.confirmation_us(part[0].endpoint.zone)
-        with suppress(TimeoutError):
-            async with time_limit(
-                self.exchange.after, max(0, min(left_us - TIMEOUT_MARGIN_US, confirmation_us))
-            ):
-                await caller.stream.wait_for_input()
-                return True
-        return False
-
-    def _record_late_answer(self, endpoint: Endpoint, delay_us: int) -> None:
-        """Record an answer that belongs to an earlier call of its connection."""
-        self.exchange.metrics.unsolicited_responses += 1
-        self.answer_guard.record_late_answer(endpoint.name, delay_us)
-        self._late_answers.warning(
-            "endpoint %s: an answer came again, %.1f ms after the last one on that connection, "
-            "and was followed by the answer to the call",
-            endpoint.name,
-            delay_us / 1000,
-        )
-
     async def _connect(self, endpoint: Endpoint) -> HttpClientConnection:
         async with time_limit(self.exchange.after, self.exchange.settings.connect_timeout_us):
             stream = await Stream.connect(endpoint.host, endpoint.port)
--- a/rowanrack/recovery.py
+++ b/rowanrack/recovery.py
@@ -7,7 +7,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
 from rowanrack.fronts.otlp import FRONT_NAME as OTLP
-from rowanrack.net.pool import CallProtocol
+from rowanrack.net.answer_finder import CallProtocol
 
 
 def own_recovered(exchange: Exchange, forms: dict[str, CallProtocol], recovered: Iterable[Message]) -> None:
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -89,9 +89,10 @@
 
 def expect_answers_of(rig: Rig, seconds: float) -> None:
     """Let the sender know only first answers that took so long, as if it had made some calls before."""
-    rig.sender.pool.answer_guard = AnswerGuard(rig.sender.clock.now_us)
+    guard = rig.sender.pool.answer_guard
+    guard._times_by_zone.clear()
     for _ in range(MIN_FIRST_ANSWERS):
-        rig.sender.pool.answer_guard.record_first_answer("a", int(seconds * 1e6))
+        guard.record_first_answer("a", int(seconds * 1e6))
 
 
 async def check_two_messages(rig: Rig, endpoint: CopyingEndpoint, cls: str) -> None:
