--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -112,6 +112,7 @@
     timer: WheelTimer | None = None
     begun: bool = False
     settled: bool = False
+    answer_status: int = 0  # of the last response to its call; 0 if none was read
     # The result if the shared call, which goes on for other attempts, reports none.
     abandoned_as: Result | None = None
 
--- a/rowanrack/core/metrics.py
+++ b/rowanrack/core/metrics.py
@@ -26,6 +26,14 @@
     NOT_RECORDED = "journal"  # the journal could not record it
 
 
+class HeldAnswerEnd(Enum):
+    """How the wait for another response ended behind an answer that may belong to an earlier call."""
+
+    CONFIRMED = "confirmed"  # none came: it is the answer to its call
+    FOLLOWED = "followed"  # another response, or the end of the connection
+    ABANDONED = "abandoned"  # its call was given up meanwhile
+
+
 def _label(value: str) -> str:
     """Escape a label value for the exposition format."""
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
@@ -34,8 +42,8 @@
 class Metrics:
     """Counts by class: messages delivered, refused or handed back, and failed; calls sent to endpoints.
 
-    Over all classes: retry-after waits that answers asked for, calls that were held back, and connections to
-    endpoints on which bytes came that answer no call.
+    Over all classes: retry-after waits that answers asked for, calls that were held back, connections to
+    endpoints on which bytes came that answer no call, and answers held as they may belong to another call.
     """
 
     def __init__(self) -> None:
@@ -43,6 +51,7 @@
         self.waits_told = 0
         self.unsolicited_responses = 0
         self.held_back_calls: Counter[HeldBackReason] = Counter()
+        self.held_answers: Counter[HeldAnswerEnd] = Counter()
 
     def ended(self, cls: str, ending: Ending) -> None:
         """Count the final answer to an accepted message."""
@@ -71,6 +80,8 @@
             f'svc_held_back{{reason="{reason.value}"}} {self.held_back_calls[reason]}'
             for reason in HeldBackReason
         ]
+        lines.append("# TYPE svc_held_answers counter")
+        lines += [f'svc_held_answers{{end="{end.value}"}} {self.held_answers[end]}' for end in HeldAnswerEnd]
         lines.append("# TYPE svc_unsolicited_responses counter")
         lines.append(f"svc_unsolicited_responses {self.unsolicited_responses}")
         gauges = {"outstanding": outstanding, "discovered": discovered, "ejected": ejected, "waits": waits}
--- a/rowanrack/failure_log.py
+++ b/rowanrack/failure_log.py
@@ -40,13 +40,14 @@
             return
         self._calls.write(
             logging.INFO,
-            "message %s: attempt %d at %s ended as %s after %d ms, %s",
+            "message %s: attempt %d at %s ended as %s after %d ms, %s%s",
             attempt.message.id,
             attempt.attempt_number,
             attempt.endpoint.name,
             result.value,
             (self._now_us() - attempt.started_us) // 1000,
             "sent" if attempt.begun else "not sent",
+            f", answered {attempt.answer_status}" if attempt.answer_status else "",
         )
 
     def ended(self, message: Message, end: End) -> None:
--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Sequence
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, CallVerdict, Endpoint
+from rowanrack.core.metrics import HeldAnswerEnd
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import Call, CallBrokenError, HttpClientConnection, Reply
 from rowanrack.net.rate_limited_log import RateLimitedLog
@@ -57,12 +58,18 @@
         return self.part[0].endpoint
 
 
+def record_answer_status(part: Sequence[Attempt], reply: Reply) -> None:
+    """Record the status of a response to a call in its attempts, for the log."""
+    for attempt in part:
+        attempt.answer_status = reply.status
+
+
 class AnswerFinder:
     """Tells the answer to a call from second copies of earlier answers."""
 
     def __init__(self, exchange: Exchange, guard: AnswerGuard) -> None:
         self._exchange, self._guard = exchange, guard
-        self._late_answers = RateLimitedLog(log)
+        self._late_answers, self._abandoned_answers = RateLimitedLog(log), RateLimitedLog(log)
 
     async def find(self, call: CallInProgress, reply: Reply) -> Reply:
         """Return the answer to a later call of its connection, of which the reply may not be the answer.
@@ -88,6 +95,7 @@
                 if premature:
                     raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
+            record_answer_status(call.part, following)
             differs = following.status != reply.status
             if premature or differs:  # otherwise the second one is a copy right behind its answer
                 self._record_late_answer(call.endpoint, call.connection.idle_us + time_us)
@@ -101,11 +109,28 @@
         left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in call.part)
         confirmation_us = self._guard.confirmation_us(call.endpoint.zone)
         wait_us = max(0, min(left_us - TIMEOUT_MARGIN_US, confirmation_us))
-        with suppress(TimeoutError):
+        held_answers = self._exchange.metrics.held_answers
+        try:
             async with time_limit(self._exchange.after, wait_us):
                 await call.connection.caller.stream.wait_for_input()
-                return True
-        return False
+        except TimeoutError:
+            held_answers[HeldAnswerEnd.CONFIRMED] += 1
+            return False
+        except asyncio.CancelledError:
+            held_answers[HeldAnswerEnd.ABANDONED] += 1
+            self._log_abandoned(call)
+            raise
+        held_answers[HeldAnswerEnd.FOLLOWED] += 1
+        return True
+
+    def _log_abandoned(self, call: CallInProgress) -> None:
+        self._abandoned_answers.write(
+            logging.INFO,
+            "message %s: call to %s given up while its answer %d was held, as it came very soon",
+            call.part[0].message.id,
+            call.endpoint.name,
+            call.part[0].answer_status,
+        )
 
     def _record_late_answer(self, endpoint: Endpoint, delay_us: int) -> None:
         """Record an answer that belongs to an earlier call of its connection."""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -9,7 +9,13 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Message, Progress
-from rowanrack.net.answer_finder import AnswerFinder, CallInProgress, CallProtocol, PooledConnection
+from rowanrack.net.answer_finder import (
+    AnswerFinder,
+    CallInProgress,
+    CallProtocol,
+    PooledConnection,
+    record_answer_status,
+)
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import (
     CallBrokenError,
@@ -146,6 +152,7 @@
         self._callers[batch] = caller
         try:
             reply = await caller.call(form.call(part, max(1000, left_us)))
+            record_answer_status(part, reply)
             if caller.carried_calls == 1:
                 self.answer_guard.record_first_answer(batch.endpoint.zone, self.exchange.clock.now_us() - now)
             else:
--- a/tests/test_copied_answers.py
+++ b/tests/test_copied_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -10,6 +11,7 @@
 import pytest
 
 from rowanrack.core.messages import Ending
+from rowanrack.core.metrics import HeldAnswerEnd
 from rowanrack.net.answer_guard import (
     LATE_ANSWER_MEMORY_US,
     MAX_ENDPOINTS,
@@ -158,6 +160,28 @@
         assert rig.results[-1] is Result.RESET
 
 
+@on_loop
+async def test_call_given_up_while_its_answer_is_held_is_logged_and_counted(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    async with Rig(tmp_path, answers(Reply(200, {}), Reply(503, {}), Reply(200, {}))) as rig:
+        client, exchange = await rig.client(), rig.sender.exchange
+        await client.submit("m1")
+        await rig.wait_for_end("m1")
+        expect_answers_of(rig, 1.0)
+        await client.submit("m2", d=DEADLINE_MS)
+        while not (attempts := exchange.messages["m2"].attempts_out) or not attempts[0].answer_status:
+            await asyncio.sleep(0)
+        exchange._stop_waiting(attempts[0], Result.CANCELLED)
+        await rig.wait_for_end("m2")
+        assert exchange.metrics.held_answers[HeldAnswerEnd.ABANDONED] == 1
+    assert any(
+        line.endswith("sent, answered 503") and "ended as cancelled" in line for line in caplog.messages
+    )
+    assert any("given up while its answer 503 was held" in line for line in caplog.messages)
+
+
 @on_loop
 async def test_copy_right_behind_its_answer_does_not_end_the_reuse_of_connections(tmp_path: Path) -> None:
     endpoint = CopyingEndpoint(200, copies=0)
--- a/tests/test_failure_log.py
+++ b/tests/test_failure_log.py
@@ -24,6 +24,7 @@
         await rig.wait_for_end("m1")
     call_refused, call_broken, end = [m for m in caplog.messages if m.startswith("message m1:")]
     assert call_refused.startswith("message m1: attempt 0 at i0 ended as full after ")
+    assert call_refused.endswith("sent, answered 503")
     assert call_broken.startswith("message m1: attempt 1 at i0 ended as reset after ")
     assert call_broken.endswith("sent")
     assert end == "message m1: ended as failed, attempts made: 2, of these may have run: 1"
