--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -535,13 +535,25 @@
                 wait_us / 1e6,
             )
 
-    def record_told_wait(self, attempt: Attempt, wait_us: int) -> None:
-        """Obey a wait from an answer that may turn out not to belong to this attempt; 0 is no wait."""
-        if not wait_us:
-            return
-        now = self.clock.now_us()
-        self._record_wait(attempt, wait_us, now)
-        self._queue_event(RetryAfterWaitsReported((self._wait_for(attempt.endpoint, now + wait_us),)))
+    def obey_uncertain_answer(self, attempt: Attempt, verdict: CallVerdict) -> None:
+        """Obey at once what an answer forbids that may turn out not to belong to this attempt.
+
+        Its wait begins, and a message that may not be sent again ends now, whatever becomes of the call. It
+        ends as failed, with a notice: it would be lost without one if the answer is another message's.
+        """
+        if verdict.wait_us:
+            now = self.clock.now_us()
+            self._record_wait(attempt, verdict.wait_us, now)
+            wait = self._wait_for(attempt.endpoint, now + verdict.wait_us)
+            self._queue_event(RetryAfterWaitsReported((wait,)))
+        if verdict.end is not None and self._is_owned(attempt.message):
+            log.info(
+                "message %s: given up, %s answered %d, which forbids to send it again",
+                attempt.message.id,
+                attempt.endpoint.name,
+                attempt.answer_status,
+            )
+            self._end_as_failed(attempt.message)
 
     def _wait_for(self, endpoint: Endpoint, until_us: int) -> RetryAfterWait:
         """Return the wait of an endpoint's destination, or of the endpoint alone if its kind is apart."""
@@ -810,9 +822,12 @@
         """End a message that got no final answer by its deadline because the decision module failed."""
         if self._is_owned(message):
             log.error("message %s had no final answer at its deadline", message.id)
-            self._end_message(message, End(Ending.FAILED))
-            # Otherwise the module could still send the ended message.
-            self._queue_event(Withdrawn(message.ref))
+            self._end_as_failed(message)
+
+    def _end_as_failed(self, message: Message) -> None:
+        """End a message that the decision module believes to be open; it may not send that any more."""
+        self._end_message(message, End(Ending.FAILED))
+        self._queue_event(Withdrawn(message.ref))
 
     def _end_message(self, message: Message, end: End) -> None:
         """End a message. This is the only place where that happens."""
--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -84,9 +84,11 @@
             premature = self._guard.is_premature(call.endpoint.zone, time_us)
             if not (premature or caller.has_surplus):
                 return reply
-            # The wait that an answer asks for begins with the answer, whichever call it belongs to.
-            for attempt, verdict in zip(call.part, call.protocol.verdicts(call.part, reply), strict=True):
-                self._exchange.record_told_wait(attempt, verdict.wait_us)
+            self._obey(call, reply)
+            if not any(attempt.message.id in self._exchange.messages for attempt in call.part):
+                # Nobody needs the call any more, and another answer to it may still come.
+                caller.stream.abort()
+                return reply
             if not caller.has_surplus and not await self._input_follows(call):
                 self._guard.record_confirmed_answer(call.endpoint.zone, time_us)
                 return reply
@@ -96,6 +98,7 @@
                     raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
             record_answer_status(call.part, following)
+            self._obey(call, following)
             differs = following.status != reply.status
             if premature or differs:  # otherwise the second one is a copy right behind its answer
                 self._record_late_answer(call.endpoint, call.connection.idle_us + time_us)
@@ -103,6 +106,11 @@
                 raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
         raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
 
+    def _obey(self, call: CallInProgress, reply: Reply) -> None:
+        """Obey at once what a reply forbids, whichever call it belongs to."""
+        for attempt, verdict in zip(call.part, call.protocol.verdicts(call.part, reply), strict=True):
+            self._exchange.obey_uncertain_answer(attempt, verdict)
+
     async def _input_follows(self, call: CallInProgress) -> bool:
         """Wait for input behind a premature answer; return False if none comes within the time for it."""
         now = self._exchange.clock.now_us()
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -3,22 +3,33 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
+from typing import Any
 
+import pytest
+
+from rowanrack.core.messages import Ending, Message
 from rowanrack.net.answer_guard import MIN_FIRST_ANSWERS
 from rowanspindle import Result, UpdateScope
-from tests.rig import Rig, make_endpoint, on_loop
+from tests.rig import SETTINGS, Rig, make_endpoint, on_loop
 
 DEADLINE_MS = 10_000
 LONG_ANSWER_US = 4_000_000  # as the only answer time known, it makes each answer of a test a premature one
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 GONE = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
+BULK_SETTINGS = {"extra": SETTINGS["extra"] | {"batch_by_kind": [20]}}
 CLOSE = b"close"  # at the end of a response: the connection is closed behind it
 
 
+def header(head: bytes, name: bytes) -> str:
+    """Return the value of a header, or an empty string."""
+    return head.lower().partition(name + b": ")[2].partition(b"\r\n")[0].decode()
+
+
 class ScriptedEndpoint:
     """Writes given bytes in answer to its calls, in order, over all connections; then GONE to every call."""
 
@@ -26,11 +37,11 @@
         self.responses, self.called = list(responses), list[str]()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve one connection; each request body is one byte long."""
+        """Serve one connection."""
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
-                await reader.readexactly(1)
-                self.called.append(head.lower().partition(b"x-txn: ")[2].partition(b"\r\n")[0].decode())
+                await reader.readexactly(int(header(head, b"content-length")))
+                self.called.append(header(head, b"x-txn"))
                 response = self.responses.pop(0) if self.responses else GONE
                 writer.write(response.removesuffix(CLOSE))
                 if response.endswith(CLOSE):
@@ -42,9 +53,14 @@
 
 
 @asynccontextmanager
-async def rig_with(folder: Path, endpoint: ScriptedEndpoint) -> AsyncIterator[Rig]:
+async def rig_with(
+    folder: Path, endpoint: ScriptedEndpoint, settings_changes: dict[str, Any] | None = None
+) -> AsyncIterator[Rig]:
     """Start a sender and its only endpoint."""
-    async with Rig(folder) as rig, await asyncio.start_server(endpoint.serve, "127.0.0.1", 0) as server:
+    async with (
+        Rig(folder, settings_changes=settings_changes) as rig,
+        await asyncio.start_server(endpoint.serve, "127.0.0.1", 0) as server,
+    ):
         port = server.sockets[0].getsockname()[1]
         rig.sender.exchange.update_endpoints(UpdateScope.FULL, [make_endpoint("scripted", port)])
         yield rig
@@ -67,9 +83,10 @@
     await client.submit("m2", d=DEADLINE_MS)
 
 
+@pytest.mark.parametrize("result", [Result.CANCELLED, Result.TIMEOUT])
 @on_loop
-async def test_message_is_not_sent_again_when_its_call_is_cancelled_behind_a_premature_410(
-    tmp_path: Path, result: Result = Result.CANCELLED
+async def test_message_is_not_sent_again_when_its_call_is_given_up_behind_a_premature_410(
+    tmp_path: Path, result: Result
 ) -> None:
     endpoint = ScriptedEndpoint(OK, GONE)
     async with rig_with(tmp_path, endpoint) as rig:
@@ -79,5 +96,51 @@
             await asyncio.sleep(0)
         for attempt in messages["m2"].attempts_out.values() if "m2" in messages else ():
             rig.sender.exchange._stop_waiting(attempt, result)
-        await rig.wait_for_end("m2")
-        assert endpoint.called == ["m1", "m2"]
+        await check_given_up(rig, endpoint)
+
+
+async def check_given_up(rig: Rig, endpoint: ScriptedEndpoint) -> None:
+    """Check that m2 ended as failed, so that the platform is told, after a single call."""
+    assert (await rig.wait_for_end("m2")).ending is Ending.FAILED
+    assert (await rig.platform.wait_for_notice("m2"))["outcome"] == "given_up"
+    assert endpoint.called == ["m1", "m2"]
+
+
+@pytest.mark.parametrize(
+    "response",
+    [GONE + CLOSE, OK + GONE, FULL + GONE, GONE + OK, GONE + FULL, GONE + GONE],
+    ids=["410 and close", "200 and 410", "503 and 410", "410 and 200", "410 and 503", "410 twice"],
+)
+@on_loop
+async def test_message_is_not_sent_again_when_one_of_two_answers_to_its_call_is_a_410(
+    tmp_path: Path, response: bytes
+) -> None:
+    endpoint = ScriptedEndpoint(OK, response)
+    async with rig_with(tmp_path, endpoint) as rig:
+        await submit_second_message(rig)
+        await check_given_up(rig, endpoint)
+
+
+@on_loop
+async def test_only_the_message_that_is_over_ends_while_the_answer_to_a_bulk_call_is_held(
+    tmp_path: Path,
+) -> None:
+    states = json.dumps([{"id": "over", "state": "gone"}, {"id": "open", "state": "ok"}]).encode()
+    bulk_answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(states), states)
+    endpoint = ScriptedEndpoint(OK, bulk_answer, OK)
+    async with rig_with(tmp_path, endpoint, BULK_SETTINGS) as rig:
+        exchange = rig.sender.exchange
+        await (await rig.client()).submit("m1", d=DEADLINE_MS)
+        await rig.wait_for_end("m1")
+        expect_long_answers(rig)
+        for name in ("over", "open"):
+            deadline_us = exchange.clock.unix_us() + 1000 * DEADLINE_MS
+            exchange.submit(Message(name, "album-update", "a", 7, deadline_us, b"x", "platform"))
+        exchange.pump()
+        assert (await rig.wait_for_end("over")).ending is Ending.FAILED
+        assert "open" in exchange.messages
+        (open_attempt,) = exchange.messages["open"].attempts_out.values()
+        for attempt in open_attempt.batch.attempts:
+            exchange._stop_waiting(attempt, Result.CANCELLED)
+        assert (await rig.wait_for_end("open")).ending is Ending.DELIVERED
+        assert endpoint.called == ["m1", "", "open"]
