--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -57,11 +57,10 @@
         """The endpoint of the call."""
         return self.part[0].endpoint
 
-
-def record_answer_status(part: Sequence[Attempt], reply: Reply) -> None:
-    """Record the status of a response to a call in its attempts, for the log."""
-    for attempt in part:
-        attempt.answer_status = reply.status
+    def record_answer_status(self, reply: Reply) -> None:
+        """Record the status of a response to the call in its attempts, for the log."""
+        for attempt in self.part:
+            attempt.answer_status = reply.status
 
 
 class AnswerFinder:
@@ -84,7 +83,7 @@
             premature = self._guard.is_premature(call.endpoint.zone, time_us)
             if not (premature or caller.has_surplus):
                 return reply
-            self._obey(call, reply)
+            self.obey(call, reply)
             if not any(attempt.message.id in self._exchange.messages for attempt in call.part):
                 # Nobody needs the call any more, and another answer to it may still come.
                 caller.stream.abort()
@@ -97,8 +96,7 @@
                 if premature:
                     raise CallBrokenError("an answer came too soon to be this call's, and no other followed")
                 return reply
-            record_answer_status(call.part, following)
-            self._obey(call, following)
+            self.obey(call, following)
             differs = following.status != reply.status
             if premature or differs:  # otherwise the second one is a copy right behind its answer
                 self._record_late_answer(call.endpoint, call.connection.idle_us + time_us)
@@ -106,8 +104,9 @@
                 raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
         raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
 
-    def _obey(self, call: CallInProgress, reply: Reply) -> None:
+    def obey(self, call: CallInProgress, reply: Reply) -> None:
         """Obey at once what a reply forbids, whichever call it belongs to."""
+        call.record_answer_status(reply)
         for attempt, verdict in zip(call.part, call.protocol.verdicts(call.part, reply), strict=True):
             self._exchange.obey_uncertain_answer(attempt, verdict)
 
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -6,7 +6,6 @@
 import json
 import re
 from collections.abc import Callable, Iterable
-from contextlib import suppress
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
@@ -21,6 +20,8 @@
 RESPONSE_REST_TIMEOUT_US = 1_000_000  # for the rest of a head once it has begun, and then for the body
 MAX_INFORMATIONAL_RESPONSES = 16  # 1xx responses ahead of the final response
 STATUS_LINE_200 = re.compile(rb"HTTP/1\.[01] 200(?: (?!.*HTTP/)[^\r\n]*)?\r?\n")  # one complete status line
+# A complete status line. If a partial one is merged with it, the last status is that of the response.
+STATUS_LINE = re.compile(rb"(?:[^\r\n]*)HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 PRESSURE_HEADER = re.compile(rb"(?im)^x-pressure:[^\n]*\n")
 FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})  # without them, closing ends a body
 BODILESS_STATUSES = frozenset({204, 304})
@@ -48,7 +49,14 @@
 
 
 class CallBrokenError(Exception):
-    """The connection failed after the call was written and before a response: the call may have run."""
+    """The call was written and no response could be read completely: it may have run.
+
+    `status` is that of an unreadable response with a readable status line, otherwise 0.
+    """
+
+    def __init__(self, text: str, status: int = 0) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,21 +233,23 @@
         # The body was truncated, late, endless or not of the announced length. A status line with 200 still
         # proves that the call succeeded; with any other status the call may have run.
         if not whole and head.status_code != 200:
-            raise CallBrokenError(f"response with status {head.status_code} has an invalid body")
+            text = f"response with status {head.status_code} has an invalid body"
+            raise CallBrokenError(text, head.status_code)
         return Reply(head.status_code, headers, bytes(body), whole)
 
     async def following_reply(self) -> Reply | None:
         """Return the response behind the one that was read, or None if what follows is not a response.
 
-        The connection is not reusable afterwards.
+        Of an unreadable response only the status is returned. The connection is not reusable afterwards.
         """
         self._is_out_of_step = True
         surplus, self._h11 = self._h11.trailing_data[0], response_parser()
         if surplus:
             self._h11.receive_data(surplus)
-        with suppress(CallBrokenError):
+        try:
             return await self.reply()
-        return None
+        except CallBrokenError as error:
+            return Reply(error.status, {}, complete=False) if error.status else None
 
     def _has_unread(self) -> bool:
         return self.stream.unread
@@ -275,7 +285,8 @@
                 head = rest = h11.NEED_DATA
             if isinstance(head, h11.Response) and isinstance(rest, h11.EndOfMessage):
                 return Reply(head.status_code, decode_headers(head.headers))
-        raise CallBrokenError(f"unreadable response: {reason}")
+        status_line = STATUS_LINE.match(self._response_head)
+        raise CallBrokenError(f"unreadable response: {reason}", int(status_line[1]) if status_line else 0)
 
     async def _read_body(self, body: bytearray, length: int) -> bool:
         """Read the body; return False, and stop reading, if it exceeds the limit or is incomplete."""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -14,13 +14,13 @@
     CallInProgress,
     CallProtocol,
     PooledConnection,
-    record_answer_status,
 )
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import (
     CallBrokenError,
     CallNotSentError,
     HttpClientConnection,
+    Reply,
     StaleConnectionError,
 )
 from rowanrack.net.idle_connections import IdleConnections
@@ -150,19 +150,22 @@
         left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in part)
         batch, caller = part[0].batch, connection.caller
         self._callers[batch] = caller
+        call = CallInProgress(connection, form, part, now)
         try:
             reply = await caller.call(form.call(part, max(1000, left_us)))
-            record_answer_status(part, reply)
+            call.record_answer_status(reply)
             if caller.carried_calls == 1:
                 self.answer_guard.record_first_answer(batch.endpoint.zone, self.exchange.clock.now_us() - now)
             else:
-                reply = await self._answers.find(CallInProgress(connection, form, part, now), reply)
+                reply = await self._answers.find(call, reply)
             return form.verdicts(part, reply)
         except StaleConnectionError:
             result = Result.MOOT  # says nothing about the endpoint: only the idle connection was stale
         except CallNotSentError:
             result = Result.CONNECT_FAILED
         except CallBrokenError as error:
+            if error.status:
+                self._answers.obey(call, Reply(error.status, {}, complete=False))
             self._broken_calls.warning(
                 "call to endpoint %s failed and may have run: %s", part[0].endpoint.name, error
             )
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -96,14 +96,14 @@
             await asyncio.sleep(0)
         for attempt in messages["m2"].attempts_out.values() if "m2" in messages else ():
             rig.sender.exchange._stop_waiting(attempt, result)
-        await check_given_up(rig, endpoint)
+        await check_given_up(rig, "m2")
+        assert endpoint.called == ["m1", "m2"]
 
 
-async def check_given_up(rig: Rig, endpoint: ScriptedEndpoint) -> None:
-    """Check that m2 ended as failed, so that the platform is told, after a single call."""
-    assert (await rig.wait_for_end("m2")).ending is Ending.FAILED
-    assert (await rig.platform.wait_for_notice("m2"))["outcome"] == "given_up"
-    assert endpoint.called == ["m1", "m2"]
+async def check_given_up(rig: Rig, message_id: str) -> None:
+    """Wait until a message has ended as failed and the platform has been told."""
+    assert (await rig.wait_for_end(message_id)).ending is Ending.FAILED
+    assert (await rig.platform.wait_for_notice(message_id))["outcome"] == "given_up"
 
 
 @pytest.mark.parametrize(
@@ -118,7 +118,30 @@
     endpoint = ScriptedEndpoint(OK, response)
     async with rig_with(tmp_path, endpoint) as rig:
         await submit_second_message(rig)
-        await check_given_up(rig, endpoint)
+        await check_given_up(rig, "m2")
+        assert endpoint.called == ["m1", "m2"]
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nshort" + CLOSE,
+        b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\nlate",
+        b"HTTP/1.1 410 Gone\r\nno header\r\n\r\n",
+        b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n",
+        b"HTTP/1.1 50" + GONE,
+    ],
+    ids=["short body", "late body", "bad header", "late head", "two status lines in one"],
+)
+@on_loop
+async def test_message_is_not_sent_again_when_the_rest_of_its_410_is_unreadable(
+    tmp_path: Path, response: bytes
+) -> None:
+    endpoint = ScriptedEndpoint(response)
+    async with rig_with(tmp_path, endpoint) as rig:
+        await (await rig.client()).submit("m1", d=DEADLINE_MS)
+        await check_given_up(rig, "m1")
+        assert endpoint.called == ["m1"]
 
 
 @on_loop
