--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Attempt, CallVerdict, Endpoint
+from rowanrack.core.messages import Attempt, CallVerdict, Ending, Endpoint
 from rowanrack.core.metrics import HeldAnswerEnd
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import Call, CallBrokenError, HttpClientConnection, Reply
@@ -51,6 +51,7 @@
     protocol: CallProtocol
     part: Sequence[Attempt]
     began_us: int
+    earlier_statuses: frozenset[int]  # of the responses to earlier calls on its connection
 
     @property
     def endpoint(self) -> Endpoint:
@@ -81,7 +82,7 @@
         for _ in range(MAX_COPIES):
             time_us = caller.response_began_us - call.began_us
             premature = self._guard.is_premature(call.endpoint.zone, time_us)
-            if not (premature or caller.has_surplus):
+            if not (premature or caller.has_surplus or self._may_copy_withdrawal(call, reply)):
                 return reply
             self.obey(call, reply)
             if not any(attempt.message.id in self._exchange.messages for attempt in call.part):
@@ -104,6 +105,17 @@
                 raise CallBrokenError(f"two answers to one call, {reply.status} and {following.status}")
         raise CallBrokenError(f"more than {MAX_COPIES} answers to one call")
 
+    @staticmethod
+    def _may_copy_withdrawal(call: CallInProgress, reply: Reply) -> bool:
+        """Whether a reply says that its message is withdrawn, and may be a copy of an earlier answer.
+
+        The message would be lost: a withdrawn one has no notice. The answer to a bulk call names its messages.
+        """
+        if len(call.part) > 1 or reply.status not in call.earlier_statuses:
+            return False
+        (verdict,) = call.protocol.verdicts(call.part, reply)
+        return verdict.end is Ending.WITHDRAWN
+
     def obey(self, call: CallInProgress, reply: Reply) -> None:
         """Obey at once what a reply forbids, whichever call it belongs to."""
         call.record_answer_status(reply)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -150,7 +150,7 @@
         left_us = max(attempt.started_us + attempt.timeout_us - now for attempt in part)
         batch, caller = part[0].batch, connection.caller
         self._callers[batch] = caller
-        call = CallInProgress(connection, form, part, now)
+        call = CallInProgress(connection, form, part, now, frozenset(caller.statuses))
         try:
             reply = await caller.call(form.call(part, max(1000, left_us)))
             call.record_answer_status(reply)
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -122,6 +122,20 @@
         assert endpoint.called == ["m1", "m2"]
 
 
+@on_loop
+async def test_message_is_not_lost_when_the_410_to_its_call_may_repeat_that_to_an_earlier_one(
+    tmp_path: Path,
+) -> None:
+    endpoint = ScriptedEndpoint(GONE, GONE)
+    async with rig_with(tmp_path, endpoint) as rig:
+        client = await rig.client()
+        await client.submit("m1", d=DEADLINE_MS)
+        assert (await rig.wait_for_end("m1")).ending is Ending.WITHDRAWN
+        await client.submit("m2", d=DEADLINE_MS)
+        await check_given_up(rig, "m2")
+        assert endpoint.called == ["m1", "m2"]
+
+
 @pytest.mark.parametrize(
     "response",
     [
