--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -546,14 +546,17 @@
             self._record_wait(attempt, verdict.wait_us, now)
             wait = self._wait_for(attempt.endpoint, now + verdict.wait_us)
             self._queue_event(RetryAfterWaitsReported((wait,)))
-        if verdict.end is not None and self._is_owned(attempt.message):
-            log.info(
-                "message %s: given up, %s answered %d, which forbids to send it again",
-                attempt.message.id,
-                attempt.endpoint.name,
-                attempt.answer_status,
-            )
-            self._end_as_failed(attempt.message)
+        if verdict.end is not None:
+            self.give_up_unsendable(attempt.message, attempt.endpoint.name, attempt.answer_status)
+
+    def give_up_unsendable(self, message: Message, endpoint_name: str, status: int) -> None:
+        """End a message as failed, unless it has ended: an answer, perhaps another one's, forbids a retry."""
+        owned = self._messages_by_ref.get(message.ref)
+        if owned is None or not self._is_owned(owned):
+            return
+        text = "message %s: given up, %s answered %d, which forbids to send it again"
+        log.info(text, message.id, endpoint_name, status)
+        self._end_as_failed(owned)
 
     def _wait_for(self, endpoint: Endpoint, until_us: int) -> RetryAfterWait:
         """Return the wait of an endpoint's destination, or of the endpoint alone if its kind is apart."""
--- a/rowanrack/fronts/otlp/calls.py
+++ b/rowanrack/fronts/otlp/calls.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from datetime import datetime
 from email.utils import parsedate_to_datetime
+from http import HTTPStatus
 
 from rowanrack.core.messages import Attempt, CallVerdict, Ending
 from rowanrack.fronts.otlp import OtlpError
@@ -15,6 +16,7 @@
 
 log = logging.getLogger(__name__)
 
+RETRYABLE_STATUSES = frozenset({429, 502, 503, 504})
 MAX_RETRY_AFTER_S = 3600.0  # longer than the deadline of any message that is held
 
 
@@ -50,6 +52,10 @@
         """Return the outcome of the single attempt of the call."""
         return [self._verdict(part[0], reply)]
 
+    def forbids_retry(self, status: int) -> bool:
+        """Whether OTLP forbids to repeat a request that was answered with this status."""
+        return status != HTTPStatus.OK and status not in RETRYABLE_STATUSES
+
     def _verdict(self, attempt: Attempt, reply: Reply) -> CallVerdict:
         """Map the status to an outcome.
 
--- a/rowanrack/fronts/platform/inbox.py
+++ b/rowanrack/fronts/platform/inbox.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
+from http import HTTPStatus
 
 from rowanrack.core.messages import Attempt, CallVerdict, Ending
 from rowanrack.fronts.platform import bulk
@@ -88,6 +89,10 @@
             retry_wait_us = 0  # the answer to a single call carries a wait only with 429
         return [CallVerdict(v.result, retry_wait_us, v.end, left_share, limit) for v in found]
 
+    def forbids_retry(self, status: int) -> bool:
+        """Whether the status says that the message is over."""
+        return status == HTTPStatus.GONE
+
     @staticmethod
     def _verdict(reply: Reply) -> CallVerdict:
         """Map the status of an answer to an outcome, as the protocol defines it."""
--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -34,6 +34,9 @@
     def verdicts(self, part: Sequence[Attempt], reply: Reply) -> list[CallVerdict]:
         """Return the verdict of the response on each attempt."""
 
+    def forbids_retry(self, status: int) -> bool:
+        """Whether a message whose call is answered with this status may not be sent again."""
+
 
 @dataclass(slots=True)
 class PooledConnection:
@@ -109,7 +112,7 @@
     def _may_copy_withdrawal(call: CallInProgress, reply: Reply) -> bool:
         """Whether a reply says that its message is withdrawn, and may be a copy of an earlier answer.
 
-        The message would be lost: a withdrawn one has no notice. The answer to a bulk call names its messages.
+        Its message would be lost: there is no notice of a withdrawal. Answers to bulk calls name messages.
         """
         if len(call.part) > 1 or reply.status not in call.earlier_statuses:
             return False
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -6,8 +6,9 @@
 import logging
 import re
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from rowanrack.core.exchange import Exchange
@@ -27,17 +28,26 @@
 IDLE_TIMEOUT_STATUS = 408  # a server may send this before it closes an idle connection
 
 
+@dataclass(frozen=True, slots=True)
+class LastCall:
+    """The last call of a connection: its messages, by whether it delivered them, without their bodies."""
+
+    delivered: tuple[Message, ...]
+    undelivered: tuple[Message, ...]
+    forbids_retry: Callable[[int], bool]  # by the status of an answer to a call with one message
+
+
 class IdleConnection:
-    """An idle connection and the messages that its last call delivered; any input meanwhile closes it."""
+    """An idle connection and its last call; any input meanwhile closes it."""
 
     def __init__(
         self,
         endpoint: Endpoint,
         caller: HttpClientConnection,
-        delivered: Sequence[Message],
+        last_call: LastCall | None,
         now_us: int,
     ) -> None:
-        self.endpoint, self.caller, self.delivered, self.since_us = endpoint, caller, delivered, now_us
+        self.endpoint, self.caller, self.last_call, self.since_us = endpoint, caller, last_call, now_us
         self.watch = asyncio.create_task(caller.stream.wait_for_input())
         self.timer: WheelTimer | None = None
 
@@ -77,15 +87,15 @@
         return None
 
     def keep(
-        self, endpoint: Endpoint, caller: HttpClientConnection, delivered: Sequence[Message] = ()
+        self, endpoint: Endpoint, caller: HttpClientConnection, last_call: LastCall | None = None
     ) -> None:
-        """Keep a connection, whose last call has delivered these messages, for later calls."""
+        """Keep a connection for later calls; it has carried none if there is no last call."""
         # No new calls go to an endpoint that drains or is removed: release the connection.
         is_needed = self._exchange.endpoint_list.accepts_calls(endpoint.name)
         if not (is_needed and self._may_carry_a_call(endpoint, caller)):
             caller.stream.abort()
             return
-        idle = IdleConnection(endpoint, caller, delivered, self._exchange.clock.now_us())
+        idle = IdleConnection(endpoint, caller, last_call, self._exchange.clock.now_us())
         self.by_endpoint[endpoint.name].append(idle)
         self.by_age[idle] = None
 
@@ -150,7 +160,7 @@
         if not stream.unread_bytes or status == IDLE_TIMEOUT_STATUS:
             return
         if status and status != HTTPStatus.OK and status not in idle.caller.statuses:
-            self._retract_deliveries(idle)
+            self._apply_late_answer(idle, status)
         delay_us = self._idle_us(idle)
         self._exchange.metrics.unsolicited_responses += 1
         if idle.caller.carried_calls:
@@ -162,11 +172,18 @@
             delay_us / 1000,
         )
 
-    def _retract_deliveries(self, idle: IdleConnection) -> None:
-        """Retract what the last call delivered: an answer unlike all before it is that call's own."""
-        if idle.caller.carried_calls > 1:
-            for message in idle.delivered:
-                self._exchange.retract_delivery(message)
+    def _apply_late_answer(self, idle: IdleConnection, status: int) -> None:
+        """Apply an answer unlike all before it: it is that of the last call, which took a copy for its own.
+
+        What that call delivered is retracted. A message that it did not deliver is tried again, unless the
+        answer forbids that.
+        """
+        if idle.last_call is None or idle.caller.carried_calls == 1:
+            return  # nothing can have been taken for the answer to the first call
+        for message in idle.last_call.delivered:
+            self._exchange.retract_delivery(message)
+        if len(idle.last_call.undelivered) == 1 and idle.last_call.forbids_retry(status):
+            self._exchange.give_up_unsendable(idle.last_call.undelivered[0], idle.endpoint.name, status)
 
     def _remove(self, idle: IdleConnection) -> None:
         """Remove a connection from both lists, and stop its timer."""
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -8,7 +8,7 @@
 from dataclasses import replace
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Message, Progress
+from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Progress
 from rowanrack.net.answer_finder import (
     AnswerFinder,
     CallInProgress,
@@ -23,7 +23,7 @@
     Reply,
     StaleConnectionError,
 )
-from rowanrack.net.idle_connections import IdleConnections
+from rowanrack.net.idle_connections import IdleConnections, LastCall
 from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
@@ -36,9 +36,14 @@
 RESPONSE_REST_TIMEOUT_US = 200_000
 
 
-def delivered_messages(settled: Sequence[tuple[Attempt, CallVerdict]]) -> list[Message]:
-    """Return the messages that a call has delivered, without their bodies."""
-    return [replace(attempt.message, body=b"") for attempt, verdict in settled if verdict.result is Result.OK]
+def last_call(protocol: CallProtocol, settled: Sequence[tuple[Attempt, CallVerdict]]) -> LastCall:
+    """Return what an idle connection keeps of its last call."""
+    messages = [(replace(a.message, body=b""), verdict.result is Result.OK) for a, verdict in settled]
+    return LastCall(
+        tuple(message for message, delivered in messages if delivered),
+        tuple(message for message, delivered in messages if not delivered),
+        protocol.forbids_retry,
+    )
 
 
 class EndpointPool:
@@ -108,7 +113,7 @@
                     continue
                 verdicts = await self._call(connection, form, part)
                 settled = list(zip(part, verdicts, strict=True))
-                self._release(batch.endpoint, connection, delivered_messages(settled))
+                self._release(batch.endpoint, connection, last_call(form, settled))
                 connection = None
                 for attempt, verdict in settled:
                     self.exchange.settle(attempt, verdict)
@@ -134,11 +139,11 @@
         return PooledConnection(await self._connect(endpoint))
 
     def _release(
-        self, endpoint: Endpoint, connection: PooledConnection, delivered: Sequence[Message] = ()
+        self, endpoint: Endpoint, connection: PooledConnection, call: LastCall | None = None
     ) -> None:
-        """Keep a connection for later calls if it is reusable; its last call delivered these messages."""
+        """Keep a connection for later calls if it is reusable; `call` is its last one."""
         if connection.caller.reusable:
-            self.idle.keep(endpoint, connection.caller, delivered)
+            self.idle.keep(endpoint, connection.caller, call)
         else:
             connection.caller.stream.abort()
 
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -20,6 +20,7 @@
 LONG_ANSWER_US = 4_000_000  # as the only answer time known, it makes each answer of a test a premature one
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+FULL_FOR_LONG = FULL.replace(b"503 Service Unavailable", b"429 Busy\r\nX-Retry-In-Ms: 5000")
 GONE = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
 BULK_SETTINGS = {"extra": SETTINGS["extra"] | {"batch_by_kind": [20]}}
 CLOSE = b"close"  # at the end of a response: the connection is closed behind it
@@ -35,9 +36,11 @@
 
     def __init__(self, *responses: bytes) -> None:
         self.responses, self.called = list(responses), list[str]()
+        self.writer: asyncio.StreamWriter | None = None  # of the last connection
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serve one connection."""
+        self.writer = writer
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
                 await reader.readexactly(int(header(head, b"content-length")))
@@ -158,6 +161,23 @@
         assert endpoint.called == ["m1"]
 
 
+@on_loop
+async def test_message_refused_by_a_copied_answer_is_not_sent_again_when_its_410_comes_on_the_idle_connection(
+    tmp_path: Path,
+) -> None:
+    endpoint = ScriptedEndpoint(OK, FULL_FOR_LONG)
+    async with rig_with(tmp_path, endpoint) as rig:
+        client = await rig.client()
+        await client.submit("m1", d=DEADLINE_MS)
+        await rig.wait_for_end("m1")
+        await client.submit("m2", d=DEADLINE_MS)
+        await rig.wait_until(lambda: rig.results == [Result.OK, Result.FULL])
+        assert len(rig.sender.pool.idle.by_age) == 1 and endpoint.writer is not None
+        endpoint.writer.write(GONE)
+        await check_given_up(rig, "m2")
+        assert endpoint.called == ["m1", "m2"]
+
+
 @on_loop
 async def test_only_the_message_that_is_over_ends_while_the_answer_to_a_bulk_call_is_held(
     tmp_path: Path,
