--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -201,3 +201,16 @@
             exchange._stop_waiting(attempt, Result.CANCELLED)
         assert (await rig.wait_for_end("open")).ending is Ending.DELIVERED
         assert endpoint.called == ["m1", "", "open"]
+
+
+@on_loop
+async def test_export_is_not_repeated_after_a_final_status_that_the_end_of_the_connection_follows(
+    tmp_path: Path,
+) -> None:
+    endpoint = ScriptedEndpoint(OK, GONE + CLOSE)
+    async with rig_with(tmp_path, endpoint) as rig:
+        header_values = {"x_class": "album-update", "x_left_ms": str(DEADLINE_MS)}
+        assert (await rig.export(b"", x_id="m1", **header_values)).status == 200
+        expect_long_answers(rig)
+        assert (await rig.export(b"", x_id="m2", **header_values)).status != 200
+        assert len(endpoint.called) == 2
