--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -94,15 +94,35 @@
     endpoint = ScriptedEndpoint(OK, GONE)
     async with rig_with(tmp_path, endpoint) as rig:
         await submit_second_message(rig)
+        await wait_for_answer(rig)
         messages = rig.sender.exchange.messages
-        while "m2" in messages and not any(a.answer_status for a in messages["m2"].attempts_out.values()):
-            await asyncio.sleep(0)
         for attempt in messages["m2"].attempts_out.values() if "m2" in messages else ():
             rig.sender.exchange._stop_waiting(attempt, result)
         await check_given_up(rig, "m2")
         assert endpoint.called == ["m1", "m2"]
 
 
+@on_loop
+async def test_message_is_not_sent_again_when_the_process_ends_behind_a_premature_410(tmp_path: Path) -> None:
+    endpoint = ScriptedEndpoint(OK, GONE)
+    async with rig_with(tmp_path, endpoint) as rig:
+        await submit_second_message(rig)
+        await wait_for_answer(rig)
+        (listed,) = rig.sender.exchange.endpoint_list.endpoints()
+        rig.sender.close()
+        await rig.start()
+        rig.sender.exchange.update_endpoints(UpdateScope.FULL, [listed])
+        assert (await rig.platform.wait_for_notice("m2"))["outcome"] == "given_up"
+        assert endpoint.called == ["m1", "m2"]
+
+
+async def wait_for_answer(rig: Rig) -> None:
+    """Wait until the sender has read the answer to the call of m2."""
+    messages = rig.sender.exchange.messages
+    while "m2" in messages and not any(a.answer_status for a in messages["m2"].attempts_out.values()):
+        await asyncio.sleep(0)
+
+
 async def check_given_up(rig: Rig, message_id: str) -> None:
     """Wait until a message has ended as failed and the platform has been told."""
     assert (await rig.wait_for_end(message_id)).ending is Ending.FAILED
