--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -51,12 +51,12 @@
 class CallBrokenError(Exception):
     """The call was written and no response could be read completely: it may have run.
 
-    `status` is that of an unreadable response with a readable status line, otherwise 0.
+    `readable_part` is what could be read of the response, if that includes its status.
     """
 
-    def __init__(self, text: str, status: int = 0) -> None:
+    def __init__(self, text: str, readable_part: Reply | None = None) -> None:
         super().__init__(text)
-        self.status = status
+        self.readable_part = readable_part
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,7 +91,7 @@
 
 def decode_headers(raw: Iterable[tuple[bytes, bytes]]) -> dict[str, str]:
     """Decode raw headers to text, with names in lower case."""
-    return {name.decode("ascii").lower(): value.decode("latin-1") for name, value in raw}
+    return {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in raw}
 
 
 class BadReplyError(ValueError):
@@ -234,13 +234,13 @@
         # proves that the call succeeded; with any other status the call may have run.
         if not whole and head.status_code != 200:
             text = f"response with status {head.status_code} has an invalid body"
-            raise CallBrokenError(text, head.status_code)
+            raise CallBrokenError(text, Reply(head.status_code, headers, complete=False))
         return Reply(head.status_code, headers, bytes(body), whole)
 
     async def following_reply(self) -> Reply | None:
         """Return the response behind the one that was read, or None if what follows is not a response.
 
-        Of an unreadable response only the status is returned. The connection is not reusable afterwards.
+        Of an unreadable response the readable part is returned. The connection is not reusable afterwards.
         """
         self._is_out_of_step = True
         surplus, self._h11 = self._h11.trailing_data[0], response_parser()
@@ -249,7 +249,7 @@
         try:
             return await self.reply()
         except CallBrokenError as error:
-            return Reply(error.status, {}, complete=False) if error.status else None
+            return error.readable_part
 
     def _has_unread(self) -> bool:
         return self.stream.unread
@@ -285,8 +285,7 @@
                 head = rest = h11.NEED_DATA
             if isinstance(head, h11.Response) and isinstance(rest, h11.EndOfMessage):
                 return Reply(head.status_code, decode_headers(head.headers))
-        status_line = STATUS_LINE.match(self._response_head)
-        raise CallBrokenError(f"unreadable response: {reason}", int(status_line[1]) if status_line else 0)
+        raise CallBrokenError(f"unreadable response: {reason}", readable_part(bytes(self._response_head)))
 
     async def _read_body(self, body: bytearray, length: int) -> bool:
         """Read the body; return False, and stop reading, if it exceeds the limit or is incomplete."""
@@ -318,6 +317,19 @@
         self._h11.receive_data(data)
 
 
+def readable_part(head: bytes) -> Reply | None:
+    """Return the status and the complete headers of a response that cannot be read, if it has a status."""
+    if (status_line := STATUS_LINE.match(head)) is None:
+        return None
+    lines = head[status_line.end() :].partition(b"\r\n\r\n")[0].split(b"\r\n")
+    if b"\r\n\r\n" not in head:
+        lines.pop()  # an incomplete line
+    headers = [
+        (name, value.strip()) for name, colon, value in (line.partition(b":") for line in lines) if colon
+    ]
+    return Reply(int(status_line[1]), decode_headers(headers), complete=False)
+
+
 def response_parser() -> h11.Connection:
     """Return a parser that expects a response."""
     parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -20,7 +20,6 @@
     CallBrokenError,
     CallNotSentError,
     HttpClientConnection,
-    Reply,
     StaleConnectionError,
 )
 from rowanrack.net.idle_connections import IdleConnections, LastCall
@@ -169,8 +168,8 @@
         except CallNotSentError:
             result = Result.CONNECT_FAILED
         except CallBrokenError as error:
-            if error.status:
-                self._answers.obey(call, Reply(error.status, {}, complete=False))
+            if error.readable_part is not None:
+                self._answers.obey(call, error.readable_part)
             self._broken_calls.warning(
                 "call to endpoint %s failed and may have run: %s", part[0].endpoint.name, error
             )
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -234,3 +234,24 @@
         expect_long_answers(rig)
         assert (await rig.export(b"", x_id="m2", **header_values)).status != 200
         assert len(endpoint.called) == 2
+
+
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 9\r\n\r\nshort" + CLOSE,
+        b"no header\r\n\r\n",
+        b"Content-Length: 0\r\n",
+        b"X-Retry-In",
+    ],
+    ids=["short body", "bad header", "late head", "half a header"],
+)
+@on_loop
+async def test_wait_in_an_answer_that_cannot_be_read_to_its_end_is_obeyed(
+    tmp_path: Path, rest: bytes
+) -> None:
+    endpoint = ScriptedEndpoint(b"HTTP/1.1 429 Busy\r\nX-Retry-In-Ms: 5000\r\n" + rest, OK)
+    async with rig_with(tmp_path, endpoint) as rig:
+        await (await rig.client()).submit("m1", d=2000)
+        await rig.wait_for_end("m1")
+        assert endpoint.called == ["m1"] and rig.sender.exchange.waits_in_force == 1
