--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -535,28 +535,25 @@
                 wait_us / 1e6,
             )
 
-    def obey_uncertain_answer(self, attempt: Attempt, verdict: CallVerdict) -> None:
-        """Obey at once what an answer forbids that may turn out not to belong to this attempt.
+    def record_told_wait(self, attempt: Attempt, wait_us: int) -> None:
+        """Obey a wait from an answer that may turn out not to belong to this attempt; 0 is no wait."""
+        if not wait_us:
+            return
+        now = self.clock.now_us()
+        self._record_wait(attempt, wait_us, now)
+        self._queue_event(RetryAfterWaitsReported((self._wait_for(attempt.endpoint, now + wait_us),)))
+
+    def give_up_unsendable(self, message: Message) -> bool:
+        """End a message that may not be sent again by an answer that may not be its own.
 
-        Its wait begins, and a message that may not be sent again ends now, whatever becomes of the call. It
-        ends as failed, with a notice: it would be lost without one if the answer is another message's.
+        It ends as failed, with a notice: without one it would be lost if the answer is another message's.
+        Return False if it has ended already.
         """
-        if verdict.wait_us:
-            now = self.clock.now_us()
-            self._record_wait(attempt, verdict.wait_us, now)
-            wait = self._wait_for(attempt.endpoint, now + verdict.wait_us)
-            self._queue_event(RetryAfterWaitsReported((wait,)))
-        if verdict.end is not None:
-            self.give_up_unsendable(attempt.message, attempt.endpoint.name, attempt.answer_status)
-
-    def give_up_unsendable(self, message: Message, endpoint_name: str, status: int) -> None:
-        """End a message as failed, unless it has ended: an answer, perhaps another one's, forbids a retry."""
         owned = self._messages_by_ref.get(message.ref)
         if owned is None or not self._is_owned(owned):
-            return
-        text = "message %s: given up, %s answered %d, which forbids to send it again"
-        log.info(text, message.id, endpoint_name, status)
+            return False
         self._end_as_failed(owned)
+        return True
 
     def _wait_for(self, endpoint: Endpoint, until_us: int) -> RetryAfterWait:
         """Return the wait of an endpoint's destination, or of the endpoint alone if its kind is apart."""
--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from rowanrack.core.exchange import Exchange
-from rowanrack.core.messages import Attempt, CallVerdict, Ending, Endpoint
+from rowanrack.core.messages import Attempt, CallVerdict, Ending, Endpoint, Message
 from rowanrack.core.metrics import HeldAnswerEnd
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import Call, CallBrokenError, HttpClientConnection, Reply
@@ -67,12 +67,19 @@
             attempt.answer_status = reply.status
 
 
+def log_given_up(limited_log: RateLimitedLog, message: Message, endpoint: Endpoint, status: int) -> None:
+    """Log that a message was given up because of an answer that may not be its own."""
+    text = "message %s: given up, endpoint %s answered %d, which forbids to send it again"
+    limited_log.write(logging.INFO, text, message.id, endpoint.name, status)
+
+
 class AnswerFinder:
     """Tells the answer to a call from second copies of earlier answers."""
 
     def __init__(self, exchange: Exchange, guard: AnswerGuard) -> None:
         self._exchange, self._guard = exchange, guard
         self._late_answers, self._abandoned_answers = RateLimitedLog(log), RateLimitedLog(log)
+        self._given_up_messages = RateLimitedLog(log)
 
     async def find(self, call: CallInProgress, reply: Reply) -> Reply:
         """Return the answer to a later call of its connection, of which the reply may not be the answer.
@@ -123,7 +130,9 @@
         """Obey at once what a reply forbids, whichever call it belongs to."""
         call.record_answer_status(reply)
         for attempt, verdict in zip(call.part, call.protocol.verdicts(call.part, reply), strict=True):
-            self._exchange.obey_uncertain_answer(attempt, verdict)
+            self._exchange.record_told_wait(attempt, verdict.wait_us)
+            if verdict.end is not None and self._exchange.give_up_unsendable(attempt.message):
+                log_given_up(self._given_up_messages, attempt.message, call.endpoint, reply.status)
 
     async def _input_follows(self, call: CallInProgress) -> bool:
         """Wait for input behind a premature answer; return False if none comes within the time for it."""
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -318,8 +318,9 @@
 
 
 def readable_part(head: bytes) -> Reply | None:
-    """Return the status and the complete headers of a response that cannot be read, if it has a status."""
-    if (status_line := STATUS_LINE.match(head)) is None:
+    """Return the status and the complete headers of an unreadable final response, or None without a status."""
+    status_line = STATUS_LINE.match(head)
+    if status_line is None or int(status_line[1]) < HTTPStatus.OK:
         return None
     lines = head[status_line.end() :].partition(b"\r\n\r\n")[0].split(b"\r\n")
     if b"\r\n\r\n" not in head:
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -14,6 +14,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint, Message
 from rowanrack.core.wheel import WheelTimer
+from rowanrack.net.answer_finder import log_given_up
 from rowanrack.net.answer_guard import QUIET_US, AnswerGuard
 from rowanrack.net.http import HttpClientConnection
 from rowanrack.net.rate_limited_log import RateLimitedLog
@@ -60,7 +61,7 @@
         self.by_age: dict[IdleConnection, None] = {}  # longest idle first
         self.max_count = max_count
         self._exchange, self._guard = exchange, guard
-        self._warnings = RateLimitedLog(log)
+        self._warnings, self._given_up_messages = RateLimitedLog(log), RateLimitedLog(log)
         self._idle_timeout_us = int(exchange.settings.keepalive_us * IDLE_TIMEOUT_FRACTION)
 
     async def take(self, endpoint: Endpoint) -> tuple[HttpClientConnection, int] | None:
@@ -183,7 +184,9 @@
         for message in idle.last_call.delivered:
             self._exchange.retract_delivery(message)
         if len(idle.last_call.undelivered) == 1 and idle.last_call.forbids_retry(status):
-            self._exchange.give_up_unsendable(idle.last_call.undelivered[0], idle.endpoint.name, status)
+            (message,) = idle.last_call.undelivered
+            if self._exchange.give_up_unsendable(message):
+                log_given_up(self._given_up_messages, message, idle.endpoint, status)
 
     def _remove(self, idle: IdleConnection) -> None:
         """Remove a connection from both lists, and stop its timer."""
--- a/tests/test_withdrawn_messages.py
+++ b/tests/test_withdrawn_messages.py
@@ -13,6 +13,7 @@
 
 from rowanrack.core.messages import Ending, Message
 from rowanrack.net.answer_guard import MIN_FIRST_ANSWERS
+from rowanrack.net.http import Reply, readable_part
 from rowanspindle import Result, UpdateScope
 from tests.rig import SETTINGS, Rig, make_endpoint, on_loop
 
@@ -255,3 +256,11 @@
         await (await rig.client()).submit("m1", d=2000)
         await rig.wait_for_end("m1")
         assert endpoint.called == ["m1"] and rig.sender.exchange.waits_in_force == 1
+
+
+def test_readable_part_has_the_status_and_the_complete_headers_of_a_final_response() -> None:
+    assert readable_part(b"HTTP/1.1 100 Continue\r\n\r\n") is None
+    assert readable_part(b"HTTP/1.1 41") is None
+    head = b"HTTP/1.1 410 Gone\r\nnone\r\nX-One: 1\r\nX-Two: 2"
+    assert readable_part(head) == Reply(410, {"x-one": "1"}, complete=False)
+    assert readable_part(head + b"\r\n\r\nNo: header") == Reply(410, {"x-one": "1", "x-two": "2"}, b"", False)
