--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -318,7 +318,7 @@
 
 
 def readable_part(head: bytes) -> Reply | None:
-    """Return the status and the complete headers of an unreadable final response, or None without a status."""
+    """Return the status and complete headers of an unreadable final response; None without a status."""
     status_line = STATUS_LINE.match(head)
     if status_line is None or int(status_line[1]) < HTTPStatus.OK:
         return None
