Answer a submission under the id of another message with an error

Cause: `PlatformClients._answer` and `OtlpClients._wait_for_end` asked `Exchange.find_message` for the id alone; nothing compared what the submission holds with what the known message holds.

Change: `core/identity.py` says once what makes two submissions the same message: id, class, tenant, destination and body. `Exchange.find_repeated` compares a digest of these, of an owned message and of one that has ended. Another message under a known id gets `-ERR` (OTLP: 409), which promises nothing.

--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -19,7 +19,8 @@
 from rowanrack.app import serve as run_sender
 from rowanrack.config import Config, ConfigError, operator_config, platform_config
 from rowanrack.net.fair_scheduling import FairLoop
-from rowanrack.store.journal import Journal, JournalError
+from rowanrack.store.journal import Journal
+from rowanrack.store.journal_records import JournalError
 
 # Command groups of other packages, imported only when they are used: a sender needs none of them.
 LAZY_GROUPS = {
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -14,6 +14,7 @@
 
 from rowanrack.core.endpoint_list import EndpointList, EndpointListChange
 from rowanrack.core.event_feed import EventFeed
+from rowanrack.core.identity import IdInUseError, content_digest
 from rowanrack.core.messages import (
     Attempt,
     Batch,
@@ -130,6 +131,9 @@
     def ended(self, message_id: str) -> End | None:
         """Return the recorded final answer to a message, while it is retained."""
 
+    def content_digest_of_ended(self, message_id: str) -> bytes:
+        """Return the content digest of a message that has ended, or b"" if it is not known."""
+
 
 class EndpointCalls(Protocol):
     """Makes calls to endpoints."""
@@ -327,6 +331,22 @@
         """Return the message with this id while it is owned, then its final answer while retained."""
         return self.messages.get(message_id) or self.store.ended(message_id)
 
+    def find_repeated(self, submission: Message) -> Message | End | None:
+        """Return the message that a submission repeats, or that message's final answer, or None if it is new.
+
+        Raises IdInUseError if the submission is another message than the one that has its id.
+        """
+        if (known := self.find_message(submission.id)) is None:
+            return None
+        digest = (
+            content_digest(known)
+            if isinstance(known, Message)
+            else self.store.content_digest_of_ended(submission.id)
+        )
+        if digest and digest != content_digest(submission):
+            raise IdInUseError
+        return known
+
     def _refuse(self, message: Message | None, refusal: Refusal) -> Refusal:
         if message is not None:
             self.metrics.declined(message.cls)
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -6,6 +6,7 @@
 import math
 
 from rowanrack.core.exchange import Exchange
+from rowanrack.core.identity import IdInUseError
 from rowanrack.core.messages import End, Ending, Message, Refusal
 from rowanrack.fronts.otlp import OtlpError
 from rowanrack.fronts.otlp.mapping import RequestMap
@@ -28,6 +29,7 @@
 REQUEST_TIMEOUT_US = 10_000_000  # for receiving one request, which may be much larger than the platform's
 # A connection whose request is incomplete is closed to make room for others only after this time.
 MIN_REQUEST_AGE_BEFORE_EVICTION_US = 2_000_000
+ID_IN_USE_STATUS = 409  # by the specification, such a request is not sent again
 
 
 class OtlpClients(Listener):
@@ -86,9 +88,12 @@
             if (overload := self.exchange.refusal_if_overloaded("")) is not None:
                 return retry_later_reply(overload.retry_us, content_type)
             message = self._parse_message(signal, content_type, request)
+            end = await self._wait_for_end(message)
         except OtlpError as error:
             return error_reply(error.status, str(error), content_type)
-        end = await self._wait_for_end(message)
+        except IdInUseError as error:
+            self.bad_input_warnings.warning("message %s of a client is refused: %s", message.id, error)
+            return error_reply(ID_IN_USE_STATUS, str(error), content_type)
         match end:
             case Refusal():
                 return retry_later_reply(end.retry_us, content_type)
@@ -119,9 +124,9 @@
         """Return the end of a message, which is submitted unless it is known already.
 
         A message that has ended is answered from the stored end; requests with the same message id wait for
-        the same end.
+        the same end. Raises IdInUseError if the id belongs to another message.
         """
-        known = self.exchange.find_message(message.id)
+        known = self.exchange.find_repeated(message)
         if isinstance(known, End):
             return known
         if known is None and (refusal := self.exchange.submit(message)) is not None:
--- a/rowanrack/fronts/otlp/signals.py
+++ b/rowanrack/fronts/otlp/signals.py
@@ -141,6 +141,7 @@
 STATUS_CODES = {
     400: code_pb2.INVALID_ARGUMENT,
     404: code_pb2.NOT_FOUND,
+    409: code_pb2.ALREADY_EXISTS,
     500: code_pb2.ABORTED,
     503: code_pb2.UNAVAILABLE,
 }
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -6,6 +6,7 @@
 import re
 
 from rowanrack.core.exchange import Exchange
+from rowanrack.core.identity import IdInUseError
 from rowanrack.core.messages import HEADER_SAFE, Message
 from rowanrack.fronts.platform import FRONT_NAME
 from rowanrack.fronts.platform.resp import RespError, error_line, parse_command, simple_string
@@ -118,7 +119,11 @@
             self.exchange.metrics.declined(message_class_of(arguments[3]))
             return error_line(f"BUSY {overload.retry_us // 1000}")
         message = read_submit(arguments, self.exchange.settings, self.exchange.clock.unix_us())
-        if self.exchange.find_message(message.id) is not None:
-            return simple_string("OK")  # a duplicate of a message that is already accepted and has one end
+        try:
+            if self.exchange.find_repeated(message) is not None:
+                return simple_string("OK")  # a repeat of a message that is already accepted and has one end
+        except IdInUseError as error:
+            self.bad_input_warnings.warning("message %s of a client is refused: %s", message.id, error)
+            return error_line(f"ERR {error}")
         refusal = self.exchange.submit(message)
         return simple_string("OK") if refusal is None else error_line(f"BUSY {refusal.retry_us // 1000}")
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -115,7 +115,7 @@
         self._connecting: set[asyncio.Task[None]] = set()  # accepted connections that are no streams yet
         self._tasks: set[asyncio.Task[None]] = set()
         self._accept_warnings = RateLimitedLog(log)
-        self._bad_input_warnings = RateLimitedLog(log)
+        self.bad_input_warnings = RateLimitedLog(log)
         self._active_penalties = 0
         self._fair_selector: FairSelector | None = None
         self._new_clients: dict[Stream, float] = {}  # no good request yet; CPU time used, in us
@@ -226,7 +226,7 @@
         with unread bytes would reset the connection and destroy the answer. So only the sending side is shut
         down, and further input is read and discarded for a limited time.
         """
-        self._bad_input_warnings.warning("rejected the input of a client: %s", reason)
+        self.bad_input_warnings.warning("rejected the input of a client: %s", reason)
         self._new_clients.setdefault(stream, 0.0)
         self._rejected.add(stream)
         self._set_priority(stream, ConnectionPriority.NEW_CLIENT)
@@ -396,7 +396,7 @@
                 if stream.unread_beyond_buffer and stream not in self._paused:
                     continue
                 if state is ConnectionState.RECEIVING and now - since >= self.request_timeout_us:
-                    self._bad_input_warnings.warning(
+                    self.bad_input_warnings.warning(
                         "rejected the input of a client: the request did not arrive completely in time"
                     )
                     stream.send_last(self.timeout_answer)
@@ -457,7 +457,7 @@
                 and self.load_shedder.exceeds_client_time(used_us + us)
             ):
                 # Requests that arrive byte by byte would use up a full core.
-                self._bad_input_warnings.warning(
+                self.bad_input_warnings.warning(
                     "rejected the input of a client: reading its request takes too much time"
                 )
                 stream.send_last(self.timeout_answer)
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -1,8 +1,7 @@
 """The durable journal: append-only, checksummed records of accepted messages, their attempts and their ends.
 
-A record consists of the payload's length, its CRC-32 and the payload: a type byte, the message's id and
-fields that depend on the type. Writes go to the kernel, so they survive the end of the process; there is no
-fsync.
+Its records are described in `journal_records`. Writes go to the kernel, so they survive the end of the
+process; there is no fsync.
 
 A message is accepted only once disk space is reserved for every record that it may still need: its attempts,
 its end, and the confirmation of its notice. The reserved space follows the records (see `journal_file`),
@@ -24,25 +23,36 @@
 import os
 import struct
 import time
-import zlib
 from collections import deque
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.store.journal_file import BLOCK_BYTES, JournalFile, round_up_to_blocks
+from rowanrack.store.journal_records import (
+    ATTEMPT_TIME_BYTES,
+    BEGUN,
+    END_RECORD_BYTES,
+    MAGIC,
+    NEVER_RAN,
+    STATUS_RECORD_BYTES,
+    TOLD,
+    JournalError,
+    RecordedEnd,
+    apply_record,
+    encode_begun,
+    encode_record,
+    encode_status,
+    encode_taken,
+    read_records,
+)
 
 log = logging.getLogger(__name__)
 
-MAGIC = b"rowanrack journal 1\n"
 SLOT_NAMES = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
 OPEN_TRY_COUNT, OPEN_PAUSE_S = 20, 0.01  # the other process may hold a slot briefly to test it
-RECORD_HEADER = struct.Struct("<II")
-TIMED_ATTEMPT_BYTES = 12  # an attempt number followed by its time
-MAX_PAYLOAD_BYTES = 1 << 20  # a header that gives a longer payload is treated as damaged
-# Record sizes without their variable-length texts.
-STATUS_RECORD_BYTES, ATTEMPT_TIME_BYTES, END_RECORD_BYTES = 17, 8, 42
 RESERVATION_BYTES = 16 * 1024  # unit in which disk space is reserved
 BUDGET_MARGIN_BYTES = 8 * BLOCK_BYTES
 RETRY_DELAY_US = 1_000_000  # wait after a failed compaction or take-over
@@ -50,108 +60,6 @@
 EXPIRY_SPAN_US = 1_000_000  # ends that expire within one span are removed together
 MIN_COMPACTION_BYTES = 64 * 1024  # a journal is compacted above this size plus three times its live records
 
-TAKEN, BEGUN, NEVER_RAN, ENDED, TOLD = b"T", b"B", b"N", b"E", b"K"
-TAKEN_WITH_KEY = b"Y"  # a message without a key uses `TAKEN`, the record type of older versions
-ENDING_CODES = {Ending.DELIVERED: b"d", Ending.REFUSED: b"r", Ending.FAILED: b"f", Ending.WITHDRAWN: b"o"}
-ENDINGS_BY_CODE = {code: ending for ending, code in ENDING_CODES.items()}
-
-
-class JournalError(Exception):
-    """The journal cannot be used; the text gives the reason."""
-
-
-def encode_byte_strings(*byte_strings: bytes) -> bytes:
-    """Encode byte strings, each preceded by its length."""
-    return b"".join(struct.pack("<I", len(s)) + s for s in byte_strings)
-
-
-def decode_byte_strings(data: bytes, count: int) -> tuple[list[bytes], bytes]:
-    """Decode `count` byte strings; return them and the remaining data."""
-    byte_strings: list[bytes] = []
-    for _ in range(count):
-        (size,) = struct.unpack_from("<I", data)
-        if len(data) < 4 + size:
-            raise ValueError("a byte string is truncated")
-        byte_strings.append(data[4 : 4 + size])
-        data = data[4 + size :]
-    return byte_strings, data
-
-
-def encode_record(payload: bytes) -> bytes:
-    """Encode a payload as a record of the file."""
-    return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
-
-
-def read_records(data: bytes) -> Iterator[tuple[int, bytes]]:
-    """Yield the payload of each valid record with its end offset, up to the first damaged record."""
-    offset = len(MAGIC)
-    while offset + RECORD_HEADER.size <= len(data):
-        size, crc = RECORD_HEADER.unpack_from(data, offset)
-        payload = data[offset + RECORD_HEADER.size : offset + RECORD_HEADER.size + size]
-        if not 0 < size <= MAX_PAYLOAD_BYTES or len(payload) < size or zlib.crc32(payload) != crc:
-            return
-        offset += RECORD_HEADER.size + size
-        yield offset, payload
-
-
-def encode_taken(message: Message) -> bytes:
-    """Encode the payload for an accepted message."""
-    texts = (message.cls, message.tenant, message.front, message.form)
-    fixed = struct.pack("<qq", message.deadline_us, message.dest)
-    if message.key:
-        return (
-            TAKEN_WITH_KEY
-            + encode_byte_strings(
-                message.id.encode(), *(t.encode() for t in texts), message.body, message.key.encode()
-            )
-            + fixed
-        )
-    return (
-        TAKEN + encode_byte_strings(message.id.encode(), *(t.encode() for t in texts), message.body) + fixed
-    )
-
-
-def encode_status(kind: bytes, message_id: str, attempt_number: int) -> bytes:
-    """Encode a payload that refers to one attempt, or, with attempt number 0, to the message."""
-    return kind + encode_byte_strings(message_id.encode()) + struct.pack("<I", attempt_number)
-
-
-def encode_begun(message: Message, attempt_number: int, at_us: int) -> bytes:
-    """Encode the payload for the start of an attempt, with its time if the message has a key."""
-    timed = struct.pack("<q", at_us) if message.key else b""
-    return encode_status(BEGUN, message.id, attempt_number) + timed
-
-
-@dataclass(slots=True)
-class RecordedEnd:
-    """The recorded end of a message, kept until `keep_until_us`.
-
-    `told` is set once the platform has confirmed the notice of the end. A refusal answers repeated
-    submissions only until `resubmit_at_us`; after that, the same id may be submitted again.
-    """
-
-    end: End
-    front: str
-    keep_until_us: int
-    resubmit_at_us: int
-    told: bool = False
-
-    @property
-    def notice_pending(self) -> bool:
-        """Whether its notice is required and not yet confirmed."""
-        return not self.told and self.end.ending in (Ending.REFUSED, Ending.FAILED)
-
-    def encode(self, message_id: str) -> bytes:
-        """Encode the payload for the end."""
-        times = (self.end.retry_us, self.keep_until_us, self.resubmit_at_us)
-        fixed = ENDING_CODES[self.end.ending] + struct.pack("<qqq", *times)
-        return ENDED + encode_byte_strings(message_id.encode(), self.front.encode()) + fixed
-
-    def records(self, message_id: str) -> list[bytes]:
-        """Return the records that describe the end completely."""
-        told_records = [encode_record(encode_status(TOLD, message_id, 0))] if self.told else []
-        return [encode_record(self.encode(message_id)), *told_records]
-
 
 @dataclass(slots=True)
 class Journal:
@@ -442,7 +350,10 @@
         keep_us = self.retention_us_by_front.get(message.front, self.keep_us)
         keep_until_us, resubmit_at_us = max(message.deadline_us, now) + keep_us, now + end.retry_us
         self.owed.pop(message.id, None)
-        ended = self.ends[message.id] = RecordedEnd(end, message.front, keep_until_us, resubmit_at_us)
+        digest = content_digest(message)
+        ended = self.ends[message.id] = RecordedEnd(
+            end, message.front, keep_until_us, resubmit_at_us, content_digest=digest
+        )
         self._schedule_expiry(message.id, ended)
         self._end_count += 1
         if self._end_count % EXPIRY_CHECK_END_COUNT == 0:
@@ -450,7 +361,8 @@
         record = encode_record(ended.encode(message.id))
         self._write_or_queue(record)
         told_bytes = STATUS_RECORD_BYTES + len(message.id)
-        self._set_byte_counts(message.id, len(record) + told_bytes, ended.notice_pending * told_bytes)
+        compacted = ended.max_compacted_bytes(message.id)
+        self._set_byte_counts(message.id, compacted, ended.notice_pending * told_bytes)
 
     def confirm_notice(self, message_id: str) -> None:
         """Record that the platform has confirmed the notice of a message's end."""
@@ -468,6 +380,11 @@
         may_resubmit = ended.end.ending is Ending.REFUSED and now >= ended.resubmit_at_us
         return None if may_resubmit else ended.end
 
+    def content_digest_of_ended(self, message_id: str) -> bytes:
+        """Return the content digest of a message that has ended, or b"" if it is not known."""
+        ended = self.ends.get(message_id)
+        return b"" if ended is None else ended.content_digest
+
     def _schedule_expiry(self, message_id: str, ended: RecordedEnd) -> None:
         """Schedule the removal of an end.
 
@@ -706,54 +623,15 @@
             self._set_byte_counts(message_id, compacted, self._pending_bytes_of(message))
         for message_id, ended in self.ends.items():
             self._schedule_expiry(message_id, ended)
-            status_bytes = STATUS_RECORD_BYTES + len(message_id)
-            self._set_byte_counts(
-                message_id,
-                len(encode_record(ended.encode(message_id))) + status_bytes,
-                ended.notice_pending * status_bytes,
-            )
+            told_bytes = STATUS_RECORD_BYTES + len(message_id)
+            compacted = ended.max_compacted_bytes(message_id)
+            self._set_byte_counts(message_id, compacted, ended.notice_pending * told_bytes)
         self._forget_expired_ends()
         return end
 
     def _apply_record(self, payload: bytes) -> None:
         """Update the state with one record. Raises ValueError, KeyError or struct.error if it is invalid."""
-        kind, (encoded_id, *_), rest = payload[:1], *decode_byte_strings(payload[1:], 1)
-        message_id = encoded_id.decode()
-        if kind in (TAKEN, TAKEN_WITH_KEY):
-            texts, fixed = decode_byte_strings(payload[1:], 7 if kind == TAKEN_WITH_KEY else 6)
-            _, cls, tenant, front, form, body, key = texts if kind == TAKEN_WITH_KEY else (*texts, b"")
-            deadline_us, dest = struct.unpack("<qq", fixed)
-            self.ends.pop(message_id, None)  # the id was submitted again
-            self.owed[message_id] = Message(
-                message_id,
-                cls.decode(),
-                tenant.decode(),
-                dest,
-                deadline_us,
-                body,
-                front.decode(),
-                form.decode(),
-                key.decode(),
-            )
-        elif kind == ENDED:
-            self.owed.pop(message_id, None)
-            (_, front), fixed = decode_byte_strings(payload[1:], 2)
-            retry_us, keep_until_us, resubmit_at_us = struct.unpack("<qqq", fixed[1:])
-            end = End(ENDINGS_BY_CODE[fixed[:1]], retry_us)
-            self.ends[message_id] = RecordedEnd(end, front.decode(), keep_until_us, resubmit_at_us)
-        elif kind == TOLD:
-            if message_id in self.ends:
-                self.ends[message_id].told = True
-        elif kind in (BEGUN, NEVER_RAN):
-            attempt_number, *offset = struct.unpack("<Iq" if len(rest) == TIMED_ATTEMPT_BYTES else "<I", rest)
-            if (message := self.owed.get(message_id)) is not None:
-                message.attempts_made = max(message.attempts_made, attempt_number + 1)
-                if kind == BEGUN:
-                    message.unsettled[attempt_number] = offset[0] if offset else 0
-                else:
-                    message.unsettled.pop(attempt_number, None)
-        else:
-            raise ValueError(f"unknown record type {kind!r}")
+        apply_record(payload, self.owed, self.ends)
 
     def unconfirmed_notices(self, front: str) -> list[tuple[str, End]]:
         """Return a front's refused and failed messages whose notice is not yet confirmed."""
--- a/rowanrack/store/memory.py
+++ b/rowanrack/store/memory.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Ending, Message
 
 
@@ -15,6 +16,7 @@
 
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, tuple[str, End]] = field(default_factory=dict)  # front and end, by message id
+    content_digests: dict[str, bytes] = field(default_factory=dict)  # of messages that have ended, by id
     told: set[str] = field(default_factory=set)
     full: bool = False
 
@@ -24,7 +26,7 @@
             i: replace(m, unsettled=dict(m.unsettled), attempts_out={}, guard_timer=None)
             for i, m in self.owed.items()
         }
-        return MessageState(owed, dict(self.ends), set(self.told))
+        return MessageState(owed, dict(self.ends), dict(self.content_digests), set(self.told))
 
     def take(self, message: Message) -> None:
         """Add a message that is owed, and discard the end of an earlier message with the same id."""
@@ -47,6 +49,7 @@
         """Record the end of a message."""
         self.owed.pop(message.id, None)
         self.ends[message.id] = message.front, end
+        self.content_digests[message.id] = content_digest(message)
 
 
 class MemoryStore:
@@ -103,6 +106,10 @@
         """Return the recorded end of a message."""
         return self.current.ends.get(message_id, ("", None))[1]
 
+    def content_digest_of_ended(self, message_id: str) -> bytes:
+        """Return the content digest of a message that has ended, or b"" if it is not known."""
+        return self.current.content_digests.get(message_id, b"")
+
     def unconfirmed_notices(self, front: str) -> list[tuple[str, End]]:
         """Return a front's refused and failed messages whose notice is not yet confirmed."""
         ends = (
--- a/tests/contracts/test_message_stores.py
+++ b/tests/contracts/test_message_stores.py
@@ -15,11 +15,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule, run_state_machine_as_test
 
 from rowanrack.core.messages import Message
-from rowanrack.store.journal import (
+from rowanrack.store.journal import RETRY_DELAY_US, Journal
+from rowanrack.store.journal_records import (
     BEGUN,
     MAGIC,
-    RETRY_DELAY_US,
-    Journal,
     JournalError,
     encode_byte_strings,
     encode_record,
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -11,7 +11,8 @@
 
 from rowanrack.core.messages import CallVerdict, End, Ending, Message
 from rowanrack.net.http import Reply
-from rowanrack.store.journal import Journal, JournalError
+from rowanrack.store.journal import Journal
+from rowanrack.store.journal_records import JournalError
 from rowanspindle import Result
 from tests.contracts.stores import FaultyDisk
 from tests.rig import SETTINGS, Process, Rig, answers, on_loop
--- /dev/null
+++ b/tests/test_identity.py
@@ -0,0 +1,83 @@
+"""What makes two submissions one message: both fronts, the journal, and both processes of a hot restart."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from rowanrack.core.identity import content_digest
+from rowanrack.core.messages import End, Ending, Message
+from rowanrack.net.http import Reply
+from rowanrack.store.journal import Journal
+from tests.rig import Rig, answers, on_loop, silent
+from tests.test_otlp import OK, logs
+
+ID_IN_USE = b"-ERR the id belongs to a message with another class, tenant, destination or body\r\n"
+OTHER_CONTENTS = [{"body": b"another"}, {"dest": 8}, {"cls": "print-order"}]
+
+
+@pytest.mark.parametrize("other", OTHER_CONTENTS)
+@pytest.mark.parametrize("ended", [False, True])
+@on_loop
+async def test_submission_under_the_id_of_another_message_is_not_answered_as_accepted(
+    tmp_path: Path, ended: bool, other: dict[str, object]
+) -> None:
+    """Guards against +OK for a message that is never called out: the id was owned by another message."""
+    async with Rig(tmp_path, answers(Reply(200, {})) if ended else silent) as rig:
+        client = await rig.client()
+        assert await client.submit("m1") == b"+OK\r\n"
+        await (rig.wait_for_end("m1") if ended else rig.servers[0].wait_for_requests(1))
+        assert await client.submit("m1", **other) == ID_IN_USE  # type: ignore[arg-type]
+        assert await client.submit("m1") == b"+OK\r\n"
+        assert len(rig.servers[0].requests) == 1
+
+
+@pytest.mark.parametrize("compacted", [False, True])
+@on_loop
+async def test_id_of_an_ended_message_is_not_confused_after_a_restart(
+    tmp_path: Path, compacted: bool
+) -> None:
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        await (await rig.client()).submit("m1")
+        await rig.wait_for_end("m1")
+        if compacted:
+            assert rig.sender.journal._compact()
+        rig.sender.close()
+        await rig.start()
+        client = await rig.client()
+        assert await client.submit("m1", body=b"another") == ID_IN_USE
+        assert await client.submit("m1") == b"+OK\r\n"
+
+
+@on_loop
+async def test_export_under_the_id_of_another_tenants_message_is_not_answered_as_delivered(
+    tmp_path: Path,
+) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        first = logs(**{"service.namespace": "a"})
+        assert (await rig.export(first, x_id="e1")).status == 200
+        for other in (logs(**{"service.namespace": "b"}), logs("another", **{"service.namespace": "a"})):
+            reply = await rig.export(other, x_id="e1")
+            assert reply.status == 409 and b"the id belongs to a message" in reply.body
+        assert (await rig.export(first, x_id="e1")).status == 200
+        assert len(rig.servers[0].requests) == 1
+
+
+def test_content_digest_outlasts_every_form_of_the_journal(tmp_path: Path) -> None:
+    message = Message("m", "c", "t", 3, 5_000_000, b"body", "platform")
+    journal = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
+    journal.open()
+    assert journal.take(message)
+    journal.end(message, End(Ending.FAILED))
+    for step in ("", "compact", "tell", "compact"):
+        if step == "compact":
+            assert journal._compact()
+        if step == "tell":
+            journal.confirm_notice("m")
+        journal.close()
+        journal = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
+        journal.open()
+        assert journal.content_digest_of_ended("m") == content_digest(message), step
+        assert journal.size <= journal._max_compacted_bytes() or step in ("", "tell")
+    journal.close()
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -15,7 +15,8 @@
 from rowanrack.fronts.platform.clients import read_submit
 from rowanrack.fronts.platform.resp import RespError
 from rowanrack.net.http import Reply
-from rowanrack.store.journal import TAKEN, Journal, encode_byte_strings, encode_record, encode_status
+from rowanrack.store.journal import Journal
+from rowanrack.store.journal_records import TAKEN, encode_byte_strings, encode_record, encode_status
 from rowanspindle import Result
 from rowanspindle.wire import parse_settings
 from tests.rig import MAPPING, SETTINGS, Rig, answers, on_loop
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -20,7 +20,8 @@
 from rowanrack.fronts.mgmt.calls import answer_locally, answer_with_channels
 from rowanrack.net.http import Request
 from rowanrack.store.bans import DetachedEndpointFile
-from rowanrack.store.journal import Journal, JournalError
+from rowanrack.store.journal import Journal
+from rowanrack.store.journal_records import JournalError
 from rowanspindle import EndpointStatus, UpdateScope
 from tests.rig import Process, Rig, answers, on_loop, silent
 from tests.test_platform import OK
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -18,7 +18,8 @@
 from rowanrack.fronts.platform.notices import encode_notice
 from rowanrack.fronts.platform.resp import RespError, parse_command
 from rowanrack.net.ring import RingBuffer
-from rowanrack.store.journal import Journal, JournalError
+from rowanrack.store.journal import Journal
+from rowanrack.store.journal_records import JournalError
 from rowanspindle import UpdateScope
 from rowanspindle.wire import parse_settings
 from tests.rig import SETTINGS, discovery_entry
