Keep a message id for the client that has begun to send its request

Callers saw: while a client's request arrived in pieces, another client's whole command under the same id was taken on. With the check of contents the first client then gets an error, though its id was its own.

Cause: an id was looked up when a command was complete; commands that are being received were not known.

Change: `OpenRequests` holds the ids of incomplete SUBMIT commands. A complete command under such an id is answered with an error, unless the received part is its beginning: a client whose connection ends sends its command once more on another one, perhaps before the end of the first is noticed.

--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -9,6 +9,7 @@
 from rowanrack.core.identity import IdInUseError
 from rowanrack.core.messages import HEADER_SAFE, Message
 from rowanrack.fronts.platform import FRONT_NAME
+from rowanrack.fronts.platform.open_requests import OpenRequests
 from rowanrack.fronts.platform.resp import RespError, error_line, parse_command, simple_string
 from rowanrack.net.listener import ConnectionState, Listener
 from rowanrack.net.stream import Stream
@@ -68,9 +69,16 @@
 
     def __init__(self, exchange: Exchange, max_connections: int) -> None:
         super().__init__(max_connections, exchange)
+        self._open_requests = OpenRequests()
 
     async def serve_connection(self, stream: Stream) -> None:
         """Answer the commands of one connection in turn; input that is not a command closes it."""
+        try:
+            await self._serve_commands(stream)
+        finally:
+            self._open_requests.completed(stream)
+
+    async def _serve_commands(self, stream: Stream) -> None:
         while True:
             try:
                 arguments = parse_command(stream.receive_buffer)
@@ -79,6 +87,7 @@
                 return
             if arguments is None:
                 if len(stream.receive_buffer):
+                    self._open_requests.received_part(stream)
                     self.set_state(stream, ConnectionState.RECEIVING)
                 elif self.may_close(stream):
                     return
@@ -89,6 +98,7 @@
                 # Accepting the message now could duplicate it: a client whose connection was closed before
                 # its request was read submits the message to another sender.
                 return
+            self._open_requests.completed(stream)
             self.set_state(stream, ConnectionState.BUSY)
             try:
                 answer = self._answer(arguments)
@@ -119,11 +129,17 @@
             self.exchange.metrics.declined(message_class_of(arguments[3]))
             return error_line(f"BUSY {overload.retry_us // 1000}")
         message = read_submit(arguments, self.exchange.settings, self.exchange.clock.unix_us())
+        if self._open_requests.conflicts_with(arguments):
+            return self._refuse_id(message, "the id belongs to a request of another client that is under way")
         try:
             if self.exchange.find_repeated(message) is not None:
                 return simple_string("OK")  # a repeat of a message that is already accepted and has one end
         except IdInUseError as error:
-            self.bad_input_warnings.warning("message %s of a client is refused: %s", message.id, error)
-            return error_line(f"ERR {error}")
+            return self._refuse_id(message, str(error))
         refusal = self.exchange.submit(message)
         return simple_string("OK") if refusal is None else error_line(f"BUSY {refusal.retry_us // 1000}")
+
+    def _refuse_id(self, message: Message, reason: str) -> bytes:
+        """Return the error for a message whose id is in use."""
+        self.bad_input_warnings.warning("message %s of a client is refused: %s", message.id, reason)
+        return error_line(f"ERR {reason}")
--- a/rowanrack/fronts/platform/resp.py
+++ b/rowanrack/fronts/platform/resp.py
@@ -56,6 +56,12 @@
     return arguments
 
 
+def encode_command(arguments: list[bytes]) -> bytes:
+    """Encode a command."""
+    parts = [b"$%d\r\n%s\r\n" % (len(argument), argument) for argument in arguments]
+    return b"*%d\r\n" % len(arguments) + b"".join(parts)
+
+
 def simple_string(text: str) -> bytes:
     """Encode a simple string."""
     return f"+{text}\r\n".encode()
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 
 import pytest
 
 from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Ending, Message
+from rowanrack.lab.stand_in import Client
 from rowanrack.net.http import Reply
+from rowanrack.net.listener import ConnectionState
 from rowanrack.store.journal import Journal
-from tests.rig import Rig, answers, on_loop, silent
+from tests.rig import Rig, answers, on_loop, resp, silent
 from tests.test_otlp import OK, logs
 
 ID_IN_USE = b"-ERR the id belongs to a message with another class, tenant, destination or body\r\n"
@@ -33,6 +36,37 @@
         assert len(rig.servers[0].requests) == 1
 
 
+async def begin_submission(rig: Rig, command: bytes) -> Client:
+    """Send the first half of a command; return once the sender has read it."""
+    client = await rig.client()
+    await client.stream.send(command[: len(command) // 2])
+    front = rig.sender.fronts[0][0]
+    while ConnectionState.RECEIVING not in [state for state, _ in front.streams.values()]:
+        await asyncio.sleep(0)
+    return client
+
+
+@pytest.mark.parametrize("repeat", ["other", "same", "same, the first one ends"])
+@on_loop
+async def test_complete_command_does_not_take_the_id_of_a_request_that_is_under_way(
+    tmp_path: Path, repeat: str
+) -> None:
+    """Guards against an error to a client whose id another one uses while its own command arrives."""
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        command = resp("SUBMIT", "0", "m1", "c=album-update,t=a,d=3000,dest=7", b"x" * 2000)
+        client, other = await begin_submission(rig, command), await rig.client()
+        if repeat == "other":
+            answer = await other.submit("m1", body=b"another")
+            assert answer.startswith(b"-ERR the id belongs to a request")
+            assert await client.raw(command[len(command) // 2 :]) == b"+OK\r\n"
+        else:
+            if repeat != "same":
+                client.stream.abort()
+            assert await other.raw(command) == b"+OK\r\n"
+        (call,) = await rig.servers[0].wait_for_requests(1)
+        assert call.body == b"x" * 2000
+
+
 @pytest.mark.parametrize("compacted", [False, True])
 @on_loop
 async def test_id_of_an_ended_message_is_not_confused_after_a_restart(
