Derive the id of an OTLP export from its class and destination too

Cause: `derive_id` took tenant and body only.

Change: class and destination go into the digest. An export that the release before has taken is found under the id that it derived, so that a client that asks again over the upgrade is not served twice.

Measured: test_equal_exports_without_an_id_to_two_destinations_are_two_messages fails without the change (1 and 0 calls in place of 1 and 1); tests/test_identity.py and tests/test_otlp.py pass.

--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.identity import IdInUseError
 from rowanrack.core.messages import End, Ending, Message, Refusal
 from rowanrack.fronts.otlp import OtlpError
-from rowanrack.fronts.otlp.mapping import RequestMap
+from rowanrack.fronts.otlp.mapping import RequestMap, with_former_id
 from rowanrack.fronts.otlp.signals import (
     JSON,
     PROTOBUF,
@@ -126,15 +127,23 @@
         A message that has ended is answered from the stored end; requests with the same message id wait for
         the same end. Raises IdInUseError if the id belongs to another message.
         """
-        known = self.exchange.find_repeated(message)
+        known = self.exchange.find_repeated(message) or self._find_under_former_id(message)
         if isinstance(known, End):
             return known
         if known is None and (refusal := self.exchange.submit(message)) is not None:
             return refusal
         waiter: asyncio.Future[End] = asyncio.get_running_loop().create_future()
-        self._waiting.setdefault(message.id, []).append(waiter)
+        self._waiting.setdefault((known or message).id, []).append(waiter)
         return await waiter
 
+    def _find_under_former_id(self, message: Message) -> Message | End | None:
+        """Find a message without an id that the release before has taken, which a restart may leave."""
+        if (former := with_former_id(message)) is None:
+            return None
+        with contextlib.suppress(IdInUseError):
+            return self.exchange.find_repeated(former)
+        return None
+
 
 def error_reply(status: int, text: str, content_type: str, close: bool = False) -> Reply:
     """Build an error reply whose body is a google.rpc.Status."""
--- a/rowanrack/fronts/otlp/mapping.py
+++ b/rowanrack/fronts/otlp/mapping.py
@@ -4,13 +4,13 @@
 
 import hashlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from rowanrack.core.messages import HEADER_SAFE, Message
 from rowanrack.fronts.otlp import FRONT_NAME, OtlpError
 from rowanspindle import Effect, Settings
 
-MAX_ID_LENGTH = 256
+MAX_ID_LENGTH, DERIVED_ID_LENGTH = 256, 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,13 +78,13 @@
         left_us = min(
             int(left_ms_text) * 1000 if left_ms_text else NO_DEADLINE_US, settings.classes[cls].deadline_us
         )
-        message_id = self.id.find(headers, attributes) or derive_id(tenant, body)
+        message_id = self.id.find(headers, attributes) or derive_id(cls, tenant, dest, body)
         if len(message_id) > MAX_ID_LENGTH or not message_id.isprintable():
             raise OtlpError(400, "bad id")
         key = self.key.find(headers, attributes)
         if not key and settings.classes[cls].effect is Effect.KEYED:
             # A repeated request has the same id, so the destination can drop it as a duplicate.
-            key = message_id if HEADER_SAFE.fullmatch(message_id) else derive_id(tenant, message_id.encode())
+            key = message_id if HEADER_SAFE.fullmatch(message_id) else derive_key(tenant, message_id)
         if key and not HEADER_SAFE.fullmatch(key):
             raise OtlpError(400, "bad key")
         return Message(message_id, cls, tenant, dest, now_unix_us + left_us, body, FRONT_NAME, form, key)
@@ -93,6 +93,24 @@
 NO_DEADLINE_US = 1 << 62
 
 
-def derive_id(tenant: str, body: bytes) -> str:
-    """Derive an id for a request without one, so that requests of equal tenant and body are one message."""
-    return hashlib.sha256(tenant.encode() + b"\0" + body).hexdigest()[:32]
+def derive_id(cls: str, tenant: str, dest: int, body: bytes) -> str:
+    """Derive an id for a request without one, so that requests that agree in all of these are one message."""
+    fields = f"{cls}\0{tenant}\0{dest}\0".encode()
+    return hashlib.sha256(fields + body).hexdigest()[:DERIVED_ID_LENGTH]
+
+
+def derive_key(tenant: str, message_id: str) -> str:
+    """Derive an idempotency key from an id that cannot be sent as a header value."""
+    return former_id(tenant, message_id.encode())
+
+
+def former_id(tenant: str, body: bytes) -> str:
+    """Return the id that releases before this one derived for a request without an id."""
+    return hashlib.sha256(tenant.encode() + b"\0" + body).hexdigest()[:DERIVED_ID_LENGTH]
+
+
+def with_former_id(message: Message) -> Message | None:
+    """Return a message as the release before derived its id, or None if its client has given the id."""
+    if message.id != derive_id(message.cls, message.tenant, message.dest, message.body):
+        return None
+    return replace(message, id=former_id(message.tenant, message.body))
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -3,20 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Ending, Message
+from rowanrack.fronts.otlp.mapping import ValueSource, former_id
+from rowanrack.fronts.otlp.signals import PROTOBUF
 from rowanrack.lab.stand_in import Client
 from rowanrack.net.http import Reply
 from rowanrack.net.listener import ConnectionState
 from rowanrack.store.journal import Journal
-from tests.rig import Rig, answers, on_loop, resp, silent
+from rowanspindle import UpdateScope
+from tests.rig import MAPPING, Rig, answers, on_loop, resp, silent
 from tests.test_otlp import OK, logs
 
 ID_IN_USE = b"-ERR the id belongs to a message with another class, tenant, destination or body\r\n"
+LATER_US = 1 << 52  # a deadline in Unix time
 OTHER_CONTENTS = [{"body": b"another"}, {"dest": 8}, {"cls": "print-order"}]
 
 
@@ -98,6 +103,33 @@
         assert len(rig.servers[0].requests) == 1
 
 
+@on_loop
+async def test_equal_exports_without_an_id_to_two_destinations_are_two_messages(tmp_path: Path) -> None:
+    """Guards against 200 for an export whose destination is never called: the derived id lacked it."""
+    async with Rig(tmp_path, answers(OK), answers(OK)) as rig:
+        exchange, (first, second) = rig.sender.exchange, rig.known_endpoints
+        exchange.update_endpoints(UpdateScope.FULL, [first, replace(second, dest=8)])
+        assert rig.sender.otlp is not None
+        rig.sender.otlp.mapping = replace(MAPPING, destination=ValueSource(header="x-dest"))
+        for dest in ("7", "8", "8"):
+            assert (await rig.export(logs(), x_dest=dest)).status == 200
+        assert [len(server.requests) for server in rig.servers] == [1, 1]
+
+
+@on_loop
+async def test_export_without_an_id_that_the_release_before_has_taken_is_not_sent_again(
+    tmp_path: Path,
+) -> None:
+    async with Rig(tmp_path, answers(OK)) as rig:
+        former = Message(
+            former_id("", logs()), "print-order", "", 7, LATER_US, logs(), "otlp", f"logs {PROTOBUF}"
+        )
+        assert rig.sender.exchange.submit(former) is None
+        await rig.wait_for_end(former.id)
+        assert (await rig.export(logs())).status == 200
+        assert len(rig.servers[0].requests) == 1
+
+
 def test_content_digest_outlasts_every_form_of_the_journal(tmp_path: Path) -> None:
     message = Message("m", "c", "t", 3, 5_000_000, b"body", "platform")
     journal = Journal(tmp_path, 3_000_000, lambda: 1_000_000)
