Own the other process's messages at once, in its file, where they do not fit into this one

Change: `take_over` opens the other slot's file in place and keeps its lock. Its messages are owned at once; records about them go to that file, where the space is. Its content is merged into the own file once it fits; until then new messages that would take this room are refused. A later process waits up to 2 s for a free slot in place of 0.2 s, as a merge may hold both.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -255,7 +255,11 @@
             await pause(self.exchange.after, JOURNAL_RELEASE_CHECK_INTERVAL_US)
         self._own_recovered(recovered)
         while True:
-            await pause(self.exchange.after, DEAD_PROCESS_CHECK_INTERVAL_US)
+            merging = self.journal.inherited is not None
+            await pause(
+                self.exchange.after,
+                JOURNAL_RELEASE_CHECK_INTERVAL_US if merging else DEAD_PROCESS_CHECK_INTERVAL_US,
+            )
             if self.journal.other_path.exists() and (recovered := self.journal.take_over()) is not None:
                 self._own_recovered(recovered)
 
@@ -263,7 +267,7 @@
         own_recovered(self.exchange, self.forms, recovered)
         if self.notices is not None:
             for message_id in self.journal.ends_taken_over:
-                ended = self.journal.ends.get(message_id)
+                ended = self.journal.recorded_end(message_id)
                 if ended is not None and ended.notice_pending and ended.front == PLATFORM:
                     self.notices.queue_notice(message_id, ended.end)
         self.journal.ends_taken_over.clear()
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -52,7 +52,8 @@
 log = logging.getLogger(__name__)
 
 SLOT_NAMES = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
-OPEN_TRY_COUNT, OPEN_PAUSE_S = 20, 0.01  # the other process may hold a slot briefly to test it
+# The other process may hold both slots while it takes one over, or one briefly to test it.
+OPEN_TRY_COUNT, OPEN_PAUSE_S = 200, 0.01
 RESERVATION_BYTES = 16 * 1024  # unit in which disk space is reserved
 BUDGET_MARGIN_BYTES = 8 * BLOCK_BYTES
 RETRY_DELAY_US = 1_000_000  # wait after a failed compaction or take-over
@@ -85,14 +86,16 @@
     slot: str = SLOT_NAMES[0]
     lock_fd: int = -1
     ends_taken_over: list[str] = field(default_factory=list)  # ids of the ends taken over from the other slot
-    _taken_over: list[Message] = field(default_factory=list)  # recorded here; their old file still exists
+    # The other slot's journal, whose messages are owed here and are not recorded in the own file yet.
+    inherited: Journal | None = None
+    files_beside: tuple[Journal, ...] = ()  # of an inherited journal: the one that has taken it over
     _unwritten: deque[bytes] = field(default_factory=deque)
     _write_failed: bool = False  # the last write failed
     write_error: str = ""  # why no new messages are accepted; empty if they are
     _trouble_since_us: int = 0
     _needed_bytes: int = RESERVATION_BYTES  # free space required before messages are accepted again
     _compaction_retry_us: int = 0  # earliest time of the next compaction after a failed one; 0 if none failed
-    _absorb_retry_us: int = 0
+    _take_over_retry_us: int = 0
 
     @property
     def size(self) -> int:
@@ -132,8 +135,7 @@
     def _free_slot(self) -> tuple[str, int]:
         """Lock a free slot and return it with the lock's descriptor.
 
-        Tries repeatedly, because `other_process_running` and `take_over` of another process briefly lock a
-        free slot.
+        Tries repeatedly, because `other_process_running` and `take_over` of another process lock a free slot.
         """
         for _ in range(OPEN_TRY_COUNT):
             for slot in SLOT_NAMES:
@@ -144,6 +146,8 @@
 
     def other_process_running(self) -> bool:
         """Return whether another process uses the other slot, as during a hot restart."""
+        if self.inherited is not None:
+            return False
         try:
             fd = self._lock(self.other_slot)
         except OSError as error:
@@ -166,15 +170,7 @@
         try:
             self.slot, self.lock_fd = self._free_slot()
             self.compaction_path.unlink(missing_ok=True)
-            data = self.path.read_bytes() if self.path.exists() else b""
-            end = self._replay(data)
-            if torn := len(data[end:].rstrip(b"\0")):
-                log.warning("journal: discarded a torn tail of %d bytes", torn)
-            self.file = file = JournalFile(os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600), end)
-            os.ftruncate(file.fd, end)
-            if end < len(MAGIC):
-                file.size = 0
-                file.write(MAGIC)
+            self._open_slot()
         except (OSError, JournalError) as error:
             self.close()
             if isinstance(error, OSError):
@@ -182,8 +178,23 @@
             raise
         self._reserve(0)
 
+    def _open_slot(self) -> None:
+        """Open the file of the locked slot. Raises OSError or JournalError."""
+        data = self.path.read_bytes() if self.path.exists() else b""
+        end = self._replay(data)
+        if torn := len(data[end:].rstrip(b"\0")):
+            log.warning("journal: discarded a torn tail of %d bytes", torn)
+        self.file = file = JournalFile(os.open(self.path, os.O_RDWR | os.O_CREAT, 0o600), end)
+        os.ftruncate(file.fd, end)
+        if end < len(MAGIC):
+            file.size = 0
+            file.write(MAGIC)
+
     def close(self) -> None:
         """Write the queued records, close the file and unlock the slot."""
+        if self.inherited is not None:
+            self.inherited.close()
+            self.inherited = None
         if self.file is not None:
             if self._unwritten and not self._flush():
                 log.error("journal: %d records were not written before shutdown", len(self._unwritten))
@@ -193,79 +204,159 @@
             os.close(self.lock_fd)
             self.lock_fd = -1
 
+    # The journal of the other slot.
+
     def take_over(self) -> list[Message] | None:
         """Take over the other slot's journal once its process has ended.
 
-        Returns the messages that are now owed here, or None if the caller has to try again later. Messages
-        and ends are recorded here, all or none of them, before the other file is removed.
+        Returns the messages that are owed here from now on, or None if the caller has to try again later.
+        They are owed at once, in the other slot's file; `inherited` is this file as long as its content is
+        not recorded in the own one. Each further call tries to record it.
         """
-        if 0 < self._absorb_retry_us - self.unix_us() <= RETRY_DELAY_US:
-            return None
-        try:
-            fd = self._lock(self.other_slot)
-        except OSError as error:
-            self._defer_absorb(error)
-            return None
-        if fd is None:
+        if self.inherited is not None:
+            if self._merge_inherited():
+                log.info("journal: the previous process's file has been merged into this one")
+            return []
+        if 0 < self._take_over_retry_us - self.unix_us() <= RETRY_DELAY_US:
             return None
         try:
-            path = self.other_path
-            data = path.read_bytes() if path.exists() else b""
-            self._absorb(data)
-            if data:
-                os.truncate(path, 0)  # even if it cannot be removed, no message is owed twice
-            with contextlib.suppress(OSError):
-                path.unlink(missing_ok=True)
-                (self.folder / f"{self.other_slot}.new").unlink(missing_ok=True)
+            if (lock_fd := self._lock(self.other_slot)) is None:
+                return None
+            self.inherited = self._open_other_slot(lock_fd)
         except (OSError, JournalError) as error:
-            self._defer_absorb(error)
+            self._defer_take_over(error)
             return None
-        finally:
-            os.close(fd)
-        self._absorb_retry_us = 0
-        taken_over, self._taken_over = self._taken_over, []
+        self._take_over_retry_us = 0
+        if self.inherited is None:
+            return []
+        taken_over = list(self.inherited.owed.values())
+        self.ends_taken_over += self.inherited.ends
         if taken_over:
             log.info("journal: %d messages taken over from the previous process", len(taken_over))
+        if not self._merge_inherited():
+            log.warning(
+                "journal: the previous process's file is kept until its content fits into this one: %s",
+                self.write_error or "no space in the journal",
+            )
         return taken_over
 
-    def _defer_absorb(self, error: OSError | JournalError) -> None:
+    def _defer_take_over(self, error: OSError | JournalError) -> None:
         """Schedule the next try, and log the first failure of a series."""
-        if not self._absorb_retry_us:
+        if not self._take_over_retry_us:
             why = error.strerror or error if isinstance(error, OSError) else error
             log.error("journal: cannot take over the other process's file, trying again: %s", why)
-        self._absorb_retry_us = self.unix_us() + RETRY_DELAY_US
+        self._take_over_retry_us = self.unix_us() + RETRY_DELAY_US
 
-    def _absorb(self, data: bytes) -> None:
-        """Record the messages and ends of another file that are unknown here.
+    def _open_other_slot(self, lock_fd: int) -> Journal | None:
+        """Open the journal of the other slot, less what is known here; None if there is none.
 
-        If this raises OSError, nothing was recorded.
+        Raises OSError or JournalError; the slot is unlocked then.
         """
         other = Journal(
             self.folder, self.budget, self.unix_us, self.keep_us, self.retention_us_by_front, self.attempts
         )
-        other._replay(data)
-        owed = [message for i, message in other.owed.items() if i not in self.owed and i not in self.ends]
-        ends = {i: e for i, e in other.ends.items() if i not in self.owed and i not in self.ends}
-        records = [p for message in owed for p in self._message_records(message)] + [
-            p for i, e in ends.items() for p in e.records(i)
-        ]
-        if not records:
-            return
-        record, compacted = b"".join(records), sum(other._byte_counts[message.id][0] for message in owed)
-        compacted += sum(other._byte_counts[i][0] for i in ends)
-        if not self.can_record() or not self._make_room(len(record), compacted, other.pending_bytes):
-            raise OSError(self.write_error or "no space in the journal")
-        if not self._reserve(len(record) + other.pending_bytes) or not self._append(record):
-            raise OSError(self.write_error)
-        for message in owed:
-            self._taken_over.append(message)
-            self.owed[message.id] = message
-            self._set_byte_counts(message.id, *other._byte_counts[message.id])
-        for message_id, ended in ends.items():
+        other.slot, other.lock_fd, other.files_beside = self.other_slot, lock_fd, (self,)
+        try:
+            if not other.path.exists() or not other.path.stat().st_size:
+                other._discard()
+                return None
+            with contextlib.suppress(OSError):
+                other.compaction_path.unlink(missing_ok=True)
+            other._open_slot()
+        except (OSError, JournalError):
+            other.close()
+            raise
+        for message_id in [*self.owed, *self.ends]:
+            other._forget(message_id)
+        with contextlib.suppress(OSError):  # the records of these messages may still find room
+            other._open_file.reserve(other.size + other.pending_bytes)
+        return other
+
+    def _merge_inherited(self) -> bool:
+        """Record the content of the inherited journal here, all or none of it, and remove its file."""
+        if (other := self.inherited) is None:
+            return True
+        records = [r for message in other.owed.values() for r in self._message_records(message)]
+        records += [r for message_id, ended in other.ends.items() for r in ended.records(message_id)]
+        record = b"".join(records)
+        if record and not self._append_inherited(record, other):
+            return False
+        for message_id, message in other.owed.items():
+            self.owed[message_id] = message
+            self._set_byte_counts(message_id, *other._byte_counts[message_id])
+        for message_id, ended in other.ends.items():
             self.ends[message_id] = ended
-            self.ends_taken_over.append(message_id)
             self._schedule_expiry(message_id, ended)
             self._set_byte_counts(message_id, *other._byte_counts[message_id])
+        for message_id in [*other.owed, *other.ends]:
+            other._forget(message_id)
+        try:
+            other._discard()
+        except OSError:
+            return False  # everything in it is known here, and it is removed later
+        self.inherited = None
+        return True
+
+    def _append_inherited(self, record: bytes, other: Journal) -> bool:
+        """Append the records of the inherited journal; return False if there is no room for them."""
+        if not self.can_record() or other._unwritten:
+            return False
+        if not self._has_room_to_merge(self.size + len(record), other):
+            compacted_bytes = self._max_compacted_bytes()
+            compaction_bytes = round_up_to_blocks(compacted_bytes + self.pending_bytes)
+            if (
+                self.occupied_bytes + compaction_bytes > self._limit_bytes
+                or not self._has_room_to_merge(compacted_bytes + len(record), other)
+                or not self._compact()
+            ):
+                return False
+        return self._reserve(len(record) + other.pending_bytes) and self._append(record)
+
+    def _has_room_to_merge(self, size: int, other: Journal) -> bool:
+        """Return whether the file may grow to `size` by the inherited records, and be compacted later."""
+        pending = self.pending_bytes + other.pending_bytes
+        fits_beside = size + pending + BUDGET_MARGIN_BYTES <= self._limit_bytes
+        limit_bytes = self._limit_bytes + other.occupied_bytes
+        fits_later = self._fits(size, other.compacted_bytes, other.pending_bytes, limit_bytes)
+        return fits_beside and fits_later
+
+    def _forget(self, message_id: str) -> None:
+        """Drop a message or an end, which another journal holds."""
+        self.owed.pop(message_id, None)
+        self.ends.pop(message_id, None)
+        self._set_byte_counts(message_id, 0, 0)
+
+    def _discard(self) -> None:
+        """Remove the files of this slot and unlock it. Raises OSError if its records cannot be removed."""
+        if self.path.exists():
+            os.truncate(self.path, 0)  # even if it cannot be removed, no message is owed twice
+        with contextlib.suppress(OSError):
+            self.path.unlink(missing_ok=True)
+            self.compaction_path.unlink(missing_ok=True)
+        if self.file is not None:
+            os.close(self.file.fd)
+            self.file = None
+        self.close()
+
+    def _holder_of(self, message_id: str) -> Journal:
+        """Return the journal that holds a message or its end: the inherited one, or this one."""
+        other = self.inherited
+        return other if other is not None and (message_id in other.owed or message_id in other.ends) else self
+
+    @property
+    def occupied_bytes(self) -> int:
+        """Bytes of the budget that the file occupies, with its reserved space."""
+        return 0 if self.file is None else round_up_to_blocks(max(self.file.reserved_end, self.file.size))
+
+    @property
+    def _limit_bytes(self) -> int:
+        """The part of the budget that this journal's files may occupy."""
+        return self.budget - sum(journal.occupied_bytes for journal in self._journals_beside)
+
+    @property
+    def _journals_beside(self) -> tuple[Journal, ...]:
+        """The other journals of this process."""
+        return self.files_beside if self.inherited is None else (self.inherited,)
 
     @staticmethod
     def _message_records(message: Message) -> list[bytes]:
@@ -289,7 +380,8 @@
         if not self.write_error:
             return True
         budget_nearly_used = (
-            2 * (self.size + self.pending_bytes + self._needed_bytes) + BUDGET_MARGIN_BYTES > self.budget
+            2 * (self.size + self.pending_bytes + self._needed_bytes) + BUDGET_MARGIN_BYTES
+            > self._limit_bytes
         )
         if self.has_unwritten_records() or not self._reserve(0 if budget_nearly_used else self._needed_bytes):
             return False
@@ -303,6 +395,8 @@
 
         Tries to write them.
         """
+        if self.inherited is not None and self.inherited.has_unwritten_records():
+            return True
         if not self._write_failed:
             return False
         if self._unwritten:
@@ -321,7 +415,9 @@
         record = encode_record(encode_taken(message))
         pending = self._pending_bytes_of(message)
         compacted = len(record) + 2 * (STATUS_RECORD_BYTES + len(message.id))
-        if not self._make_room(len(record), compacted, pending) or not self._reserve(len(record) + pending):
+        if not self._has_room_to_take(len(record), compacted, pending):
+            return False
+        if not self._reserve(len(record) + pending):
             return False
         if not self._append(record):
             return False
@@ -330,8 +426,18 @@
         self._set_byte_counts(message.id, compacted, pending)
         return True
 
+    def _has_room_to_take(self, record_bytes: int, compacted: int, pending: int) -> bool:
+        """Return whether a new message fits, and the inherited journal still does."""
+        if (other := self.inherited) is not None:
+            record_bytes += other.compacted_bytes
+            compacted += other.compacted_bytes
+            pending += other.pending_bytes
+        return self._make_room(record_bytes, compacted, pending)
+
     def begin(self, message: Message, attempt_number: int) -> bool:
         """Record an attempt before its first byte is sent; return False if the record was not written."""
+        if (holder := self._holder_of(message.id)) is not self:
+            return holder.begin(message, attempt_number)
         record = encode_record(encode_begun(message, attempt_number, self.unix_us()))
         if not self._append(record):
             return False
@@ -340,12 +446,18 @@
 
     def never_ran(self, message: Message, attempt_number: int) -> None:
         """Record that an attempt is known never to have run."""
+        if (holder := self._holder_of(message.id)) is not self:
+            holder.never_ran(message, attempt_number)
+            return
         record = encode_record(encode_status(NEVER_RAN, message.id, attempt_number))
         self._write_or_queue(record)
         self._count_written(message.id, len(record))
 
     def end(self, message: Message, end: End) -> None:
         """Record the final end of a message."""
+        if (holder := self._holder_of(message.id)) is not self:
+            holder.end(message, end)
+            return
         now = self.unix_us()
         keep_us = self.retention_us_by_front.get(message.front, self.keep_us)
         keep_until_us, resubmit_at_us = max(message.deadline_us, now) + keep_us, now + end.retry_us
@@ -366,6 +478,9 @@
 
     def confirm_notice(self, message_id: str) -> None:
         """Record that the platform has confirmed the notice of a message's end."""
+        if (holder := self._holder_of(message_id)) is not self:
+            holder.confirm_notice(message_id)
+            return
         if (ended := self.ends.get(message_id)) is not None and not ended.told:
             ended.told = True
             self._schedule_expiry(message_id, ended)
@@ -374,7 +489,7 @@
 
     def ended(self, message_id: str) -> End | None:
         """Return the end of a message; None if it is unknown or expired, or a refusal may be retried."""
-        ended, now = self.ends.get(message_id), self.unix_us()
+        ended, now = self.recorded_end(message_id), self.unix_us()
         if ended is None or now >= ended.keep_until_us:
             return None
         may_resubmit = ended.end.ending is Ending.REFUSED and now >= ended.resubmit_at_us
@@ -382,9 +497,13 @@
 
     def content_digest_of_ended(self, message_id: str) -> bytes:
         """Return the content digest of a message that has ended, or b"" if it is not known."""
-        ended = self.ends.get(message_id)
+        ended = self.recorded_end(message_id)
         return b"" if ended is None else ended.content_digest
 
+    def recorded_end(self, message_id: str) -> RecordedEnd | None:
+        """Return the record of a message's end, expired or not."""
+        return self._holder_of(message_id).ends.get(message_id)
+
     def _schedule_expiry(self, message_id: str, ended: RecordedEnd) -> None:
         """Schedule the removal of an end.
 
@@ -459,17 +578,11 @@
             return False
         return self._fits(self.size + extra_bytes, compacted, pending)
 
-    def _fits(self, file_bytes: int, compacted: int, pending: int) -> bool:
+    def _fits(self, file_bytes: int, compacted: int, pending: int, limit_bytes: int | None = None) -> bool:
         """Return whether a file of this size and the second file of a compaction fit into the budget."""
-        return (
-            file_bytes
-            + len(MAGIC)
-            + self.compacted_bytes
-            + compacted
-            + 2 * (self.pending_bytes + pending)
-            + BUDGET_MARGIN_BYTES
-            <= self.budget
-        )
+        return file_bytes + len(MAGIC) + self.compacted_bytes + compacted + 2 * (
+            self.pending_bytes + pending
+        ) + BUDGET_MARGIN_BYTES <= (self._limit_bytes if limit_bytes is None else limit_bytes)
 
     def _max_compacted_bytes(self) -> int:
         """Return an upper bound for the size of a compacted file."""
@@ -484,7 +597,7 @@
             needed_bytes,
             min(
                 -(-needed_bytes // RESERVATION_BYTES) * RESERVATION_BYTES,
-                self.budget // 2 - BUDGET_MARGIN_BYTES,
+                self._limit_bytes // 2 - BUDGET_MARGIN_BYTES,
             ),
         )
 
@@ -565,11 +678,11 @@
             if (
                 round_up_to_blocks(old_file.reserved_end)
                 + round_up_to_blocks(self._reservation_end(len(data) + self.pending_bytes))
-                > self.budget
+                > self._limit_bytes
             ):
                 old_file.release_after(old_file.size + self.pending_bytes)
             needed_bytes = len(data) + self.pending_bytes
-            spare = self.budget - round_up_to_blocks(max(old_file.reserved_end, old_file.size))
+            spare = self._limit_bytes - round_up_to_blocks(max(old_file.reserved_end, old_file.size))
             if round_up_to_blocks(needed_bytes) > spare:
                 raise OSError(errno.EDQUOT, "the budget has no space for a second file")
             fd = os.open(self.compaction_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
