Keep both journals of a hot restart within the one budget

Cause: each of the two processes took the whole of `disk_mb` as its own budget.

Change: while the other slot has a file, each process uses at most half of the budget. A file that is larger when the second process starts is compacted, for which the first one always leaves room; until then the second one keeps to 32 KiB, which a single process never uses. A file that was taken over counts towards the budget of its owner.

Measured: test_both_processes_of_a_hot_restart_stay_within_one_budget fails without the change.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -232,6 +232,7 @@
             self._follow_outages()
             self.waits.flush(self.clock.now_us())
             self._read_bans()
+            self.journal.make_room_for_other_process()
             if self.unwritten_bans and not self._write_bans():
                 log.info("mgmt: the list of detached endpoints has been written")
 
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -56,6 +56,8 @@
 OPEN_TRY_COUNT, OPEN_PAUSE_S = 200, 0.01
 RESERVATION_BYTES = 16 * 1024  # unit in which disk space is reserved
 BUDGET_MARGIN_BYTES = 8 * BLOCK_BYTES
+# Never used by a process that runs alone: a second one starts in it until the first has made room.
+SECOND_PROCESS_BYTES, SECOND_PROCESS_FRACTION = 32 * 1024, 1 / 16
 RETRY_DELAY_US = 1_000_000  # wait after a failed compaction or take-over
 EXPIRY_CHECK_END_COUNT = 256  # expired ends are removed after this number of new ends
 EXPIRY_SPAN_US = 1_000_000  # ends that expire within one span are removed together
@@ -64,7 +66,11 @@
 
 @dataclass(slots=True)
 class Journal:
-    """The journal in one folder. It takes at most `budget` bytes, with the second file of a compaction."""
+    """The journal in one folder.
+
+    It takes at most `budget` bytes, with the second file of a compaction. While another process uses the
+    other slot, each of the two takes at most half of that.
+    """
 
     folder: Path
     budget: int
@@ -88,7 +94,7 @@
     ends_taken_over: list[str] = field(default_factory=list)  # ids of the ends taken over from the other slot
     # The other slot's journal, whose messages are owed here and are not recorded in the own file yet.
     inherited: Journal | None = None
-    files_beside: tuple[Journal, ...] = ()  # of an inherited journal: the one that has taken it over
+    inherited_by: Journal | None = None
     _unwritten: deque[bytes] = field(default_factory=deque)
     _write_failed: bool = False  # the last write failed
     write_error: str = ""  # why no new messages are accepted; empty if they are
@@ -255,7 +261,7 @@
         other = Journal(
             self.folder, self.budget, self.unix_us, self.keep_us, self.retention_us_by_front, self.attempts
         )
-        other.slot, other.lock_fd, other.files_beside = self.other_slot, lock_fd, (self,)
+        other.slot, other.lock_fd, other.inherited_by = self.other_slot, lock_fd, self
         try:
             if not other.path.exists() or not other.path.stat().st_size:
                 other._discard()
@@ -305,7 +311,7 @@
             compacted_bytes = self._max_compacted_bytes()
             compaction_bytes = round_up_to_blocks(compacted_bytes + self.pending_bytes)
             if (
-                self.occupied_bytes + compaction_bytes > self._limit_bytes
+                self.occupied_bytes + compaction_bytes > self._compaction_limit_bytes
                 or not self._has_room_to_merge(compacted_bytes + len(record), other)
                 or not self._compact()
             ):
@@ -351,12 +357,46 @@
     @property
     def _limit_bytes(self) -> int:
         """The part of the budget that this journal's files may occupy."""
-        return self.budget - sum(journal.occupied_bytes for journal in self._journals_beside)
+        if (beside := self.inherited or self.inherited_by) is not None:
+            return self.budget - beside.occupied_bytes
+        other_bytes, share = self._other_process_bytes(), self.budget // 2
+        if not other_bytes:
+            return self.budget - self._second_process_bytes
+        return share if other_bytes <= share else self._second_process_bytes
+
+    @property
+    def _compaction_limit_bytes(self) -> int:
+        """The part of the budget that this journal's files may occupy during a compaction.
+
+        A file above its share was there first: the process of the other slot leaves this room until then.
+        """
+        if self._exceeds_share and self.inherited is None and self.inherited_by is None:
+            return self.budget - self._second_process_bytes
+        return self._limit_bytes
 
     @property
-    def _journals_beside(self) -> tuple[Journal, ...]:
-        """The other journals of this process."""
-        return self.files_beside if self.inherited is None else (self.inherited,)
+    def _second_process_bytes(self) -> int:
+        return min(SECOND_PROCESS_BYTES, int(self.budget * SECOND_PROCESS_FRACTION))
+
+    @property
+    def _exceeds_share(self) -> bool:
+        """Whether the file occupies more than this process may use while another one runs."""
+        return self.occupied_bytes > self.budget // 2
+
+    def _other_process_bytes(self) -> int:
+        """Return the bytes that the files of the other slot occupy; 0 if there are none."""
+        total = 0
+        for suffix in ("log", "new"):
+            try:
+                total += round_up_to_blocks(os.stat(f"{self.folder}/{self.other_slot}.{suffix}").st_size)
+            except OSError:
+                break
+        return total
+
+    def make_room_for_other_process(self) -> None:
+        """Compact a file that is too large for two processes, if another one has started."""
+        if self._exceeds_share and self.inherited is None and self._other_process_bytes():
+            self._compact()
 
     @staticmethod
     def _message_records(message: Message) -> list[bytes]:
@@ -567,6 +607,7 @@
 
         The budget always has to leave space for the second file of a compaction.
         """
+        self.make_room_for_other_process()
         if self._fits(self.size + extra_bytes, compacted, pending):
             return True
         self._forget_expired_ends()
@@ -673,16 +714,16 @@
             self._set_byte_counts(message.id, compacted, self._byte_counts.get(message.id, (0, 0))[1])
         for message_id, ended in self.ends.items():
             records += ended.records(message_id)
-        data = b"".join(records)
+        data, limit_bytes = b"".join(records), self._compaction_limit_bytes
         try:
             if (
                 round_up_to_blocks(old_file.reserved_end)
                 + round_up_to_blocks(self._reservation_end(len(data) + self.pending_bytes))
-                > self._limit_bytes
+                > limit_bytes
             ):
                 old_file.release_after(old_file.size + self.pending_bytes)
             needed_bytes = len(data) + self.pending_bytes
-            spare = self._limit_bytes - round_up_to_blocks(max(old_file.reserved_end, old_file.size))
+            spare = limit_bytes - round_up_to_blocks(max(old_file.reserved_end, old_file.size))
             if round_up_to_blocks(needed_bytes) > spare:
                 raise OSError(errno.EDQUOT, "the budget has no space for a second file")
             fd = os.open(self.compaction_path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o600)
--- a/tests/test_full_journal_take_over.py
+++ b/tests/test_full_journal_take_over.py
@@ -8,6 +8,7 @@
 
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.store.journal import RETRY_DELAY_US, Journal
+from rowanrack.store.journal_file import round_up_to_blocks
 
 BUDGET_BYTES = 400_000
 BODY = bytes(20_000)
@@ -42,11 +43,48 @@
     return taken
 
 
+def folder_bytes(folder: Path) -> int:
+    """Return the bytes of all files, each in whole blocks."""
+    return sum(round_up_to_blocks(path.stat().st_size) for path in folder.iterdir())
+
+
+def test_both_processes_of_a_hot_restart_stay_within_one_budget(tmp_path: Path) -> None:
+    """Guards against two processes that use the whole budget each, which ended in a folder over its limit."""
+    clock = Clock()
+    old = open_journal(tmp_path, clock)
+    old_messages = fill(old, "old")
+    for message in old_messages[:4]:
+        old.end(message, FAILED)
+    more = [Message(f"more{n}", "c", "t", 3, DEADLINE_US, BODY, "platform") for n in range(2)]
+    assert all(old.take(message) for message in more)
+    old_messages = old_messages[4:] + more
+    assert folder_bytes(tmp_path) > BUDGET_BYTES // 2
+    new = open_journal(tmp_path, clock)
+    too_large = Message("large", "c", "t", 3, DEADLINE_US, BODY * 2, "platform")
+    assert not new.take(too_large) and new.take(Message("small", "c", "t", 3, DEADLINE_US, b"", "platform"))
+    assert folder_bytes(tmp_path) <= BUDGET_BYTES
+    old.make_room_for_other_process()
+    sizes = [folder_bytes(tmp_path)]
+    new_messages = fill(new, "new")
+    for messages, journal in ((old_messages, old), (new_messages, new)):
+        for message in messages:
+            assert journal.begin(message, 0)
+            sizes.append(folder_bytes(tmp_path))
+            journal.end(message, FAILED)
+            journal.take(too_large)
+            sizes.append(folder_bytes(tmp_path))
+    old.close()
+    assert new.take_over() is not None
+    fill(new, "later")
+    assert max(*sizes, folder_bytes(tmp_path)) <= BUDGET_BYTES
+    new.close()
+
+
 def test_messages_that_do_not_fit_beside_those_of_the_new_process_are_owned_at_once(tmp_path: Path) -> None:
     """Guards against messages of the previous process that nobody calls out or ends until there is room."""
     clock = Clock()
-    old, new = open_journal(tmp_path, clock), open_journal(tmp_path, clock)
-    old_messages, new_messages = fill(old, "old"), fill(new, "new")
+    old_messages = fill(old := open_journal(tmp_path, clock), "old")
+    new_messages = fill(new := open_journal(tmp_path, clock), "new")
     assert old.begin(old_messages[0], 0)
     old.end(old_messages[1], FAILED)
     old.close()
@@ -79,8 +117,8 @@
 @pytest.mark.parametrize("ends", ["own", "taken over"])
 def test_inherited_file_is_merged_once_there_is_room(tmp_path: Path, ends: str) -> None:
     clock = Clock()
-    old, new = open_journal(tmp_path, clock), open_journal(tmp_path, clock)
-    old_messages, new_messages = fill(old, "old"), fill(new, "new")
+    old_messages = fill(old := open_journal(tmp_path, clock), "old")
+    new_messages = fill(new := open_journal(tmp_path, clock), "new")
     old.close()
     assert new.take_over() and new.inherited is not None
     ended, owed = (new_messages, old_messages) if ends == "own" else (old_messages, new_messages)
