Know the ids of the other process of a hot restart

Change: `OtherSlotReader` follows the other slot's file while it exists: an accepted message is in it before its first call begins, in both directions. `Exchange.find_repeated` and the check under overload ask it too. On the platform's front such a repeat is answered +OK; on OTLP it waits for the end that the other process records, or for that of the message once it is taken over, at most 1 s past its deadline (then 500: it may have taken effect).

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -131,6 +131,12 @@
     def ended(self, message_id: str) -> End | None:
         """Return the recorded final answer to a message, while it is retained."""
 
+    def find_in_other_process(self, message_id: str) -> Message | End | None:
+        """Return a message that the other process of a hot restart owns, or its end while that is retained.
+
+        None also stands for a message that this process knows.
+        """
+
     def content_digest_of_ended(self, message_id: str) -> bytes:
         """Return the content digest of a message that has ended, or b"" if it is not known."""
 
@@ -228,6 +234,8 @@
             return None
         if not (retry_us := self.load_shedder.early_refusal_us()):
             return None
+        if message_id and self.store.find_in_other_process(message_id) is not None:
+            return None
         return self._refuse(None, Refusal(min(retry_us, self.settings.max_come_back_us)))
 
     def submit(self, message: Message) -> Refusal | None:
@@ -331,12 +339,16 @@
         """Return the message with this id while it is owned, then its final answer while retained."""
         return self.messages.get(message_id) or self.store.ended(message_id)
 
+    def find_anywhere(self, message_id: str) -> Message | End | None:
+        """Return what `find_message` does, also for a message of the other process of a hot restart."""
+        return self.find_message(message_id) or self.store.find_in_other_process(message_id)
+
     def find_repeated(self, submission: Message) -> Message | End | None:
         """Return the message that a submission repeats, or that message's final answer, or None if it is new.
 
         Raises IdInUseError if the submission is another message than the one that has its id.
         """
-        if (known := self.find_message(submission.id)) is None:
+        if (known := self.find_anywhere(submission.id)) is None:
             return None
         digest = (
             content_digest(known)
@@ -455,7 +467,7 @@
         self._receive_waits()
         if self._wait_left_us(attempt.endpoint) > 0:
             return HeldBackReason.RETRY_AFTER_WAIT
-        if not self._is_owned(attempt.message):
+        if not self.owns(attempt.message):
             return HeldBackReason.MESSAGE_ENDED
         if not self.endpoint_list.accepts_calls(attempt.endpoint.name):
             return HeldBackReason.ENDPOINT_CLOSED
@@ -498,7 +510,7 @@
         self._release_ref(message)
         if wait_us and attempt.begun:
             self._record_wait(attempt, wait_us, now)
-        is_owned = self._is_owned(message)
+        is_owned = self.owns(message)
         if attempt.begun and result not in MAY_HAVE_RUN_RESULTS and result is not Result.OK:
             message.unsettled.pop(attempt.attempt_number, None)
             if is_owned:
@@ -507,7 +519,7 @@
             self._end_message(message, End(Ending.DELIVERED))
         elif is_owned and end is not None:
             self._end_message(message, End(end))
-        message_ended = not self._is_owned(message)
+        message_ended = not self.owns(message)
         latency_us = now - attempt.started_us
         name = attempt.endpoint.name
         self._queue_event(
@@ -570,7 +582,7 @@
         Return False if it has ended already.
         """
         owned = self._messages_by_ref.get(message.ref)
-        if owned is None or not self._is_owned(owned):
+        if owned is None or not self.owns(owned):
             return False
         self._end_as_failed(owned)
         return True
@@ -744,7 +756,7 @@
     def _send(self, action: Send, now: int) -> None:
         message = self._messages_by_ref.get(action.ref)
         endpoint = self.endpoint_list.get(action.target)
-        if message is None or not self._is_owned(message):
+        if message is None or not self.owns(message):
             log.error("decision module tried to send message %d, which has already ended", action.ref)
             return
         attempt_number, message.attempts_made = message.attempts_made, message.attempts_made + 1
@@ -827,20 +839,21 @@
 
     def _end_by_ref(self, ref: int, end: End) -> None:
         message = self._messages_by_ref.get(ref)
-        if message is not None and self._is_owned(message):
+        if message is not None and self.owns(message):
             self._end_message(message, end)
 
-    def _is_owned(self, message: Message) -> bool:
+    def owns(self, message: Message) -> bool:
+        """Return whether this process owes the message its final answer."""
         return self.messages.get(message.id) is message
 
     def _release_ref(self, message: Message) -> None:
         """Drop the reference number of an ended message that has no attempt left to cancel."""
-        if not self._is_owned(message) and not message.attempts_out:
+        if not self.owns(message) and not message.attempts_out:
             self._messages_by_ref.pop(message.ref, None)
 
     def _end_overdue(self, message: Message) -> None:
         """End a message that got no final answer by its deadline because the decision module failed."""
-        if self._is_owned(message):
+        if self.owns(message):
             log.error("message %s had no final answer at its deadline", message.id)
             self._end_as_failed(message)
 
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -26,10 +26,14 @@
 from rowanrack.net.http import REQUEST_TIMEOUT_RESPONSE, HttpError, HttpServerConnection, Reply, Request
 from rowanrack.net.listener import ConnectionState, Listener
 from rowanrack.net.stream import Stream
+from rowanrack.net.timing import pause
 
 REQUEST_TIMEOUT_US = 10_000_000  # for receiving one request, which may be much larger than the platform's
 # A connection whose request is incomplete is closed to make room for others only after this time.
 MIN_REQUEST_AGE_BEFORE_EVICTION_US = 2_000_000
+# Interval at which it is checked how a message of the other process of a hot restart has ended, and how long
+# after its deadline at most.
+OTHER_PROCESS_CHECK_INTERVAL_US, OTHER_PROCESS_GRACE_US = 50_000, 1_000_000
 ID_IN_USE_STATUS = 409  # by the specification, such a request is not sent again
 
 
@@ -132,10 +136,31 @@
             return known
         if known is None and (refusal := self.exchange.submit(message)) is not None:
             return refusal
+        if known is not None and not self.exchange.owns(known):
+            return await self._wait_for_other_process(known)
+        return await self._wait_for_owned((known or message).id)
+
+    async def _wait_for_owned(self, message_id: str) -> End:
+        """Return the end of a message that this process owns."""
         waiter: asyncio.Future[End] = asyncio.get_running_loop().create_future()
-        self._waiting.setdefault((known or message).id, []).append(waiter)
+        self._waiting.setdefault(message_id, []).append(waiter)
         return await waiter
 
+    async def _wait_for_other_process(self, message: Message) -> End:
+        """Return the end of a message of the other process, which this one may take over meanwhile.
+
+        A message whose end does not become known in time may have taken effect.
+        """
+        give_up_at_us = message.deadline_us + OTHER_PROCESS_GRACE_US
+        while self.exchange.clock.unix_us() < give_up_at_us:
+            known = self.exchange.find_anywhere(message.id)
+            if known is None or isinstance(known, End):
+                return known or End(Ending.FAILED)
+            if self.exchange.owns(known):
+                return await self._wait_for_owned(message.id)
+            await pause(self.after, OTHER_PROCESS_CHECK_INTERVAL_US)
+        return End(Ending.FAILED)
+
     def _find_under_former_id(self, message: Message) -> Message | End | None:
         """Find a message without an id that the release before has taken, which a restart may leave."""
         if (former := with_former_id(message)) is None:
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -29,7 +29,7 @@
 from pathlib import Path
 
 from rowanrack.core.identity import content_digest
-from rowanrack.core.messages import End, Ending, Message
+from rowanrack.core.messages import End, Message
 from rowanrack.store.journal_file import BLOCK_BYTES, JournalFile, round_up_to_blocks
 from rowanrack.store.journal_records import (
     ATTEMPT_TIME_BYTES,
@@ -48,6 +48,7 @@
     encode_taken,
     read_records,
 )
+from rowanrack.store.other_slot import OtherSlotReader
 
 log = logging.getLogger(__name__)
 
@@ -95,6 +96,7 @@
     # The other slot's journal, whose messages are owed here and are not recorded in the own file yet.
     inherited: Journal | None = None
     inherited_by: Journal | None = None
+    _other_slot_reader: OtherSlotReader | None = None
     _unwritten: deque[bytes] = field(default_factory=deque)
     _write_failed: bool = False  # the last write failed
     write_error: str = ""  # why no new messages are accepted; empty if they are
@@ -201,6 +203,9 @@
         if self.inherited is not None:
             self.inherited.close()
             self.inherited = None
+        if self._other_slot_reader is not None:
+            self._other_slot_reader.close()
+            self._other_slot_reader = None
         if self.file is not None:
             if self._unwritten and not self._flush():
                 log.error("journal: %d records were not written before shutdown", len(self._unwritten))
@@ -529,16 +534,23 @@
 
     def ended(self, message_id: str) -> End | None:
         """Return the end of a message; None if it is unknown or expired, or a refusal may be retried."""
-        ended, now = self.recorded_end(message_id), self.unix_us()
-        if ended is None or now >= ended.keep_until_us:
-            return None
-        may_resubmit = ended.end.ending is Ending.REFUSED and now >= ended.resubmit_at_us
-        return None if may_resubmit else ended.end
+        ended = self.recorded_end(message_id)
+        return None if ended is None else ended.answer_to_repeat(self.unix_us())
+
+    def find_in_other_process(self, message_id: str) -> Message | End | None:
+        """Return a message of the other slot's process, or of its file, or the end of that message."""
+        if self.inherited is not None:
+            return None  # all of it is known here
+        if self._other_slot_reader is None:
+            self._other_slot_reader = OtherSlotReader(self.other_path)
+        return self._other_slot_reader.find(message_id, self.unix_us())
 
     def content_digest_of_ended(self, message_id: str) -> bytes:
         """Return the content digest of a message that has ended, or b"" if it is not known."""
         ended = self.recorded_end(message_id)
-        return b"" if ended is None else ended.content_digest
+        if ended is not None:
+            return ended.content_digest
+        return self._other_slot_reader.content_digest_of_ended(message_id) if self._other_slot_reader else b""
 
     def recorded_end(self, message_id: str) -> RecordedEnd | None:
         """Return the record of a message's end, expired or not."""
@@ -763,7 +775,7 @@
         if not data.startswith(MAGIC[: len(data)]):
             raise JournalError(f"{self.path.name}: not a journal of rowanrack")
         end = min(len(data), len(MAGIC)) if data.startswith(MAGIC) else 0
-        for offset, payload in read_records(data):
+        for offset, payload in read_records(data, len(MAGIC)):
             try:
                 self._apply_record(payload)
             except (ValueError, KeyError, struct.error) as error:
--- a/rowanrack/store/journal_records.py
+++ b/rowanrack/store/journal_records.py
@@ -57,9 +57,8 @@
     return RECORD_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
-def read_records(data: bytes) -> Iterator[tuple[int, bytes]]:
+def read_records(data: bytes, offset: int = 0) -> Iterator[tuple[int, bytes]]:
     """Yield the payload of each valid record with its end offset, up to the first damaged record."""
-    offset = len(MAGIC)
     while offset + RECORD_HEADER.size <= len(data):
         size, crc = RECORD_HEADER.unpack_from(data, offset)
         payload = data[offset + RECORD_HEADER.size : offset + RECORD_HEADER.size + size]
@@ -122,6 +121,13 @@
         """Whether its notice is required and not yet confirmed."""
         return not self.told and self.end.ending in (Ending.REFUSED, Ending.FAILED)
 
+    def answer_to_repeat(self, now_unix_us: int) -> End | None:
+        """Return the end as the answer to a repeated submission; None if it may be submitted again."""
+        if now_unix_us >= self.keep_until_us:
+            return None
+        may_resubmit = self.end.ending is Ending.REFUSED and now_unix_us >= self.resubmit_at_us
+        return None if may_resubmit else self.end
+
     def encode(self, message_id: str) -> bytes:
         """Encode the payload for the end."""
         times = (self.end.retry_us, self.keep_until_us, self.resubmit_at_us)
--- a/rowanrack/store/memory.py
+++ b/rowanrack/store/memory.py
@@ -106,6 +106,10 @@
         """Return the recorded end of a message."""
         return self.current.ends.get(message_id, ("", None))[1]
 
+    def find_in_other_process(self, message_id: str) -> Message | End | None:
+        """Return None: the simulated senders have one process each."""
+        return None
+
     def content_digest_of_ended(self, message_id: str) -> bytes:
         """Return the content digest of a message that has ended, or b"" if it is not known."""
         return self.current.content_digests.get(message_id, b"")
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -291,8 +291,14 @@
         return Client(await self.connect(0, sender))
 
     async def export(self, body: bytes, path: str = "/v1/logs", **header_values: str) -> Reply:
+        """Make an export request to the first sender on a new connection."""
+        return await self.export_to(self.sender, body, path, **header_values)
+
+    async def export_to(
+        self, sender: Sender, body: bytes, path: str = "/v1/logs", **header_values: str
+    ) -> Reply:
         """Make an export request on a new connection."""
-        stream = await self.connect(1)
+        stream = await self.connect(1, sender)
         header_fields = {"content_type": "application/x-protobuf"} | header_values
         headers = tuple((name.replace("_", "-"), value) for name, value in header_fields.items())
         return await HttpClientConnection(stream, "otlp", 1 << 20, after).call(
