--- a/rowanrack/lab/checker.py
+++ b/rowanrack/lab/checker.py
@@ -137,6 +137,10 @@
                 self._add_violation(
                     "answer", entry.at, entry.message, f"{entry.who} rejected the message as invalid"
                 )
+            case "confused":
+                self._add_violation(
+                    "identity", entry.at, entry.message, f"{entry.who} accepted other contents under its id"
+                )
             case "ran":
                 history.runs.append(entry)
             case "answer" if entry.note == "200" and history.delivered is None:
--- a/rowanrack/lab/clients.py
+++ b/rowanrack/lab/clients.py
@@ -76,13 +76,37 @@
             if (busy := BUSY_PATTERN.match(answer)) is not None:
                 await asyncio.sleep(min(int(busy[1]) / 1000, MAX_BUSY_WAIT_S))
             elif answer != "refused":
+                if answer == "+OK":
+                    await self._use_id_again(arrival, name, due)
                 return
         self.book.add("declined", "", arrival.id)
 
-    async def _submit_once(self, arrival: Arrival, name: str, due: int, longest_deadline_us: int) -> str:
-        """Submit once; returns the answer. `longest_deadline_us`: the longest time left that was sent so far.
+    async def _use_id_again(self, arrival: Arrival, name: str, due: int) -> None:
+        """Submit under the id of an accepted message, on new connections: other contents, and a repeat."""
+        if arrival.contested:
+            self._close_idle(name)
+            answer = await self._submit_once(arrival, name, due, 0, b"of another client")
+            if answer == "+OK":
+                self.book.add("confused", name, arrival.id)
+        if arrival.repeat_after_us:
+            await asyncio.sleep(arrival.repeat_after_us / 1e6)
+            if now_us() < due - STOP_RETRYING_US:
+                self._close_idle(name)
+                await self._submit_once(arrival, name, due, due - now_us())
+
+    def _close_idle(self, name: str) -> None:
+        """Close the idle connections to a sender, so that the next command uses a new one."""
+        for client in self.idle[name]:
+            client.stream.abort()
+        self.idle[name].clear()
+
+    async def _submit_once(
+        self, arrival: Arrival, name: str, due: int, longest_deadline_us: int, other_body: bytes = b""
+    ) -> str:
+        """Submit once, the message or another body under its id; returns the answer.
 
-        A sender counts the time left from when it reads the message, which may be as late as its OK.
+        `longest_deadline_us`: the longest time left that was sent so far. A sender counts the time left from
+        when it reads the message, which may be as late as its OK.
         """
         left_ms = max(1, (due - now_us()) // 1000)
         answer = "lost"  # unless an answer arrives
@@ -90,7 +114,9 @@
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 client = await self._client(name)
-                reply = await client.submit(arrival.id, arrival.cls, left_ms, arrival.dest)
+                reply = await client.submit(
+                    arrival.id, arrival.cls, left_ms, arrival.dest, other_body or bytes(arrival.body_bytes)
+                )
                 answer = reply.decode().strip() or "lost"
         except ConnectionRefusedError:
             answer = "refused"
@@ -98,7 +124,8 @@
             pass
         what = EVENT_BY_ANSWER.get(answer, "busy" if BUSY_PATTERN.match(answer) else "bad")
         value = now_us() + longest_deadline_us if what == "taken" else due
-        self.book.add(what, name, arrival.id, dest=arrival.dest, value=value, note=arrival.cls)
+        if not other_body:
+            self.book.add(what, name, arrival.id, dest=arrival.dest, value=value, note=arrival.cls)
         if client is not None:
             if answer == "lost":
                 client.stream.abort()
--- a/rowanrack/lab/plan.py
+++ b/rowanrack/lab/plan.py
@@ -10,6 +10,7 @@
 from rowanrack.lab.scenario import DETACH_FAULT, ENDPOINT_FAULTS, LINK_FAULTS, Channels, Fault, Scenario
 
 SECOND_US = 1_000_000
+MAX_REPEAT_AFTER_US = 20_000  # later, a message that was handed back may be accepted anew
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -21,6 +22,9 @@
     dest: int
     left_ms: int
     order: tuple[str, ...]
+    body_bytes: int = 1
+    repeat_after_us: int = 0  # from the acceptance to a repeat of the submission; 0: none
+    contested: bool = False  # whether another client uses the id for other contents, after the acceptance
 
 
 class FaultEvent(msgspec.Struct, frozen=True):
@@ -106,6 +110,7 @@
 def arrivals(scenario: Scenario, rng: Random) -> list[Arrival]:
     """Plan the messages as a Poisson process."""
     found: list[Arrival] = []
+    client_rng = Random(f"{rng.getstate()} clients")
     at_s, names = rng.expovariate(scenario.rate), scenario.sender_names
     weights = [math.exp(rng.gauss(0, scenario.uneven)) for _ in names] if scenario.uneven else []
     while at_s < scenario.seconds:
@@ -116,11 +121,17 @@
             first = rng.choices(names, weights)[0]
             order = (first, *(name for name in order if name != first))[: len(order)]
         fields = f"m{len(found):06d}", grade.name, dest, grade.deadline_ms, order
-        found.append(Arrival(int(at_s * SECOND_US), *fields))
+        found.append(Arrival(int(at_s * SECOND_US), *fields, *client_fields(scenario, client_rng)))
         at_s += rng.expovariate(scenario.rate)
     return found
 
 
+def client_fields(scenario: Scenario, rng: Random) -> tuple[int, int, bool]:
+    """Draw the size of a message's body, and who submits under its id again."""
+    repeat_after_us = rng.randint(1, MAX_REPEAT_AFTER_US) if rng.random() < scenario.repeated else 0
+    return rng.randint(1, scenario.body_bytes), repeat_after_us, rng.random() < scenario.contested
+
+
 def fault_events(scenario: Scenario, rng: Random) -> list[FaultEvent]:
     """Plan the begin and end of each fault; chosen targets repeat only after all others were chosen."""
     senders, endpoint_names = scenario.sender_names, scenario.endpoint_names
--- a/rowanrack/lab/scenario.py
+++ b/rowanrack/lab/scenario.py
@@ -130,6 +130,9 @@
     covered: bool = False  # whether messages of a sender that lost its disk are still owed a final answer
     spread: NonNegativeInt = 4  # senders that a client tries in turn
     uneven: Seconds = 0.0  # standard deviation of the logarithm of a sender's share of the messages
+    body_bytes: PositiveInt = 1  # largest size of a message's body
+    repeated: UnitFraction = 0.0  # share of the accepted messages that are submitted again at once
+    contested: UnitFraction = 0.0  # share under whose id another client submits other contents
     channels: Channels | None = None
 
     @property
