--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -18,11 +18,9 @@
 
 import contextlib
 import errno
-import fcntl
 import logging
 import os
 import struct
-import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -30,6 +28,7 @@
 
 from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Message
+from rowanrack.store.disk_budget import DiskBudget, slot_bytes
 from rowanrack.store.journal_file import BLOCK_BYTES, JournalFile, round_up_to_blocks
 from rowanrack.store.journal_records import (
     ATTEMPT_TIME_BYTES,
@@ -49,16 +48,12 @@
     read_records,
 )
 from rowanrack.store.other_slot import OtherSlotReader
+from rowanrack.store.slots import SLOT_NAMES, lock_free_slot, lock_slot, other_slot_of
 
 log = logging.getLogger(__name__)
 
-SLOT_NAMES = ("messages", "messages.b")  # one file for each of the two processes of a hot restart
-# The other process may hold both slots while it takes one over, or one briefly to test it.
-OPEN_TRY_COUNT, OPEN_PAUSE_S = 200, 0.01
 RESERVATION_BYTES = 16 * 1024  # unit in which disk space is reserved
 BUDGET_MARGIN_BYTES = 8 * BLOCK_BYTES
-# Never used by a process that runs alone: a second one starts in it until the first has made room.
-SECOND_PROCESS_BYTES, SECOND_PROCESS_FRACTION = 32 * 1024, 1 / 16
 RETRY_DELAY_US = 1_000_000  # wait after a failed compaction or take-over
 EXPIRY_CHECK_END_COUNT = 256  # expired ends are removed after this number of new ends
 EXPIRY_SPAN_US = 1_000_000  # ends that expire within one span are removed together
@@ -123,41 +118,19 @@
     @property
     def other_slot(self) -> str:
         """The slot of the other process at a hot restart."""
-        return SLOT_NAMES[1 - SLOT_NAMES.index(self.slot)]
+        return other_slot_of(self.slot)
 
     @property
     def other_path(self) -> Path:
         """The path of that process's file, which exists until its content is taken over."""
         return self.folder / f"{self.other_slot}.log"
 
-    def _lock(self, slot: str) -> int | None:
-        """Lock a slot and return the lock's descriptor, or None if another process holds the lock."""
-        fd = os.open(self.folder / f"{slot}.lock", os.O_RDWR | os.O_CREAT, 0o600)
-        try:
-            fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            os.close(fd)
-            return None
-        return fd
-
-    def _free_slot(self) -> tuple[str, int]:
-        """Lock a free slot and return it with the lock's descriptor.
-
-        Tries repeatedly, because `other_process_running` and `take_over` of another process lock a free slot.
-        """
-        for _ in range(OPEN_TRY_COUNT):
-            for slot in SLOT_NAMES:
-                if (fd := self._lock(slot)) is not None:
-                    return slot, fd
-            time.sleep(OPEN_PAUSE_S)
-        raise JournalError("journal: two processes already use this folder")
-
     def other_process_running(self) -> bool:
         """Return whether another process uses the other slot, as during a hot restart."""
         if self.inherited is not None:
             return False
         try:
-            fd = self._lock(self.other_slot)
+            fd = lock_slot(self.folder, self.other_slot)
         except OSError as error:
             # Shutdown then continues as it does without a second process: as long as it is allowed to.
             log.warning(
@@ -176,7 +149,7 @@
         Each process of a hot restart locks a slot of its own, so that a file has only one writer.
         """
         try:
-            self.slot, self.lock_fd = self._free_slot()
+            self.slot, self.lock_fd = lock_free_slot(self.folder)
             self.compaction_path.unlink(missing_ok=True)
             self._open_slot()
         except (OSError, JournalError) as error:
@@ -231,7 +204,7 @@
         if 0 < self._take_over_retry_us - self.unix_us() <= RETRY_DELAY_US:
             return None
         try:
-            if (lock_fd := self._lock(self.other_slot)) is None:
+            if (lock_fd := lock_slot(self.folder, self.other_slot)) is None:
                 return None
             self.inherited = self._open_other_slot(lock_fd)
         except (OSError, JournalError) as error:
@@ -359,48 +332,28 @@
         """Bytes of the budget that the file occupies, with its reserved space."""
         return 0 if self.file is None else round_up_to_blocks(max(self.file.reserved_end, self.file.size))
 
+    @property
+    def _other_process_bytes(self) -> int:
+        return slot_bytes(self.folder, self.other_slot)
+
     @property
     def _limit_bytes(self) -> int:
         """The part of the budget that this journal's files may occupy."""
         if (beside := self.inherited or self.inherited_by) is not None:
             return self.budget - beside.occupied_bytes
-        other_bytes, share = self._other_process_bytes(), self.budget // 2
-        if not other_bytes:
-            return self.budget - self._second_process_bytes
-        return share if other_bytes <= share else self._second_process_bytes
+        return DiskBudget(self.budget).limit_bytes(self._other_process_bytes)
 
     @property
     def _compaction_limit_bytes(self) -> int:
-        """The part of the budget that this journal's files may occupy during a compaction.
-
-        A file above its share was there first: the process of the other slot leaves this room until then.
-        """
-        if self._exceeds_share and self.inherited is None and self.inherited_by is None:
-            return self.budget - self._second_process_bytes
-        return self._limit_bytes
-
-    @property
-    def _second_process_bytes(self) -> int:
-        return min(SECOND_PROCESS_BYTES, int(self.budget * SECOND_PROCESS_FRACTION))
-
-    @property
-    def _exceeds_share(self) -> bool:
-        """Whether the file occupies more than this process may use while another one runs."""
-        return self.occupied_bytes > self.budget // 2
-
-    def _other_process_bytes(self) -> int:
-        """Return the bytes that the files of the other slot occupy; 0 if there are none."""
-        total = 0
-        for suffix in ("log", "new"):
-            try:
-                total += round_up_to_blocks(os.stat(f"{self.folder}/{self.other_slot}.{suffix}").st_size)
-            except OSError:
-                break
-        return total
+        """The part of the budget that this journal's files may occupy during a compaction."""
+        if self.inherited is not None or self.inherited_by is not None:
+            return self._limit_bytes
+        return DiskBudget(self.budget).compaction_limit_bytes(self.occupied_bytes, self._other_process_bytes)
 
     def make_room_for_other_process(self) -> None:
         """Compact a file that is too large for two processes, if another one has started."""
-        if self._exceeds_share and self.inherited is None and self._other_process_bytes():
+        too_large = DiskBudget(self.budget).exceeds_share(self.occupied_bytes)
+        if too_large and self.inherited is None and self._other_process_bytes:
             self._compact()
 
     @staticmethod
