--- a/rowanrack/core/identity.py
+++ b/rowanrack/core/identity.py
@@ -23,8 +23,7 @@
 
 def content_digest(message: Message) -> bytes:
     """Return a digest of what a repeated submission of this message has in common with it, beside the id."""
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (message.cls.encode(), message.tenant.encode(), b"%d" % message.dest, message.body):
-        digest.update(b"%d:" % len(part))
-        digest.update(part)
+    lengths = f"{len(message.cls)},{len(message.tenant)},{message.dest}:"
+    digest = hashlib.blake2b(f"{lengths}{message.cls}{message.tenant}".encode(), digest_size=DIGEST_BYTES)
+    digest.update(message.body)
     return digest.digest()
--- a/rowanrack/store/disk_budget.py
+++ b/rowanrack/store/disk_budget.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 from dataclasses import dataclass
 from pathlib import Path
@@ -14,17 +15,18 @@
 from rowanrack.store.journal_file import round_up_to_blocks
 
 SECOND_PROCESS_BYTES, SECOND_PROCESS_FRACTION = 32 * 1024, 1 / 16
-FILE_SUFFIXES = ("log", "new")  # of a slot's journal, and of the file that a compaction writes
+FILE_SUFFIX, COMPACTION_SUFFIX = "log", "new"  # of a slot's journal, and of the file that replaces it
 
 
 def slot_bytes(folder: Path, slot: str) -> int:
     """Return the bytes that the files of a slot occupy; 0 if it has no journal."""
+    path = f"{folder}/{slot}.{FILE_SUFFIX}"
+    if not os.access(path, os.F_OK):  # the usual case, once for each submission
+        return 0
     total = 0
-    for suffix in FILE_SUFFIXES:
-        try:
-            total += round_up_to_blocks(os.stat(f"{folder}/{slot}.{suffix}").st_size)
-        except OSError:
-            break
+    for file_path in (path, f"{folder}/{slot}.{COMPACTION_SUFFIX}"):
+        with contextlib.suppress(OSError):
+            total += round_up_to_blocks(os.stat(file_path).st_size)
     return total
 
 
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -410,6 +410,8 @@
         """Record an accepted message; return False if there is no space for it, its attempts and its end."""
         if self.write_error and not self.can_record():
             return False
+        if self._holder_of(message.id) is not self:
+            return False  # the next process might read the end in the inherited file as the newer record
         record = encode_record(encode_taken(message))
         pending = self._pending_bytes_of(message)
         compacted = len(record) + 2 * (STATUS_RECORD_BYTES + len(message.id))
--- a/rowanrack/store/other_slot.py
+++ b/rowanrack/store/other_slot.py
@@ -26,6 +26,7 @@
         self._inode = self._offset = 0
         self._owed: dict[str, Message] = {}
         self._ends: dict[str, RecordedEnd] = {}
+        self._read_failed = False  # the last read failed, which has been logged
 
     def find(self, message_id: str, now_unix_us: int) -> Message | End | None:
         """Return a message that the other process owns, or its end while that is the answer to repeats."""
@@ -50,6 +51,8 @@
 
     def _refresh(self) -> bool:
         """Read the records that are new; return False if there is no file."""
+        if self._fd < 0 and not os.access(self._path, os.F_OK):  # the usual case, once for each submission
+            return False
         try:
             status = os.stat(self._path)
             if self._fd < 0 or status.st_ino != self._inode or status.st_size < self._offset:
@@ -61,7 +64,11 @@
             self.close()
             return False
         except (OSError, ValueError, KeyError, struct.error) as error:
-            log.warning("journal: cannot read the other process's file: %s", error)
+            if not self._read_failed:
+                log.warning("journal: cannot read the other process's file: %s", error)
+            self._read_failed = True
+        else:
+            self._read_failed = False
         return self._fd >= 0
 
     def _read_records(self) -> None:
--- a/tests/test_full_journal_take_over.py
+++ b/tests/test_full_journal_take_over.py
@@ -135,3 +135,22 @@
     next_process.close()
     new.close()
     assert open_journal(tmp_path, clock).take_over() is not None
+
+
+def test_refused_message_is_not_taken_anew_while_its_end_is_in_the_inherited_file(tmp_path: Path) -> None:
+    """Guards against a next process that reads the old refusal as newer than the message taken anew."""
+    clock = Clock()
+    old_messages = fill(old := open_journal(tmp_path, clock), "old")
+    fill(new := open_journal(tmp_path, clock), "new")
+    old.end(old_messages[0], End(Ending.REFUSED, 1))
+    old.close()
+    clock.now_us += 10
+    assert new.take_over() and new.inherited is not None and new.ended("old0") is None
+    anew = Message("old0", "c", "t", 3, DEADLINE_US, b"", "platform")
+    for message in [*new.owed.values(), *new.inherited.owed.values()]:
+        new.end(message, FAILED)
+    clock.now_us += 2 * RETRY_DELAY_US
+    assert new.take(Message("more", "c", "t", 3, DEADLINE_US, b"", "platform")) and not new.take(anew)
+    new.take_over()
+    assert new.inherited is None and new.take(anew)
+    new.close()
