--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -36,6 +36,7 @@
 from rowanrack.net.listener import Listener
 from rowanrack.net.peers import PeerPort
 from rowanrack.net.pool import EndpointPool
+from rowanrack.net.process_memory import memory_bytes, peak_memory_bytes
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.recovery import own_recovered
 from rowanrack.shutdown import Phase, Shutdown
@@ -152,8 +153,17 @@
             len(exchange.endpoint_list.names()),
             exchange.ejected,
             exchange.waits_in_force,
+            self._process_gauges(),
         )
 
+    def _process_gauges(self) -> dict[str, int]:
+        """Return what this process uses of its limits, by the name of the metric."""
+        return {
+            "client_connections": sum(len(front.streams) for front, _ in self.fronts),
+            "memory_bytes": memory_bytes(),
+            "memory_peak_bytes": peak_memory_bytes(),
+        }
+
     def detach(self, name: str) -> bool:
         """Send nothing new to an endpoint, also after a restart; return False if it is unknown."""
         return self._change_ban(name, True)
@@ -329,6 +339,7 @@
                 path = self.config.console
                 raise ConfigError(f"cannot open {path}: {error.strerror or error}") from None
         log.info("%s: serving; %d messages recovered from the journal", self.config.name, len(outstanding))
+        log.info("memory: %.1f MB in use after the start", memory_bytes() / 1e6)
 
     @property
     def _max_client_descriptors(self) -> int:
--- a/rowanrack/core/metrics.py
+++ b/rowanrack/core/metrics.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
 from enum import Enum
+from types import MappingProxyType
 
 from rowanrack.core.messages import Ending
 
@@ -34,6 +36,17 @@
     ABANDONED = "abandoned"  # its call was given up meanwhile
 
 
+class ClientCloseReason(Enum):
+    """Why the sender closed the connection of a client, other than after its last answer."""
+
+    BAD_INPUT = "bad_input"
+    REQUEST_TIMEOUT = "timeout"  # a request did not arrive completely in time
+    PROCESSOR_TIME = "cpu"  # reading an incomplete request used too much of an overloaded core
+    MEMORY = "memory"  # an incomplete request held memory that others needed
+    IDLE = "idle"  # silent for too long
+    EVICTED = "evicted"  # closed to make room for another connection
+
+
 def _label(value: str) -> str:
     """Escape a label value for the exposition format."""
     return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
@@ -43,7 +56,8 @@
     """Counts by class: messages delivered, refused or handed back, and failed; calls sent to endpoints.
 
     Over all classes: retry-after waits that answers asked for, calls that were held back, connections to
-    endpoints on which bytes came that answer no call, and answers held as they may belong to another call.
+    endpoints on which bytes came that answer no call, answers held as they may belong to another call, and
+    connections of clients that the sender closed.
     """
 
     def __init__(self) -> None:
@@ -52,6 +66,7 @@
         self.unsolicited_responses = 0
         self.held_back_calls: Counter[HeldBackReason] = Counter()
         self.held_answers: Counter[HeldAnswerEnd] = Counter()
+        self.closed_clients: Counter[ClientCloseReason] = Counter()
 
     def ended(self, cls: str, ending: Ending) -> None:
         """Count the final answer to an accepted message."""
@@ -66,7 +81,13 @@
         self.counts["forwards"][cls] += 1
 
     def exposition(
-        self, classes: list[str], outstanding: int, discovered: int, ejected: int, waits: int = 0
+        self,
+        classes: list[str],
+        outstanding: int,
+        discovered: int,
+        ejected: int,
+        waits: int = 0,
+        process_gauges: Mapping[str, int] = MappingProxyType({}),
     ) -> str:
         """Return all metrics in the text exposition format; each class is listed, if only with 0."""
         lines: list[str] = []
@@ -82,9 +103,14 @@
         ]
         lines.append("# TYPE svc_held_answers counter")
         lines += [f'svc_held_answers{{end="{end.value}"}} {self.held_answers[end]}' for end in HeldAnswerEnd]
+        lines.append("# TYPE svc_closed_clients counter")
+        lines += [
+            f'svc_closed_clients{{reason="{reason.value}"}} {self.closed_clients[reason]}'
+            for reason in ClientCloseReason
+        ]
         lines.append("# TYPE svc_unsolicited_responses counter")
         lines.append(f"svc_unsolicited_responses {self.unsolicited_responses}")
         gauges = {"outstanding": outstanding, "discovered": discovered, "ejected": ejected, "waits": waits}
-        for name, value in gauges.items():
+        for name, value in {**gauges, **process_gauges}.items():
             lines += [f"# TYPE svc_{name} gauge", f"svc_{name} {value}"]
         return "\n".join(lines) + "\n"
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from rowanrack.core.exchange import Exchange
+from rowanrack.core.metrics import ClientCloseReason
 from rowanrack.load.load_shedder import Level
 from rowanrack.load.metered import CpuMeteredCoroutine
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
@@ -226,6 +227,7 @@
         with unread bytes would reset the connection and destroy the answer. So only the sending side is shut
         down, and further input is read and discarded for a limited time.
         """
+        self._count_close(ClientCloseReason.BAD_INPUT)
         self.bad_input_warnings.warning("rejected the input of a client: %s", reason)
         self._new_clients.setdefault(stream, 0.0)
         self._rejected.add(stream)
@@ -369,6 +371,7 @@
                     break  # the following ones are younger
                 # A request that has arrived and is not read yet protects its connection.
                 if current is state and (state is ConnectionState.LEAVING or not stream.unread_beyond_buffer):
+                    self._count_close(ClientCloseReason.EVICTED)
                     del self.streams[stream]
                     stream.close_at_once()
                     return True
@@ -396,12 +399,14 @@
                 if stream.unread_beyond_buffer and stream not in self._paused:
                     continue
                 if state is ConnectionState.RECEIVING and now - since >= self.request_timeout_us:
+                    self._count_close(ClientCloseReason.REQUEST_TIMEOUT)
                     self.bad_input_warnings.warning(
                         "rejected the input of a client: the request did not arrive completely in time"
                     )
                     stream.send_last(self.timeout_answer)
                     stream.close_at_once()
                 elif now - since >= self._silence_limit_us(state, crowded):
+                    self._count_close(ClientCloseReason.IDLE)
                     stream.close_at_once()
 
     def _silence_limit_us(self, state: ConnectionState, crowded: bool) -> int:
@@ -457,6 +462,7 @@
                 and self.load_shedder.exceeds_client_time(used_us + us)
             ):
                 # Requests that arrive byte by byte would use up a full core.
+                self._count_close(ClientCloseReason.PROCESSOR_TIME)
                 self.bad_input_warnings.warning(
                     "rejected the input of a client: reading its request takes too much time"
                 )
@@ -484,6 +490,9 @@
         if self._fair_selector is not None and (descriptor := stream.descriptor) >= 0:
             self._fair_selector.set_priority(descriptor, priority, used_us)
 
+    def _count_close(self, reason: ClientCloseReason) -> None:
+        self.exchange.metrics.closed_clients[reason] += 1
+
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         # Not a task that asyncio creates itself: it reports the cancellation of those as errors.
         task = asyncio.create_task(coroutine)
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -16,7 +16,7 @@
 import pytest
 
 from rowanrack.core.messages import End, Ending, Message
-from rowanrack.core.metrics import HeldAnswerEnd, HeldBackReason, Metrics
+from rowanrack.core.metrics import ClientCloseReason, HeldAnswerEnd, HeldBackReason, Metrics
 from rowanrack.fronts.mgmt.calls import answer_locally, answer_with_channels
 from rowanrack.net.http import Request
 from rowanrack.store.bans import DetachedEndpointFile
@@ -103,7 +103,8 @@
     figures.waits_told += 1
     figures.held_back_calls[HeldBackReason.RETRY_AFTER_WAIT] += 1
     figures.held_answers[HeldAnswerEnd.CONFIRMED] += 1
-    text = figures.exposition(["print-order", "album-update"], 4, 30, 2, 1)
+    figures.closed_clients[ClientCloseReason.MEMORY] += 1
+    text = figures.exposition(["print-order", "album-update"], 4, 30, 2, 1, {"memory_bytes": 28})
     lines = set(text.splitlines())
     assert 'svc_succeeded{service="print-order"} 1' in lines
     assert 'svc_succeeded{service="album-update"} 0' in lines
@@ -113,6 +114,8 @@
     assert {"svc_outstanding 4", "svc_discovered 30", "svc_ejected 2", "svc_waits 1"} <= lines
     assert {"svc_waits_told 1", 'svc_held_back{reason="wait"} 1', 'svc_held_back{reason="key"} 0'} <= lines
     assert {'svc_held_answers{end="confirmed"} 1', 'svc_held_answers{end="abandoned"} 0'} <= lines
+    assert {'svc_closed_clients{reason="memory"} 1', 'svc_closed_clients{reason="idle"} 0'} <= lines
+    assert {"# TYPE svc_memory_bytes gauge", "svc_memory_bytes 28"} <= lines
 
 
 @on_loop
