--- a/tests/rig.py
+++ b/tests/rig.py
@@ -8,7 +8,7 @@
 import os
 import socket
 import sys
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import replace
 from pathlib import Path
@@ -315,8 +315,9 @@
 class Process(AsyncExitStack):
     """A sender in a child process, with the endpoints of a rig, a configuration file and a state folder."""
 
-    def __init__(self, rig: Rig, folder: Path) -> None:
+    def __init__(self, rig: Rig, folder: Path, limits: Mapping[str, float] | None = None) -> None:
         super().__init__()
+        self.limits = dict(limits or {})
         self.rig, self.folder, self.platform = rig, folder / "process", Platform()
         self.config = self.folder / "config.json"
 
@@ -324,8 +325,8 @@
         await super().__aenter__()
         await self.enter_async_context(self.platform)
         self.folder.mkdir()
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.port = free.getsockname()[1]
+        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
+            self.port, self.mgmt_port = free.getsockname()[1], other.getsockname()[1]
         self.configure(self.platform)
         self.push_async_callback(self._end)
         await self.start()
@@ -340,6 +341,8 @@
             "discovery": f"127.0.0.1:{platform.port}",
             "settings": SETTINGS,
             "known": {"seq": 1, "whole": True, "hosts": hosts},
+            "mgmt": f"127.0.0.1:{self.mgmt_port}",
+            "limits": self.limits,
         }
         self.config.write_text(json.dumps(document))
 
@@ -366,6 +369,12 @@
         self.callback(stream.abort)
         return Client(stream)
 
+    def peak_memory_bytes(self) -> int:
+        """Return the largest resident set of the process so far."""
+        status = Path(f"/proc/{self.child.pid}/status").read_text(encoding="ascii")
+        line = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024
+
     async def wait_for_log(self, text: str) -> None:
         """Wait for a log line that contains the text."""
         assert self.child.stderr is not None
