Keep OpenSSL out of a sender's memory

asyncio and hashlib load OpenSSL on import; no sender uses TLS, and both modules work without it by design. Of the 32 MB that a sender may have, an idle process took 29.0 MB.

The new test fails without the change (libssl, libcrypto and _hashlib are mapped).

--- a/rowanrack/__main__.py
+++ b/rowanrack/__main__.py
@@ -8,6 +8,11 @@
     # loses nothing, since the configuration is read afterwards.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from rowanrack.unused_libraries import block_unused_libraries
+
+if sys.argv[1:2] == ["serve"]:
+    block_unused_libraries()
+
 from rowanrack.cli import main
 
 if __name__ == "__main__":
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -121,3 +121,11 @@
         assert max(peaks.values()) <= MEMORY_MB * 1_000_000, peaks
         await rig.servers[0].wait_for_requests(submitted)
         assert process.child.returncode is None
+
+
+@on_loop
+async def test_a_sender_does_not_load_openssl(tmp_path: Path) -> None:
+    (tmp_path / "rig").mkdir()
+    async with Rig(tmp_path / "rig") as rig, Process(rig, tmp_path) as process:
+        mapped_files = Path(f"/proc/{process.child.pid}/maps").read_text()
+        assert not {name for name in ("libssl", "libcrypto", "_hashlib") if name in mapped_files}
