Bound what a connection holds of input that nobody reads

Cause: for a plain asyncio protocol the transport reads up to 256 KiB at a time, whatever the limit of the reader is; and a pause for slow clients, when it ended, resumed a transport that its full reader had paused: the reader then believed it paused still, and took input without end.

Change: a buffered protocol, which provides 16 KiB to read into; a reader pauses above 8 KiB; the reasons to pause are counted apart.

--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -22,6 +22,7 @@
 from rowanrack.core.metrics import ClientCloseReason
 from rowanrack.load.load_shedder import Level
 from rowanrack.load.metered import CpuMeteredCoroutine
+from rowanrack.net.bounded_reader import PauseReason
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
 from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream, stream_protocol
@@ -476,11 +477,11 @@
         if stream in self._paused or stream.closing:
             return
         self._paused.add(stream)
-        stream.pause()
+        stream.pause(PauseReason.SLOW_CLIENT)
 
         def resume_reading() -> None:
             self._paused.discard(stream)
-            stream.resume()
+            stream.resume(PauseReason.SLOW_CLIENT)
             if stream in self._new_clients:  # pausing unregistered the socket, which reset its priority
                 self._set_priority(stream, ConnectionPriority.NEW_CLIENT, self._new_clients[stream])
 
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -5,37 +5,24 @@
 import asyncio
 import select
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from contextlib import suppress
-from typing import SupportsIndex
 
+from rowanrack.net.bounded_reader import READ_CHUNK_BYTES as READ_CHUNK_BYTES
+from rowanrack.net.bounded_reader import BoundedReaderProtocol, PauseReason
+from rowanrack.net.bounded_reader import CountingReader as CountingReader
 from rowanrack.net.ring import RingBuffer
 
-READ_CHUNK_BYTES = 16 * 1024
 MAX_BUFFER_BYTES = 96 * 1024
 UNSENT_DATA_TIMEOUT_S = 1.0  # for which unsent data may delay a close
 
 
-class CountingReader(asyncio.StreamReader):
-    """A StreamReader that also counts the bytes received."""
-
-    received_bytes = 0
-
-    def feed_data(self, data: Iterable[SupportsIndex]) -> None:
-        """Count and buffer received bytes; called by the transport."""
-        received = bytes(data)
-        self.received_bytes += len(received)
-        super().feed_data(received)
-
-
 def stream_protocol(
     accept: Callable[[Stream], None], buffer_limit: int = MAX_BUFFER_BYTES
 ) -> asyncio.StreamReaderProtocol:
     """Return the protocol of an accepted connection, which passes it to `accept` as a stream."""
-    reader = CountingReader(limit=READ_CHUNK_BYTES)
-    return asyncio.StreamReaderProtocol(
-        reader, lambda _, writer: accept(Stream(reader, writer, buffer_limit))
-    )
+    reader = CountingReader()
+    return BoundedReaderProtocol(reader, lambda _, writer: accept(Stream(reader, writer, buffer_limit)))
 
 
 class Stream:
@@ -54,8 +41,8 @@
     @classmethod
     async def connect(cls, host: str, port: int) -> Stream:
         """Open a connection."""
-        loop, reader = asyncio.get_running_loop(), CountingReader(limit=READ_CHUNK_BYTES)
-        protocol = asyncio.StreamReaderProtocol(reader)
+        loop, reader = asyncio.get_running_loop(), CountingReader()
+        protocol = BoundedReaderProtocol(reader)
         transport, _ = await loop.create_connection(lambda: protocol, host, port)
         return cls(reader, asyncio.StreamWriter(transport, protocol, reader, loop))
 
@@ -137,15 +124,14 @@
         sock = self._writer.get_extra_info("socket")
         return -1 if sock is None or self.closing else int(sock.fileno())
 
-    def pause(self) -> None:
-        """Pause reading: the kernel collects many small pieces meanwhile."""
+    def pause(self, reason: PauseReason) -> None:
+        """Pause reading for a reason, beside those that there are already."""
         if not self.closing:
-            self._writer.transport.pause_reading()  # type: ignore[attr-defined]
+            self._reader.gate.pause(reason)
 
-    def resume(self) -> None:
-        """Resume reading."""
-        if not self.closing:
-            self._writer.transport.resume_reading()  # type: ignore[attr-defined]
+    def resume(self, reason: PauseReason) -> None:
+        """Withdraw a reason; reading resumes if it was the last one."""
+        self._reader.gate.resume(reason)
 
     @property
     def ended(self) -> bool:
