Keep the priority of a client's connection when its reading resumes

A paused transport unregisters its socket, which resets its place in the fair scheduling; when a full reader had room again, a known client that sent commands at full speed came back among the sender's own connections, ahead of all other clients, and with no limit to an iteration. New clients got theirs back with their next charge.

Change: the priority is set anew whenever reading resumes. Measured: the new test fails without the change (no priority, KeyError).

--- a/rowanrack/net/bounded_reader.py
+++ b/rowanrack/net/bounded_reader.py
@@ -31,6 +31,7 @@
     def __init__(self, transport: asyncio.ReadTransport) -> None:
         self._transport = transport
         self._reasons: set[PauseReason] = set()
+        self.resumed: Callable[[], None] = lambda: None  # called when the transport reads again
 
     def pause(self, reason: PauseReason) -> None:
         """Pause reading for one more reason."""
@@ -45,6 +46,7 @@
         self._reasons.discard(reason)
         if not self._reasons and not self._transport.is_closing():
             self._transport.resume_reading()
+            self.resumed()
 
     def pause_reading(self) -> None:
         """Called by the reader when it is full."""
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -426,6 +426,7 @@
 
     def _start_serving(self, stream: Stream) -> None:
         self.load_shedder.charge(CONNECTION_OVERHEAD_US)
+        stream.on_resumed(lambda: self._restore_priority(stream))
         self._set_priority(stream, ConnectionPriority.NEW_CLIENT)
         self._new_clients[stream], self._accept_cpu_us = self._accept_cpu_us + CONNECTION_OVERHEAD_US, 0.0
         self.set_state(stream, ConnectionState.NEW)
@@ -482,11 +483,16 @@
         def resume_reading() -> None:
             self._paused.discard(stream)
             stream.resume(PauseReason.SLOW_CLIENT)
-            if stream in self._new_clients:  # pausing unregistered the socket, which reset its priority
-                self._set_priority(stream, ConnectionPriority.NEW_CLIENT, self._new_clients[stream])
 
         self.after(READ_PAUSE_US, resume_reading)
 
+    def _restore_priority(self, stream: Stream) -> None:
+        """Set the priority anew: pausing has unregistered the socket, which reset it."""
+        if (used_us := self._new_clients.get(stream)) is None:
+            self._set_priority(stream, ConnectionPriority.CLIENT)
+        else:
+            self._set_priority(stream, ConnectionPriority.NEW_CLIENT, used_us)
+
     def _set_priority(self, stream: Stream, priority: ConnectionPriority, used_us: float = 0.0) -> None:
         if self._fair_selector is not None and (descriptor := stream.descriptor) >= 0:
             self._fair_selector.set_priority(descriptor, priority, used_us)
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -133,6 +133,10 @@
         """Withdraw a reason; reading resumes if it was the last one."""
         self._reader.gate.resume(reason)
 
+    def on_resumed(self, action: Callable[[], None]) -> None:
+        """Set what is called when reading resumes: the event loop has registered the socket anew."""
+        self._reader.gate.resumed = action
+
     @property
     def ended(self) -> bool:
         """Whether the other side has closed, as far as is known."""
--- a/tests/test_bounded_input.py
+++ b/tests/test_bounded_input.py
@@ -5,10 +5,14 @@
 import asyncio
 import contextlib
 import socket
+from pathlib import Path
 
 from rowanrack.net.bounded_reader import READ_CHUNK_BYTES, READER_LIMIT_BYTES, PauseReason
+from rowanrack.net.fair_scheduling import ConnectionPriority
+from rowanrack.net.listener import ConnectionState
 from rowanrack.net.stream import Stream, stream_protocol
-from tests.rig import on_loop
+from tests.rig import Rig, on_loop, resp
+from tests.test_closing import SocketClient
 
 MAX_UNREAD_BYTES = 2 * READER_LIMIT_BYTES + READ_CHUNK_BYTES
 
@@ -42,3 +46,21 @@
             await fill_kernel_buffers(client)
             assert not stream.unread_bytes
             stream.abort()
+
+
+@on_loop
+async def test_a_known_client_that_floods_keeps_the_priority_of_a_client(tmp_path: Path) -> None:
+    """A reader that had been full came back with the priority of the sender's own connections."""
+    async with Rig(tmp_path) as rig:
+        front = rig.sender.fronts[0][0]
+        assert front._fair_selector is not None
+        client = SocketClient(front, resp("PING"))
+        stream = await client.wait_for_state(front, ConnectionState.IDLE)
+        client.sock.setblocking(False)
+        while PauseReason.READER_FULL not in stream._reader.gate._reasons:
+            with contextlib.suppress(BlockingIOError):
+                client.sock.send(resp("PING") * 10_000)
+            await asyncio.sleep(0)
+        while len(stream.receive_buffer) or stream.unread:
+            await asyncio.sleep(0)
+        assert front._fair_selector._priorities[stream.descriptor] is ConnectionPriority.CLIENT
