Count the fields of an HTTP head before it is parsed, and take 100 at most

Cause: the limit of 16 KiB holds for the bytes of a head; its parsed fields take some 250 bytes each, and are kept until the request is complete or times out. On the side of endpoints the same holds for heads of responses.

Change: the lines of a head are counted as its bytes come; above 100 fields a request is answered 431, and a response counts as one whose head cannot be read: 200 in its status line still proves the delivery.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -13,6 +13,7 @@
 import h11
 
 from rowanrack.core.messages import Progress
+from rowanrack.net.head_limit import MAX_HEADER_FIELDS, HeadLineCounter
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import After, time_limit
 
@@ -164,6 +165,7 @@
             0  # when the first byte of the last response was read, by the event loop's clock
         )
         self._is_out_of_step = False  # whether more responses than calls have come
+        self._head_lines = HeadLineCounter()
         self._response_head = bytearray()  # the response from its status line on, up to MAX_HEAD_BYTES
 
     @property
@@ -258,11 +260,12 @@
         """Return the head of the final response, after any 1xx; a head that has begun has a time limit."""
         for _ in range(MAX_INFORMATIONAL_RESPONSES):
             self._response_head[:] = self._h11.trailing_data[0]
+            self._head_lines.begin(bytes(self._response_head))
             if not self._response_head:
                 await self._receive()
             self.response_began_us = int(asyncio.get_running_loop().time() * 1_000_000)
             async with time_limit(self._after, self._rest_timeout_us, self._has_unread):
-                head = await self._next_event()
+                head = await self._next_head()
             if not isinstance(head, h11.InformationalResponse):
                 _reject_merged_status_lines(head)
                 return head
@@ -301,6 +304,15 @@
             self._h11.start_next_cycle()
         return isinstance(event, h11.EndOfMessage)
 
+    async def _next_head(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next head; its fields are counted before h11 parses them."""
+        while not self._head_lines.exceeded:
+            event = self._h11.next_event()
+            if event is not h11.NEED_DATA:
+                return event  # type: ignore[return-value]
+            await self._receive()
+        raise h11.RemoteProtocolError(f"more than {MAX_HEADER_FIELDS} header fields")
+
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
             event = self._h11.next_event()
@@ -314,6 +326,7 @@
         data = self.stream.receive_buffer.read(len(self.stream.receive_buffer))
         if len(self._response_head) < MAX_HEAD_BYTES:
             self._response_head += data
+        self._head_lines.feed(data)
         self._h11.receive_data(data)
 
 
@@ -356,6 +369,7 @@
     def __init__(self, stream: Stream, body_limit: int) -> None:
         self.stream, self._body_limit = stream, body_limit
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._head_lines = HeadLineCounter()
 
     @property
     def pending(self) -> bool:
@@ -369,8 +383,11 @@
         """
         head: h11.Request | None = None
         body = bytearray()
+        self._head_lines.begin(self._h11.trailing_data[0])
         try:
             while True:
+                if self._head_lines.exceeded:
+                    raise HttpError(431, f"more than {MAX_HEADER_FIELDS} header fields")
                 event = self._h11.next_event()
                 match event:
                     case h11.Request():
@@ -392,9 +409,9 @@
                             await self.stream.send(self._h11.send(go_on) or b"")
                         if not len(self.stream.receive_buffer) and await self.stream.fill():
                             begun()
-                        self._h11.receive_data(
-                            self.stream.receive_buffer.read(len(self.stream.receive_buffer))
-                        )
+                        data = self.stream.receive_buffer.read(len(self.stream.receive_buffer))
+                        self._head_lines.feed(data)
+                        self._h11.receive_data(data)
                     case _:
                         return None
         except h11.RemoteProtocolError as error:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -315,9 +315,11 @@
 class Process(AsyncExitStack):
     """A sender in a child process, with the endpoints of a rig, a configuration file and a state folder."""
 
-    def __init__(self, rig: Rig, folder: Path, limits: Mapping[str, float] | None = None) -> None:
+    def __init__(
+        self, rig: Rig, folder: Path, limits: Mapping[str, float] | None = None, mgmt: bool = False
+    ) -> None:
         super().__init__()
-        self.limits = dict(limits or {})
+        self.limits, self.has_mgmt = dict(limits or {}), mgmt
         self.rig, self.folder, self.platform = rig, folder / "process", Platform()
         self.config = self.folder / "config.json"
 
@@ -341,9 +343,10 @@
             "discovery": f"127.0.0.1:{platform.port}",
             "settings": SETTINGS,
             "known": {"seq": 1, "whole": True, "hosts": hosts},
-            "mgmt": f"127.0.0.1:{self.mgmt_port}",
             "limits": self.limits,
         }
+        if self.has_mgmt:  # two processes of a hot restart cannot share this address
+            document["mgmt"] = f"127.0.0.1:{self.mgmt_port}"
         self.config.write_text(json.dumps(document))
 
     async def start(self) -> None:
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -23,6 +23,7 @@
 
 OK_BYTES = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+MANY_FIELDS = b"".join(b"a%x:\r\n" % number for number in range(1500))
 LONG_PADDING = b"X-Pad: pppppppp\r\n" * 2000
 
 
@@ -71,6 +72,8 @@
         (b"HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\nab", Ending.FAILED, 1),
         (b"HTTP/1.1 429 No\r\nX-Retry-In-Ms: 9\r\nContent-Le", Ending.FAILED, 1),
         (b"HTTP/1.1 503 No\r\nContent-Length: 3000000000\r\n\r\n", Ending.FAILED, 1),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + MANY_FIELDS + b"\r\n", Ending.DELIVERED, 1),
+        (b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n" + MANY_FIELDS + b"\r\n", Ending.FAILED, 1),
         (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\nsurplus", Ending.DELIVERED, 2),
         (b"HTTP/1.1 503 No\r\nX-Pressure: \x01\x00\r\nContent-Length: 0\r\n\r\n", Ending.DELIVERED, 2),
         (b"HTTP/1.1 429 No\r\nX-Retry-In-Ms: \xb2\r\nContent-Length: 0\r\n\r\n", Ending.DELIVERED, 2),
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -99,7 +99,7 @@
     (tmp_path / "rig").mkdir()
     async with (
         Rig(tmp_path / "rig", answers(Reply(200, {}))) as rig,
-        Process(rig, tmp_path, SMALL_MACHINE) as process,
+        Process(rig, tmp_path, SMALL_MACHINE, mgmt=True) as process,
     ):
         client, peaks = PatientClient(process), {"start": process.peak_memory_bytes()}
         crowds: list[tuple[int, Callable[[int], bytes], int]] = [
