Keep clients' connections and incomplete requests within the memory limit

Cause: each connection has limits of its own, nothing bounds them all together, and limits.memory_mb was read nowhere; 1,024 descriptors of clients fit into 192 MB at best. Buffers of closed connections stayed in reference cycles until the garbage collector came.

When the input of all clients passes its share, the connection with the largest product of bytes and age gets an error and is closed (net/input_memory.py): a large request that comes at once is the last to go, and what is complete is never closed. The input of a rejected client is dropped while the answer is delayed.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -6,9 +6,10 @@
 import logging
 import signal
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from rowanrack.client_limits import ClientLimits, DescriptorBudget
 from rowanrack.config import (
     ChannelsConfig,
     Config,
@@ -33,6 +34,7 @@
 from rowanrack.fronts.platform.inbox import InboxCallProtocol
 from rowanrack.fronts.platform.notices import Notices
 from rowanrack.net.answer_finder import CallProtocol
+from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import Listener
 from rowanrack.net.peers import PeerPort
 from rowanrack.net.pool import EndpointPool
@@ -54,8 +56,6 @@
 log = logging.getLogger(__name__)
 
 PLATFORM_RETENTION_US = 1_000_000  # platform clients do not resubmit an id after the message's deadline
-# Descriptors for the journal, the ports, discovery, the console, and connections that are being closed.
-RESERVED_DESCRIPTOR_COUNT = 40
 # Interval at which a shared journal is checked until the previous process of a hot restart releases it.
 JOURNAL_RELEASE_CHECK_INTERVAL_US = 100_000
 # Interval at which the journal of a later process is checked, in case that process has died.
@@ -64,21 +64,6 @@
 STATE_CHECK_INTERVAL_US = 200_000
 
 
-@dataclass(frozen=True, slots=True)
-class DescriptorBudget:
-    """The division of the descriptor limit."""
-
-    idle: int  # idle connections to endpoints
-    clients: int
-
-    @classmethod
-    def of(cls, sockets: int, slots: int) -> DescriptorBudget:
-        """Divide the limit: at most a third for clients' requests, beside silent and idle clients."""
-        unreserved = sockets - RESERVED_DESCRIPTOR_COUNT - slots - sockets // 3
-        idle = max(8, min(3 * slots, unreserved // 2))
-        return cls(idle, sockets - RESERVED_DESCRIPTOR_COUNT - slots - idle)
-
-
 class Sender:
     """A running sender and its parts."""
 
@@ -97,8 +82,10 @@
         )
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
         self.forms: dict[str, CallProtocol] = {PLATFORM: InboxCallProtocol(config.settings.reports)}
-        self.descriptor_budget = DescriptorBudget.of(config.sockets, config.settings.slots)
-        self.pool = EndpointPool(self.exchange, self.forms, self.descriptor_budget.idle)
+        descriptors = DescriptorBudget.of(config.sockets, config.settings.slots)
+        self.pool = EndpointPool(self.exchange, self.forms, descriptors.idle)
+        self.input_memory = InputMemory(self.clock.now_us)
+        self.client_limits = ClientLimits(config.memory_bytes, descriptors.clients, self.input_memory)
         self.exchange.endpoint_calls = self.pool
         self.exchange.add_observer(FailureLog(self.clock.now_us))
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
@@ -160,6 +147,7 @@
         """Return what this process uses of its limits, by the name of the metric."""
         return {
             "client_connections": sum(len(front.streams) for front, _ in self.fronts),
+            "input_bytes": self.input_memory.held_bytes,
             "memory_bytes": memory_bytes(),
             "memory_peak_bytes": peak_memory_bytes(),
         }
@@ -243,6 +231,7 @@
             self.waits.flush(self.clock.now_us())
             self._read_bans()
             self.journal.make_room_for_other_process()
+            self.client_limits.set_processes(self._listeners, self._process_count())
             if self.unwritten_bans and not self._write_bans():
                 log.info("mgmt: the list of detached endpoints has been written")
 
@@ -312,13 +301,14 @@
         self.shutdown.mark_messages_owned()
         own_recovered(self.exchange, self.forms, outstanding)
         self.exchange.pump()
+        self.client_limits.start(self._listeners, self._process_count())
         for front, (host, port) in self.fronts:
             try:
                 await front.listen(host, port)
             except OSError as error:
                 raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
         if self.config.mgmt is not None:
-            self.mgmt = ManagementServer(self.exchange, self)
+            self.mgmt = ManagementServer(self.exchange, self, self.input_memory)
             host, port = self.config.mgmt
             try:
                 await self.mgmt.listen(host, port)
@@ -339,17 +329,19 @@
                 path = self.config.console
                 raise ConfigError(f"cannot open {path}: {error.strerror or error}") from None
         log.info("%s: serving; %d messages recovered from the journal", self.config.name, len(outstanding))
-        log.info("memory: %.1f MB in use after the start", memory_bytes() / 1e6)
 
     @property
-    def _max_client_descriptors(self) -> int:
-        """Descriptors for the clients of one front end."""
-        fronts = (self.config.platform is not None) + (self.config.otlp is not None)
-        return max(16, self.descriptor_budget.clients // max(1, fronts))
+    def _listeners(self) -> list[Listener]:
+        return [front for front, _ in self.fronts]
+
+    def _process_count(self) -> int:
+        """Return how many processes of this sender run: two during a hot restart."""
+        return 2 if self.journal.other_process_running() else 1
 
     def _start_platform(self, platform: PlatformConfig) -> None:
         exchange = self.exchange
-        self.fronts.append((PlatformClients(exchange, self._max_client_descriptors), platform.listen))
+        clients = PlatformClients(exchange, self.config.sockets, self.input_memory)
+        self.fronts.append((clients, platform.listen))
         self.watch = DiscoveryWatch(exchange, *platform.discovery, platform.seq, platform.pushed)
         exchange.request_list = self.watch.start
         notices = self.notices = Notices(*platform.discovery, exchange.after, self.journal.confirm_notice)
@@ -379,6 +371,7 @@
 
         config, bans = self.config, self._apply_fleet_bans
         part = ChannelPart(channels, config.name, config.state, self.exchange, config.seed, bans)
+        part.server.input_memory = self.input_memory
         part.start()
         self.channels = part
 
@@ -393,7 +386,9 @@
         from rowanrack.fronts.otlp.calls import OtlpCallProtocol
         from rowanrack.fronts.otlp.clients import OtlpClients
 
-        server = OtlpClients(self.exchange, otlp.mapping, otlp.body_limit, self._max_client_descriptors)
+        server = OtlpClients(
+            self.exchange, otlp.mapping, otlp.body_limit, self.config.sockets, self.input_memory
+        )
         self.otlp = server
         self.fronts.append((server, otlp.listen))
         self.exchange.listeners[OTLP] = server.ended
--- a/rowanrack/cli.py
+++ b/rowanrack/cli.py
@@ -140,7 +140,7 @@
         value = getattr(config.settings, field.name)
         is_default = field.default is not dataclasses.MISSING and value == field.default
         yield f"settings.{field.name}", to_plain_value(value), is_default
-    for name in ("name", "tick_us", "state", "disk_bytes", "sockets", "console"):
+    for name in ("name", "tick_us", "state", "disk_bytes", "sockets", "memory_bytes", "console"):
         value = getattr(config, name)
         yield name, str(value) if isinstance(value, Path) else value, value is None
     for name in ("platform", "otlp", "consul"):
--- /dev/null
+++ b/rowanrack/client_limits.py
@@ -0,0 +1,66 @@
+"""Keeps the clients of all fronts within the descriptors and the memory of the sender."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from rowanrack.load.memory_plan import MemoryPlan
+from rowanrack.net.input_memory import InputMemory
+from rowanrack.net.listener import Listener
+from rowanrack.net.process_memory import memory_bytes
+
+log = logging.getLogger(__name__)
+
+# Descriptors for the journal, the ports, discovery, the console, and connections that are being closed.
+RESERVED_DESCRIPTOR_COUNT = 40
+MIN_CONNECTIONS = 16  # of one front
+
+
+@dataclass(frozen=True, slots=True)
+class DescriptorBudget:
+    """The division of the descriptor limit."""
+
+    idle: int  # idle connections to endpoints
+    clients: int
+
+    @classmethod
+    def of(cls, sockets: int, slots: int) -> DescriptorBudget:
+        """Divide the limit: at most a third for clients' requests, beside silent and idle clients."""
+        unreserved = sockets - RESERVED_DESCRIPTOR_COUNT - slots - sockets // 3
+        idle = max(8, min(3 * slots, unreserved // 2))
+        return cls(idle, sockets - RESERVED_DESCRIPTOR_COUNT - slots - idle)
+
+
+class ClientLimits:
+    """The limits of the fronts' listeners, and of the input that all clients together may hold."""
+
+    def __init__(self, limit_bytes: int, descriptors: int, input_memory: InputMemory) -> None:
+        self._limit_bytes, self._descriptors = limit_bytes, descriptors
+        self._input_memory = input_memory
+        self._used_at_start_bytes = 0
+        self._processes = 0  # that share the memory
+
+    def start(self, fronts: Sequence[Listener], processes: int) -> None:
+        """Set the limits before the first client connects, from the memory that is in use by then."""
+        self._used_at_start_bytes = memory_bytes()
+        plan = self.set_processes(fronts, processes)
+        log.info(
+            "memory: %.1f of %.0f MB in use after the start; clients: %d connections, %d KiB of requests",
+            self._used_at_start_bytes / 1e6,
+            self._limit_bytes / 1e6,
+            sum(front.max_connections for front in fronts),
+            plan.input_bytes // 1024,
+        )
+
+    def set_processes(self, fronts: Sequence[Listener], processes: int) -> MemoryPlan:
+        """Set the limits for the number of processes that share the memory, two during a hot restart."""
+        plan = MemoryPlan.of(self._limit_bytes, self._used_at_start_bytes, processes)
+        if processes != self._processes:
+            self._processes = processes
+            self._input_memory.limit_bytes = plan.input_bytes
+            connections = min(self._descriptors, plan.connections)
+            for front in fronts:
+                front.max_connections = max(MIN_CONNECTIONS, connections // len(fronts))
+        return plan
--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -30,6 +30,7 @@
 DEFAULT_TICK_US = 5_000  # timer resolution
 DEFAULT_DISK_MB = 3.0  # space for the journal
 DEFAULT_SOCKET_COUNT = 1024  # limit on descriptors
+DEFAULT_MEMORY_MB = 192.0
 
 
 class ConfigError(Exception):
@@ -106,6 +107,7 @@
     state: Path
     disk_bytes: int
     sockets: int
+    memory_bytes: int = int(DEFAULT_MEMORY_MB * 1_000_000)
     platform: PlatformConfig | None = None
     otlp: OtlpConfig | None = None
     consul: ConsulConfig | None = None
@@ -120,6 +122,7 @@
             (self.tick_us, "resolution_us"),
             (self.disk_bytes, "disk_mb"),
             (self.sockets, "sockets"),
+            (self.memory_bytes, "memory_mb"),
         ):
             if value < 1:
                 raise ValueError(f"{name}: must be above 0")
@@ -137,6 +140,7 @@
         "state",
         "disk_bytes",
         "sockets",
+        "memory_bytes",
         "consul",
         "console",
         "record",
@@ -200,6 +204,7 @@
             state=Path(state),
             disk_bytes=int(float(value_or_default(limits, "disk_mb", DEFAULT_DISK_MB)) * 1_000_000),
             sockets=int(value_or_default(limits, "sockets", DEFAULT_SOCKET_COUNT)),
+            memory_bytes=int(float(value_or_default(limits, "memory_mb", DEFAULT_MEMORY_MB)) * 1_000_000),
             platform=PlatformConfig(
                 parse_address(env.get("ROUTER_LISTEN") or doc["listen"]),
                 # The file takes precedence: it may have been replaced after the environment was set.
@@ -238,6 +243,7 @@
             state=state,
             disk_bytes=int(site.disk_mb * 1_000_000),
             sockets=site.sockets,
+            memory_bytes=int(site.memory_mb * 1_000_000),
             platform=_platform(site, settings),
             otlp=_otlp(site),
             consul=_consul(site),
--- a/rowanrack/fronts/mgmt/server.py
+++ b/rowanrack/fronts/mgmt/server.py
@@ -4,7 +4,13 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.fronts.mgmt.calls import Operations, answer_with_channels, text_reply
-from rowanrack.net.http import REQUEST_TIMEOUT_RESPONSE, HttpError, HttpServerConnection
+from rowanrack.net.http import (
+    OUT_OF_MEMORY_RESPONSE,
+    REQUEST_TIMEOUT_RESPONSE,
+    HttpError,
+    HttpServerConnection,
+)
+from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import ConnectionState, Listener
 from rowanrack.net.stream import Stream
 
@@ -17,11 +23,14 @@
     """Answers operators' calls. Invalid or late input gets a 4xx and closes only its own connection."""
 
     timeout_answer = REQUEST_TIMEOUT_RESPONSE
+    out_of_memory_answer = OUT_OF_MEMORY_RESPONSE
     request_timeout_us = REQUEST_TIMEOUT_US
     request_eviction_age_us = 100_000
 
-    def __init__(self, exchange: Exchange, operations: Operations) -> None:
-        super().__init__(MAX_CONNECTIONS, exchange)
+    def __init__(
+        self, exchange: Exchange, operations: Operations, input_memory: InputMemory | None = None
+    ) -> None:
+        super().__init__(MAX_CONNECTIONS, exchange, input_memory)
         self.operations = operations
 
     async def serve_connection(self, stream: Stream) -> None:
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -23,7 +23,15 @@
     serialize_message,
     serialize_status,
 )
-from rowanrack.net.http import REQUEST_TIMEOUT_RESPONSE, HttpError, HttpServerConnection, Reply, Request
+from rowanrack.net.http import (
+    OUT_OF_MEMORY_RESPONSE,
+    REQUEST_TIMEOUT_RESPONSE,
+    HttpError,
+    HttpServerConnection,
+    Reply,
+    Request,
+)
+from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import ConnectionState, Listener
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import pause
@@ -43,11 +51,17 @@
     request_timeout_us, request_eviction_age_us = REQUEST_TIMEOUT_US, MIN_REQUEST_AGE_BEFORE_EVICTION_US
     reuse_port = True
     timeout_answer = REQUEST_TIMEOUT_RESPONSE
+    out_of_memory_answer = OUT_OF_MEMORY_RESPONSE
 
     def __init__(
-        self, exchange: Exchange, mapping: RequestMap, body_limit: int, max_connections: int
+        self,
+        exchange: Exchange,
+        mapping: RequestMap,
+        body_limit: int,
+        max_connections: int,
+        input_memory: InputMemory,
     ) -> None:
-        super().__init__(max_connections, exchange)
+        super().__init__(max_connections, exchange, input_memory)
         self.mapping, self.body_limit_bytes = mapping, body_limit
         self._waiting: dict[str, list[asyncio.Future[End]]] = {}
 
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -11,6 +11,7 @@
 from rowanrack.fronts.platform import FRONT_NAME
 from rowanrack.fronts.platform.open_requests import OpenRequests
 from rowanrack.fronts.platform.resp import RespError, error_line, parse_command, simple_string
+from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import ConnectionState, Listener
 from rowanrack.net.stream import Stream
 from rowanspindle import Effect, Settings
@@ -65,10 +66,11 @@
     """Accepts connections of clients and answers their commands."""
 
     timeout_answer = error_line("ERR Protocol error: the command does not come whole in time")
+    out_of_memory_answer = error_line("ERR the command is incomplete and its memory is needed")
     reuse_port = True
 
-    def __init__(self, exchange: Exchange, max_connections: int) -> None:
-        super().__init__(max_connections, exchange)
+    def __init__(self, exchange: Exchange, max_connections: int, input_memory: InputMemory) -> None:
+        super().__init__(max_connections, exchange, input_memory)
         self._open_requests = OpenRequests()
 
     async def serve_connection(self, stream: Stream) -> None:
--- a/rowanrack/net/bounded_reader.py
+++ b/rowanrack/net/bounded_reader.py
@@ -25,13 +25,17 @@
     REJECTED = "rejected"  # its input was bad, and the answer to that is delayed
 
 
+def do_nothing() -> None:
+    """Stand for a callback that is not set."""
+
+
 class ReadGate:
     """Pauses a transport while there is any reason to; stands in for the transport of a StreamReader."""
 
     def __init__(self, transport: asyncio.ReadTransport) -> None:
         self._transport = transport
         self._reasons: set[PauseReason] = set()
-        self.resumed: Callable[[], None] = lambda: None  # called when the transport reads again
+        self.resumed: Callable[[], None] = do_nothing  # called when the transport reads again
 
     def pause(self, reason: PauseReason) -> None:
         """Pause reading for one more reason."""
@@ -65,7 +69,7 @@
 
     def __init__(self) -> None:
         super().__init__(limit=READER_LIMIT_BYTES)
-        self.received: Callable[[], None] = lambda: None  # called after each piece of input
+        self.received: Callable[[], None] = do_nothing  # called after each piece of input
 
     def set_transport(self, transport: asyncio.BaseTransport) -> None:
         """Set the transport; called by the protocol."""
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -31,6 +31,10 @@
 
 # The answer to a request that does not arrive completely in time.
 REQUEST_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+# The answer to an incomplete request whose memory is needed.
+OUT_OF_MEMORY_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
 
 class HttpError(Exception):
@@ -399,6 +403,7 @@
                         if len(body) > self._body_limit:
                             raise HttpError(413, f"the body is larger than {self._body_limit} bytes")
                     case h11.EndOfMessage() if head is not None:
+                        self.stream.parser_bytes = 0
                         target = head.target.decode("ascii", "replace")
                         return Request(
                             head.method.decode("ascii"), target, decode_headers(head.headers), bytes(body)
@@ -407,11 +412,13 @@
                         if self._h11.they_are_waiting_for_100_continue:
                             go_on = h11.InformationalResponse(status_code=100, headers=[])
                             await self.stream.send(self._h11.send(go_on) or b"")
-                        if not len(self.stream.receive_buffer) and await self.stream.fill():
-                            begun()
+                        has_input = len(self.stream.receive_buffer) or await self.stream.fill()
                         data = self.stream.receive_buffer.read(len(self.stream.receive_buffer))
                         self._head_lines.feed(data)
                         self._h11.receive_data(data)
+                        self.stream.parser_bytes += len(data)
+                        if has_input:
+                            begun()
                     case _:
                         return None
         except h11.RemoteProtocolError as error:
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -24,6 +24,7 @@
 from rowanrack.load.metered import CpuMeteredCoroutine
 from rowanrack.net.bounded_reader import PauseReason
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
+from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream, stream_protocol
 from rowanrack.net.timing import After, pause, time_limit
@@ -101,11 +102,15 @@
     """A listening port that serves each connection until it ends; an error ends only its own connection."""
 
     timeout_answer = b""  # sent to a client whose request does not arrive completely in time
+    out_of_memory_answer = b""  # sent to a client whose incomplete request takes too much memory
     reuse_port = False  # whether the next process shares the port at a hot restart
     request_timeout_us, request_eviction_age_us = REQUEST_TIMEOUT_US, REQUEST_EVICTION_AGE_US
 
-    def __init__(self, max_connections: int, exchange: Exchange) -> None:
+    def __init__(
+        self, max_connections: int, exchange: Exchange, input_memory: InputMemory | None = None
+    ) -> None:
         self.max_connections, self.exchange = max_connections, exchange
+        self.input_memory = input_memory or InputMemory(self._now)
         self.after: After = exchange.after
         self.load_shedder = exchange.load_shedder
         # The state of each stream and the time of its last change; the latest change comes last.
@@ -132,6 +137,7 @@
     def set_state(self, stream: Stream, state: ConnectionState) -> None:
         """Set the state of a connection. The answer to a good request ends its status as a new client."""
         self.exchange.run_overdue_round()
+        self.input_memory.update(stream, self)
         if state is ConnectionState.IDLE and (used_us := self._new_clients.pop(stream, None)) is not None:
             self.load_shedder.charge(-used_us)
             self._set_priority(stream, ConnectionPriority.CLIENT)
@@ -234,6 +240,8 @@
         self._rejected.add(stream)
         self._set_priority(stream, ConnectionPriority.NEW_CLIENT)
         self.set_state(stream, ConnectionState.BUSY)
+        stream.pause(PauseReason.REJECTED)
+        await stream.drop_input()
         if self._active_penalties < self.load_shedder.max_penalized(self.max_connections):
             self._active_penalties += 1
             try:
@@ -241,6 +249,7 @@
             finally:
                 self._active_penalties -= 1
         await stream.send(last_answer)
+        stream.resume(PauseReason.REJECTED)
         self.set_state(stream, ConnectionState.LEAVING)
         stream.shutdown_write()
         with suppress(TimeoutError):
@@ -378,6 +387,21 @@
                     return True
         return False
 
+    def incomplete_since_us(self, stream: Stream) -> int | None:
+        """Return since when a request is incomplete, or its answer unread; None while it is processed."""
+        state, since = self.streams.get(stream, (ConnectionState.BUSY, 0))
+        if stream.closing or (state is ConnectionState.BUSY and not stream.unsent):
+            return None
+        return since
+
+    def close_for_memory(self, stream: Stream) -> None:
+        """Close a connection because of the memory that its incomplete request takes."""
+        self._count_close(ClientCloseReason.MEMORY)
+        state, _ = self.streams.get(stream, (ConnectionState.LEAVING, 0))
+        if state is not ConnectionState.LEAVING:  # that one has had its last answer
+            stream.send_last(self.out_of_memory_answer)
+        stream.close_at_once()
+
     async def _check_timeouts(self) -> None:
         checked_at, thread_time_s = self._now(), time.thread_time()
         while True:
@@ -427,6 +451,7 @@
     def _start_serving(self, stream: Stream) -> None:
         self.load_shedder.charge(CONNECTION_OVERHEAD_US)
         stream.on_resumed(lambda: self._restore_priority(stream))
+        stream.on_received(lambda: self.input_memory.update(stream, self))
         self._set_priority(stream, ConnectionPriority.NEW_CLIENT)
         self._new_clients[stream], self._accept_cpu_us = self._accept_cpu_us + CONNECTION_OVERHEAD_US, 0.0
         self.set_state(stream, ConnectionState.NEW)
@@ -441,11 +466,13 @@
             log.exception("client connection failed with an unexpected error")
         finally:
             self.streams.pop(stream, None)
+            self.input_memory.forget(stream)
             used_us = self._new_clients.pop(stream, None)
             if used_us is not None and stream not in self._rejected:
                 self.load_shedder.charge_wasted(used_us)
             self._rejected.discard(stream)
             stream.close_at_once()
+            stream.release()
 
     def _charge_accepting(self, us: float) -> None:
         self._accept_cpu_us += us
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -9,7 +9,7 @@
 from contextlib import suppress
 
 from rowanrack.net.bounded_reader import READ_CHUNK_BYTES as READ_CHUNK_BYTES
-from rowanrack.net.bounded_reader import BoundedReaderProtocol, PauseReason
+from rowanrack.net.bounded_reader import BoundedReaderProtocol, PauseReason, do_nothing
 from rowanrack.net.bounded_reader import CountingReader as CountingReader
 from rowanrack.net.ring import RingBuffer
 
@@ -33,6 +33,7 @@
     ) -> None:
         self._reader, self._writer = reader, writer
         self._read_bytes = 0
+        self.parser_bytes = 0  # bytes of an incomplete request that its parser holds
         self._unbuffered_bytes = 0  # bytes of the current `send` that are in no buffer yet
         self.receive_buffer, self.send_buffer = RingBuffer(buffer_limit), RingBuffer(buffer_limit)
         # `drain` then returns only when the kernel has every byte: proof that a call was written completely.
@@ -56,6 +57,29 @@
         """Number of received bytes that are unread; those still in the kernel are not counted."""
         return len(self.receive_buffer) + self._reader.received_bytes - self._read_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes of memory that input takes, and output that the client does not read."""
+        received = self._reader.received_bytes - self._read_bytes + self.receive_buffer.capacity
+        unsent = self.send_buffer.capacity + self._writer.transport.get_write_buffer_size()
+        return received + unsent + self.parser_bytes
+
+    def on_received(self, action: Callable[[], None]) -> None:
+        """Set what is called after each piece of input."""
+        self._reader.received = action
+
+    def release(self) -> None:
+        """Release buffers and callbacks of a closed connection, whose references would form cycles."""
+        self.receive_buffer.clear()
+        self.send_buffer.clear()
+        self._reader.received = self._reader.gate.resumed = do_nothing
+
+    async def drop_input(self) -> None:
+        """Discard all input that has been received so far."""
+        self.receive_buffer.clear()
+        while self._reader.received_bytes > self._read_bytes:
+            await self.discard_input()
+
     @property
     def unread_beyond_buffer(self) -> bool:
         """Whether there is unread input that is not in the receive buffer yet."""
--- a/rowanrack/site_file.py
+++ b/rowanrack/site_file.py
@@ -209,6 +209,7 @@
     name: str = "rowanrack"
     disk_mb: PositiveFloat = 16.0
     sockets: PositiveInt = 1024
+    memory_mb: PositiveFloat = 192.0
     platform: PlatformTable | None = None
     peers: PeersTable | None = None
     otlp: OtlpTable | None = None
