--- a/rowanrack/channels_io/part.py
+++ b/rowanrack/channels_io/part.py
@@ -28,8 +28,8 @@
 from rowanrack.channels_io.writer import EventWriter, LogThread
 from rowanrack.config import ChannelsConfig
 from rowanrack.core.exchange import Exchange
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.http import Reply
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import after, pause
 from rowanrack.store.log_sqlite import SqliteLog
 
--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -16,8 +16,8 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.http import CALL_ERRORS, HttpClient
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import EndpointStatus, UpdateScope
 
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -27,6 +27,7 @@
     Refusal,
 )
 from rowanrack.core.metrics import HeldBackReason, Metrics
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.core.shared_waits import SharedWaits, UnsharedWaits, WaitStore
 from rowanrack.core.wheel import TimerWheel, WheelTimer
 from rowanrack.load.load_shedder import LoadShedder
@@ -212,6 +213,7 @@
         # Calls that the current round has gathered, by endpoint name.
         self._batches: dict[str, list[Batch]] = {}
         self._store_check_scheduled = False  # whether a check of the store is scheduled
+        self._no_room_warnings = RateLimitedLog(log, lambda: clock.now_us() / 1e6)
 
     def add_observer(self, observer: Observer) -> None:
         """Add an observer."""
@@ -249,7 +251,7 @@
             return self._refuse(message, Refusal(self._default_retry_us()))
         if not self.store.can_record() or not self.store.take(message):
             if self.store.can_record():
-                log.warning("no room in the journal, message %s is refused", message.id)
+                self._no_room_warnings.warning("no room in the journal, message %s is refused", message.id)
             else:
                 self._schedule_store_check()
             return self._refuse(message, Refusal(self._default_retry_us()))
--- a/rowanrack/failure_log.py
+++ b/rowanrack/failure_log.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from rowanrack.core.messages import Attempt, End, Ending, Endpoint, Message, Refusal
-from rowanrack.net.rate_limited_log import RateLimitedLog
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanspindle import Result
 
 log = logging.getLogger(__name__)
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -11,8 +11,8 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.http import CALL_ERRORS, BadReplyError, HttpClient
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import EndpointStatus, UpdateScope
 
--- a/rowanrack/net/answer_finder.py
+++ b/rowanrack/net/answer_finder.py
@@ -11,9 +11,9 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, CallVerdict, Ending, Endpoint, Message
 from rowanrack.core.metrics import HeldAnswerEnd
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.answer_guard import AnswerGuard
 from rowanrack.net.http import Call, CallBrokenError, HttpClientConnection, Reply
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import time_limit
 
 log = logging.getLogger(__name__)
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -13,11 +13,11 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint, Message
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.core.wheel import WheelTimer
 from rowanrack.net.answer_finder import log_given_up
 from rowanrack.net.answer_guard import QUIET_US, AnswerGuard
 from rowanrack.net.http import HttpClientConnection
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.timing import time_limit
 
 log = logging.getLogger(__name__)
--- a/rowanrack/net/input_memory.py
+++ b/rowanrack/net/input_memory.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from rowanrack.net.rate_limited_log import RateLimitedLog
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream
 
 log = logging.getLogger(__name__)
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -20,12 +20,12 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.metrics import ClientCloseReason
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.load.load_shedder import Level
 from rowanrack.load.metered import CpuMeteredCoroutine
 from rowanrack.net.bounded_reader import PauseReason
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
 from rowanrack.net.input_memory import InputMemory
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream, stream_protocol
 from rowanrack.net.timing import After, pause, time_limit
 
--- a/rowanrack/net/peers.py
+++ b/rowanrack/net/peers.py
@@ -7,7 +7,7 @@
 from asyncio import AbstractEventLoop, get_running_loop
 from collections.abc import Callable, Sequence
 
-from rowanrack.net.rate_limited_log import RateLimitedLog
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanspindle.notes import MAX_NOTE_BYTES, Note, NoteError, decode_note, encode_note
 
 log = logging.getLogger(__name__)
--- a/rowanrack/net/pool.py
+++ b/rowanrack/net/pool.py
@@ -9,6 +9,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, Batch, CallVerdict, Endpoint, Progress
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.answer_finder import (
     AnswerFinder,
     CallInProgress,
@@ -23,7 +24,6 @@
     StaleConnectionError,
 )
 from rowanrack.net.idle_connections import IdleConnections, LastCall
-from rowanrack.net.rate_limited_log import RateLimitedLog
 from rowanrack.net.stream import Stream
 from rowanrack.net.timing import time_limit
 from rowanspindle import Result
--- a/rowanrack/record/recorder.py
+++ b/rowanrack/record/recorder.py
@@ -18,7 +18,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Attempt, End, Endpoint, Message, Refusal
-from rowanrack.net.rate_limited_log import RateLimitedLog
+from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.record.format import (
     BLOCK_OVERHEAD_BYTES,
     FILE_HEADER,
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -11,11 +11,11 @@
 import pytest
 
 from rowanrack.core.messages import Ending
+from rowanrack.core.rate_limited_log import WARNING_INTERVAL_S, RateLimitedLog
 from rowanrack.load import load_shedder
 from rowanrack.net import listener as net_listener
 from rowanrack.net.http import Reply
 from rowanrack.net.listener import ConnectionState
-from rowanrack.net.rate_limited_log import WARNING_INTERVAL_S, RateLimitedLog
 from rowanrack.net.stream import Stream
 from rowanspindle import UpdateScope
 from tests.rig import Rig, answers, make_endpoint, on_loop, resp, silent
--- a/tests/test_failure_log.py
+++ b/tests/test_failure_log.py
@@ -8,9 +8,9 @@
 
 import pytest
 
+from rowanrack.core.rate_limited_log import WARNING_INTERVAL_S, RateLimitedLog
 from rowanrack.failure_log import MAX_LINES_PER_INTERVAL
 from rowanrack.net.http import Reply
-from rowanrack.net.rate_limited_log import WARNING_INTERVAL_S, RateLimitedLog
 from tests.rig import Rig, answers, on_loop
 
 
