Bound the ids that are remembered by the memory limit, and compact in less memory

Change: a fifth of the memory that is left after the start bounds the messages and ends that are known, and beyond it new ones are refused, as with a full file; a compaction fills one buffer; equal tuples and the usual end are one object.

The least plan, 32 MB on this machine, remembers some 2,400 ids: while a flood fills that, other clients hear -BUSY too.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -85,7 +85,9 @@
         descriptors = DescriptorBudget.of(config.sockets, config.settings.slots)
         self.pool = EndpointPool(self.exchange, self.forms, descriptors.idle)
         self.input_memory = InputMemory(self.clock.now_us)
-        self.client_limits = ClientLimits(config.memory_bytes, descriptors.clients, self.input_memory)
+        self.client_limits = ClientLimits(
+            config.memory_bytes, descriptors.clients, self.input_memory, self.journal
+        )
         self.exchange.endpoint_calls = self.pool
         self.exchange.add_observer(FailureLog(self.clock.now_us))
         self.fronts: list[tuple[Listener, tuple[str, int]]] = []
--- a/rowanrack/client_limits.py
+++ b/rowanrack/client_limits.py
@@ -10,6 +10,7 @@
 from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import Listener
 from rowanrack.net.process_memory import memory_bytes
+from rowanrack.store.journal import Journal
 
 log = logging.getLogger(__name__)
 
@@ -34,11 +35,13 @@
 
 
 class ClientLimits:
-    """The limits of the fronts' listeners, and of the input that all clients together may hold."""
+    """The limits of the fronts' listeners, of the input that all clients hold, and of remembered ids."""
 
-    def __init__(self, limit_bytes: int, descriptors: int, input_memory: InputMemory) -> None:
+    def __init__(
+        self, limit_bytes: int, descriptors: int, input_memory: InputMemory, journal: Journal
+    ) -> None:
         self._limit_bytes, self._descriptors = limit_bytes, descriptors
-        self._input_memory = input_memory
+        self._input_memory, self._journal = input_memory, journal
         self._used_at_start_bytes = 0
         self._processes = 0  # that share the memory
 
@@ -47,11 +50,13 @@
         self._used_at_start_bytes = memory_bytes()
         plan = self.set_processes(fronts, processes)
         log.info(
-            "memory: %.1f of %.0f MB in use after the start; clients: %d connections, %d KiB of requests",
+            "memory: %.1f of %.0f MB in use after the start; "
+            "clients: %d connections, %d KiB of requests, %d remembered ids",
             self._used_at_start_bytes / 1e6,
             self._limit_bytes / 1e6,
             sum(front.max_connections for front in fronts),
             plan.input_bytes // 1024,
+            plan.known_messages,
         )
 
     def set_processes(self, fronts: Sequence[Listener], processes: int) -> MemoryPlan:
@@ -60,6 +65,7 @@
         if processes != self._processes:
             self._processes = processes
             self._input_memory.limit_bytes = plan.input_bytes
+            self._journal.max_known = plan.known_messages
             connections = min(self._descriptors, plan.connections)
             for front in fronts:
                 front.max_connections = max(MIN_CONNECTIONS, connections // len(fronts))
--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -16,6 +16,7 @@
 from rowanrack.core.event_feed import EventFeed
 from rowanrack.core.identity import IdInUseError, content_digest
 from rowanrack.core.messages import (
+    DELIVERED,
     Attempt,
     Batch,
     CallVerdict,
@@ -518,7 +519,7 @@
             if is_owned:
                 self.store.never_ran(message, attempt.attempt_number)
         if is_owned and result is Result.OK:
-            self._end_message(message, End(Ending.DELIVERED))
+            self._end_message(message, DELIVERED)
         elif is_owned and end is not None:
             self._end_message(message, End(end))
         message_ended = not self.owns(message)
@@ -540,7 +541,7 @@
 
     def retract_delivery(self, message: Message) -> None:
         """End a message as failed after all: the answer that delivered it belonged to an earlier call."""
-        if self.store.ended(message.id) != End(Ending.DELIVERED):
+        if self.store.ended(message.id) != DELIVERED:
             return
         log.warning("message %s: not delivered, the 200 belonged to an earlier call; given up", message.id)
         failed = End(Ending.FAILED)
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -38,6 +38,9 @@
     retry_us: int = 0
 
 
+DELIVERED = End(Ending.DELIVERED)  # the usual end, of which thousands are kept
+
+
 @dataclass(frozen=True, slots=True)
 class Refusal:
     """The message was not accepted; it is safe to submit it again after this time."""
--- a/rowanrack/load/memory_plan.py
+++ b/rowanrack/load/memory_plan.py
@@ -7,18 +7,22 @@
 CONNECTION_BYTES = 10_000  # of a client's connection that sends nothing
 # Parts of the memory that the process has left after its start. The rest is for messages, the journal and
 # calls to endpoints.
-CONNECTION_SHARE = 0.4
-INPUT_SHARE = 0.25
+CONNECTION_SHARE = 0.35
+INPUT_SHARE = 0.2
+KNOWN_MESSAGE_SHARE = 0.2
+KNOWN_MESSAGE_BYTES = 600  # of a message that has ended, whose end is kept for repeated submissions
 MIN_CONNECTIONS = 32
+MIN_KNOWN_MESSAGES = 1000
 MIN_INPUT_BYTES = 512 * 1024  # several of the largest requests of the platform
 
 
 @dataclass(frozen=True, slots=True)
 class MemoryPlan:
-    """How many connections clients may have, and how many bytes of incomplete requests they may fill."""
+    """What clients may take: connections, bytes of incomplete requests, and ids that are remembered."""
 
     connections: int
     input_bytes: int
+    known_messages: int
 
     @classmethod
     def of(cls, limit_bytes: int, used_bytes: int, processes: int = 1) -> MemoryPlan:
@@ -30,4 +34,5 @@
         return cls(
             max(MIN_CONNECTIONS, int(left_bytes * CONNECTION_SHARE) // CONNECTION_BYTES),
             max(MIN_INPUT_BYTES, int(left_bytes * INPUT_SHARE)),
+            max(MIN_KNOWN_MESSAGES, int(left_bytes * KNOWN_MESSAGE_SHARE) // KNOWN_MESSAGE_BYTES),
         )
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -24,6 +24,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from functools import lru_cache
 from pathlib import Path
 
 from rowanrack.core.identity import content_digest
@@ -60,6 +61,12 @@
 MIN_COMPACTION_BYTES = 64 * 1024  # a journal is compacted above this size plus three times its live records
 
 
+@lru_cache(maxsize=256)
+def shared_pair(compacted: int, pending: int) -> tuple[int, int]:
+    """Return one tuple for equal numbers: thousands of messages have the same."""
+    return compacted, pending
+
+
 @dataclass(slots=True)
 class Journal:
     """The journal in one folder.
@@ -74,6 +81,7 @@
     keep_us: int = 30_000_000  # how long an end is kept after its message's deadline
     retention_us_by_front: Mapping[str, int] = field(default_factory=dict)  # overrides of `keep_us` by front
     attempts: int = 6  # most attempts of one message
+    max_known: int = 1 << 62  # messages and ends that are kept in memory before no more is accepted
     owed: dict[str, Message] = field(default_factory=dict)
     ends: dict[str, RecordedEnd] = field(default_factory=dict)
     file: JournalFile | None = None
@@ -428,6 +436,10 @@
 
     def _has_room_to_take(self, record_bytes: int, compacted: int, pending: int) -> bool:
         """Return whether a new message fits, and the inherited journal still does."""
+        if len(self._byte_counts) >= self.max_known:
+            self._forget_expired_ends()
+            if len(self._byte_counts) >= self.max_known:
+                return False
         if (other := self.inherited) is not None:
             record_bytes += other.compacted_bytes
             compacted += other.compacted_bytes
@@ -546,7 +558,7 @@
         self.compacted_bytes += compacted - old_compacted
         self.pending_bytes += pending - old_pending
         if compacted:
-            self._byte_counts[message_id] = compacted, pending
+            self._byte_counts[message_id] = shared_pair(compacted, pending)
         else:
             self._byte_counts.pop(message_id, None)
 
@@ -673,15 +685,15 @@
         if 0 < self._compaction_retry_us - self.unix_us() <= RETRY_DELAY_US:
             return False
         self._forget_expired_ends()
-        old_file, records = self._open_file, [MAGIC]
+        old_file, data = self._open_file, bytearray(MAGIC)
         for message in self.owed.values():
-            message_records = self._message_records(message)
-            records += message_records
-            compacted = sum(map(len, message_records)) + 2 * (STATUS_RECORD_BYTES + len(message.id))
+            message_data = b"".join(self._message_records(message))
+            data += message_data
+            compacted = len(message_data) + 2 * (STATUS_RECORD_BYTES + len(message.id))
             self._set_byte_counts(message.id, compacted, self._byte_counts.get(message.id, (0, 0))[1])
         for message_id, ended in self.ends.items():
-            records += ended.records(message_id)
-        data, limit_bytes = b"".join(records), self._compaction_limit_bytes
+            data += b"".join(ended.records(message_id))
+        limit_bytes = self._compaction_limit_bytes
         try:
             if (
                 round_up_to_blocks(old_file.reserved_end)
--- a/rowanrack/store/journal_file.py
+++ b/rowanrack/store/journal_file.py
@@ -36,7 +36,7 @@
     reserved_end: int = 0  # offset up to which space is reserved
     torn_end: int = 0  # offset up to which a failed write may have left bytes
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray) -> None:
         """Append all of the data after the last record, or raise OSError and leave `size` unchanged."""
         if self.torn_end > self.size:
             # A shorter record would leave bytes of the failed write after it, which could parse as a record.
--- a/tests/test_bounded_input.py
+++ b/tests/test_bounded_input.py
@@ -13,7 +13,14 @@
 import pytest
 
 from rowanrack.core.metrics import ClientCloseReason
-from rowanrack.load.memory_plan import CONNECTION_BYTES, MIN_CONNECTIONS, MIN_INPUT_BYTES, MemoryPlan
+from rowanrack.load.memory_plan import (
+    CONNECTION_BYTES,
+    KNOWN_MESSAGE_BYTES,
+    MIN_CONNECTIONS,
+    MIN_INPUT_BYTES,
+    MIN_KNOWN_MESSAGES,
+    MemoryPlan,
+)
 from rowanrack.net.bounded_reader import READ_CHUNK_BYTES, READER_LIMIT_BYTES, PauseReason
 from rowanrack.net.fair_scheduling import ConnectionPriority
 from rowanrack.net.http import Reply, Request
@@ -159,12 +166,15 @@
             gc.enable()
 
 
+def planned_bytes(plan: MemoryPlan) -> int:
+    return plan.connections * CONNECTION_BYTES + plan.input_bytes + plan.known_messages * KNOWN_MESSAGE_BYTES
+
+
 def test_two_processes_of_a_hot_restart_share_the_memory() -> None:
     alone, shared = MemoryPlan.of(192_000_000, 24_000_000), MemoryPlan.of(192_000_000, 24_000_000, 2)
-    assert alone.connections * CONNECTION_BYTES + alone.input_bytes < 168_000_000
-    assert 2 * (shared.connections * CONNECTION_BYTES + shared.input_bytes) < 144_000_000
+    assert planned_bytes(alone) < 168_000_000 and 2 * planned_bytes(shared) < 144_000_000
     exhausted = MemoryPlan.of(32_000_000, 40_000_000)
-    assert exhausted == MemoryPlan(MIN_CONNECTIONS, MIN_INPUT_BYTES)
+    assert exhausted == MemoryPlan(MIN_CONNECTIONS, MIN_INPUT_BYTES, MIN_KNOWN_MESSAGES)
 
 
 @on_loop
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -8,9 +8,11 @@
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
+import pytest
+
 from rowanrack.lab.stand_in import Client
 from rowanrack.net.http import Reply
-from tests.rig import Process, Rig, answers, on_loop, resp
+from tests.rig import SETTINGS, Process, Rig, answers, on_loop, resp
 
 MEMORY_MB = 32  # the least that the pages name
 SMALL_MACHINE = {"memory_mb": MEMORY_MB, "sockets": 1024, "disk_mb": 3}
@@ -129,3 +131,29 @@
     async with Rig(tmp_path / "rig") as rig, Process(rig, tmp_path) as process:
         mapped_files = Path(f"/proc/{process.child.pid}/maps").read_text()
         assert not {name for name in ("libssl", "libcrypto", "_hashlib") if name in mapped_files}
+
+
+@on_loop
+async def test_ever_new_ids_keep_a_process_under_its_memory_limit(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The ids of a flood were remembered up to the limit of the journal's file, whatever memory there was."""
+    (tmp_path / "rig").mkdir()
+    ids = 14_000
+    monkeypatch.setitem(SETTINGS, "extra", SETTINGS["extra"] | {"slots": 60})
+    monkeypatch.setitem(SETTINGS, "limits", SETTINGS["limits"] | {"most_held": 325})
+    async with (
+        Rig(tmp_path / "rig", answers(Reply(200, {}))) as rig,
+        Process(rig, tmp_path, SMALL_MACHINE) as process,
+    ):
+        client = await process.client()
+        commands = [
+            SUBMIT_HEAD.replace(b"d=8000", b"d=9999") % number + b"$1\r\nx\r\n" for number in range(ids)
+        ]
+        sending = asyncio.create_task(client.stream.send(b"".join(commands)))
+        answered = 0
+        while answered < ids:
+            assert await client.stream.fill()
+            answered += client.stream.receive_buffer.read(1 << 16).count(b"\n")
+        await sending
+        assert process.peak_memory_bytes() <= MEMORY_MB * 1_000_000
