--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -128,7 +128,8 @@
             len(arguments) == 5
             and (overload := self.exchange.refusal_if_overloaded(arguments[2].decode("latin-1"))) is not None
         ):
-            self.exchange.metrics.declined(message_class_of(arguments[3]))
+            if (cls := message_class_of(arguments[3])) in self.exchange.settings.classes:
+                self.exchange.metrics.declined(cls)
             return error_line(f"BUSY {overload.retry_us // 1000}")
         message = read_submit(arguments, self.exchange.settings, self.exchange.clock.unix_us())
         if self._open_requests.conflicts_with(arguments):
