Let others run while a body comes in very many small chunks, and reject many trailers

Cause: h11 gets all that a read brought, and all of its events, or all fields of a trailer, are handled in one step; each costs the same, however short it is. Bodies of endpoints' responses likewise.

Change: 32 chunks a turn on both sides; requests reach the parser in pieces of 4 KiB, and what it keeps back may have 100 lines.

The three new tests fail without their part.

--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -19,6 +19,8 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 RESPONSE_REST_TIMEOUT_US = 1_000_000  # for the rest of a head once it has begun, and then for the body
+MAX_CHUNKS_PER_TURN = 32  # parsed before others get the event loop
+PARSED_BYTES_PER_TURN = 4 * 1024  # given to the parser of requests at a time
 MAX_INFORMATIONAL_RESPONSES = 16  # 1xx responses ahead of the final response
 STATUS_LINE_200 = re.compile(rb"HTTP/1\.[01] 200(?: (?!.*HTTP/)[^\r\n]*)?\r?\n")  # one complete status line
 # A complete status line. If a partial one is merged with it, the last status is that of the response.
@@ -110,6 +112,19 @@
 CALL_ERRORS = (OSError, TimeoutError, CallNotSentError, CallBrokenError, BadReplyError)
 
 
+class ChunkTurns:
+    """Lets others run while a body arrives in very many small chunks, each of which costs the same."""
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    async def count(self) -> None:
+        """Count a chunk."""
+        self._count += 1
+        if self._count % MAX_CHUNKS_PER_TURN == 0:
+            await asyncio.sleep(0)
+
+
 class HttpClient:
     """A client of one service. Each call has a connection of its own.
 
@@ -298,10 +313,12 @@
         """Read the body; return False, and stop reading, if it exceeds the limit or is incomplete."""
         if length > self._body_limit:
             return False
+        turns = ChunkTurns()
         while isinstance(event := await self._next_event(), h11.Data):
             body += event.data
             if len(body) > self._body_limit:
                 return False
+            await turns.count()
         # Bytes after the response would be read as the response to the next call: no reuse then.
         has_surplus = bool(self._h11.trailing_data[0])
         if not has_surplus and self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
@@ -378,7 +395,7 @@
     @property
     def pending(self) -> bool:
         """Whether part or all of the next request has been read already."""
-        return bool(self._h11.trailing_data[0])
+        return bool(self._h11.trailing_data[0]) or bool(len(self.stream.receive_buffer))
 
     async def receive(self, begun: Callable[[], None] = lambda: None) -> Request | None:
         """Return the next request, or None at the end of the connection. Raise HttpError on invalid HTTP.
@@ -386,7 +403,7 @@
         `begun` is called whenever a part of the request arrives.
         """
         head: h11.Request | None = None
-        body = bytearray()
+        body, turns = bytearray(), ChunkTurns()
         self._head_lines.begin(self._h11.trailing_data[0])
         try:
             while True:
@@ -402,6 +419,7 @@
                         body += event.data
                         if len(body) > self._body_limit:
                             raise HttpError(413, f"the body is larger than {self._body_limit} bytes")
+                        await turns.count()
                     case h11.EndOfMessage() if head is not None:
                         self.stream.parser_bytes = 0
                         target = head.target.decode("ascii", "replace")
@@ -412,8 +430,9 @@
                         if self._h11.they_are_waiting_for_100_continue:
                             go_on = h11.InformationalResponse(status_code=100, headers=[])
                             await self.stream.send(self._h11.send(go_on) or b"")
+                        self._reject_many_trailers(head)
                         has_input = len(self.stream.receive_buffer) or await self.stream.fill()
-                        data = self.stream.receive_buffer.read(len(self.stream.receive_buffer))
+                        data = self.stream.receive_buffer.read(PARSED_BYTES_PER_TURN)
                         self._head_lines.feed(data)
                         self._h11.receive_data(data)
                         self.stream.parser_bytes += len(data)
@@ -424,6 +443,11 @@
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, str(error)) from None
 
+    def _reject_many_trailers(self, head: h11.Request | None) -> None:
+        """Reject fields behind a chunked body: the lines that h11 keeps back are parsed all at once."""
+        if head is not None and self._h11.trailing_data[0].count(b"\n") > MAX_HEADER_FIELDS:
+            raise HttpError(431, f"more than {MAX_HEADER_FIELDS} trailer fields")
+
     def wire(self, reply: Reply) -> bytes:
         """Encode a response."""
         headers = [*reply.headers.items(), ("Content-Length", str(len(reply.body)))]
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -2,13 +2,38 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from pathlib import Path
 
 import pytest
 
-from rowanrack.net.http import Reply
-from tests.rig import Rig, answers, on_loop
+from rowanrack.net.http import MAX_CHUNKS_PER_TURN, Call, HttpClientConnection, Reply
+from rowanrack.net.stream import READ_CHUNK_BYTES, Stream
+from tests.rig import Rig, after, answers, on_loop
+
+CHUNKED_EXPORT = (
+    b"POST /v1/logs HTTP/1.1\r\nHost: x\r\n"
+    b"Content-Type: application/x-protobuf\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+SMALL_CHUNK = b"1\r\nx\r\n"
+CHUNK_COUNT = READ_CHUNK_BYTES // len(SMALL_CHUNK) - 100  # with the head, what one read brings
+
+
+class Turns:
+    """Counts the turns that the event loop gives to others."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while True:
+            self.count += 1
+            await asyncio.sleep(0)
+
+    def stop(self) -> None:
+        self._task.cancel()
 
 
 @on_loop
@@ -34,3 +59,48 @@
             assert (await client.submit(f"m {cls}".replace(" ", "-"), cls)).startswith(b"-BUSY")
         assert exchange.metrics.counts["declined"] == {"album-update": 1}
         assert "unknown" not in rig.sender.metrics_text()
+
+
+@on_loop
+async def test_others_run_while_a_request_comes_in_very_many_small_chunks(tmp_path: Path) -> None:
+    """All chunks of a read were parsed in one step, which took 70 ms."""
+    async with Rig(tmp_path) as rig:
+        stream = await rig.connect(1)
+        turns = Turns()
+        await stream.send(CHUNKED_EXPORT + SMALL_CHUNK * CHUNK_COUNT + b"0\r\n\r\n")
+        while not stream.receive_buffer.peek(99).startswith(b"HTTP/1.1 ") and await stream.fill():
+            pass
+        assert turns.count >= CHUNK_COUNT // MAX_CHUNKS_PER_TURN
+        turns.stop()
+
+
+@on_loop
+async def test_others_run_while_a_response_comes_in_very_many_small_chunks() -> None:
+    body = SMALL_CHUNK * CHUNK_COUNT + b"0\r\n\r\n"
+
+    async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + body)
+        writer.close()
+
+    async with await asyncio.start_server(respond, "127.0.0.1", 0) as server:
+        stream = await Stream.connect(*server.sockets[0].getsockname())
+        turns = Turns()
+        reply = await HttpClientConnection(stream, "x", 1 << 16, after).call(Call("GET", "/"))
+        assert reply.complete and turns.count >= CHUNK_COUNT // MAX_CHUNKS_PER_TURN
+        turns.stop()
+        stream.abort()
+
+
+@pytest.mark.parametrize(("count", "status"), [(90, b"400"), (3000, b"431")])
+@on_loop
+async def test_many_fields_behind_a_chunked_body_are_rejected_unparsed(
+    tmp_path: Path, count: int, status: bytes
+) -> None:
+    """Thousands of them were parsed in one step, which took 30 ms."""
+    async with Rig(tmp_path) as rig:
+        stream = await rig.connect(1)
+        await stream.send(CHUNKED_EXPORT + SMALL_CHUNK + b"0\r\n" + b"a:\r\n" * count + b"\r\n")
+        while len(stream.receive_buffer) < 12 and await stream.fill():
+            pass
+        assert stream.receive_buffer.peek(12) == b"HTTP/1.1 " + status
