Drop the unread requests of a client that has closed its connection

Cause: what has been read of a connection is parsed and accepted to its end; that the client has reset or closed is noticed only once the transport reads so far, or a write fails.

Change: before each request is accepted, the kernel is asked for the state of the other side, which unread input does not hide. A connection that was reset counts as left at once.

--- a/rowanrack/core/metrics.py
+++ b/rowanrack/core/metrics.py
@@ -37,7 +37,7 @@
 
 
 class ClientCloseReason(Enum):
-    """Why the sender closed the connection of a client, other than after its last answer."""
+    """Why the sender ended the connection of a client, other than after its last answer."""
 
     BAD_INPUT = "bad_input"
     REQUEST_TIMEOUT = "timeout"  # a request did not arrive completely in time
@@ -45,6 +45,7 @@
     MEMORY = "memory"  # an incomplete request held memory that others needed
     IDLE = "idle"  # silent for too long
     EVICTED = "evicted"  # closed to make room for another connection
+    LEFT = "left"  # the client has closed, and requests were unread
 
 
 def _label(value: str) -> str:
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -81,7 +81,7 @@
                 final_answer = http.wire(error_reply(error.status, str(error), PROTOBUF, close=True))
                 await self.reject(stream, final_answer, str(error))
                 return
-            if request is None or stream.closing:
+            if request is None or stream.closing or await self.client_has_left(stream):
                 return
             self.set_state(stream, ConnectionState.BUSY)
             keep_alive = await http.answer(await self._answer(request))
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -96,7 +96,7 @@
                 if not await stream.fill():
                     return
                 continue
-            if stream.closing:
+            if stream.closing or await self.client_has_left(stream):
                 # Accepting the message now could duplicate it: a client whose connection was closed before
                 # its request was read submits the message to another sender.
                 return
--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -26,7 +26,7 @@
 from rowanrack.net.bounded_reader import PauseReason
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
 from rowanrack.net.input_memory import InputMemory
-from rowanrack.net.stream import Stream, stream_protocol
+from rowanrack.net.stream import PeerState, Stream, stream_protocol
 from rowanrack.net.timing import After, pause, time_limit
 
 log = logging.getLogger(__name__)
@@ -50,6 +50,8 @@
 CONNECTION_OVERHEAD_US = 60.0  # CPU time that the event loop itself uses for a connection
 LINGER_TIMEOUT_US = 1_000_000  # after the last answer, for the client to close the connection
 MAX_LINGER_BYTES = 1 << 20  # read and discarded meanwhile
+# While a client that has finished sending has not confirmed its last answer.
+CONFIRMATION_CHECK_INTERVAL_US = 10_000
 
 
 class ConnectionState(Enum):
@@ -128,6 +130,8 @@
         self._new_clients: dict[Stream, float] = {}  # no good request yet; CPU time used, in us
         self._paused: set[Stream] = set()  # streams whose reading is paused
         self._rejected: set[Stream] = set()  # streams whose input was bad
+        # Streams whose client has finished sending, and whether it has confirmed an answer since.
+        self._finished_senders: dict[Stream, bool] = {}
         self._accept_cpu_us = 0.0  # CPU time used for accepting since the last accepted connection
 
     @abstractmethod
@@ -261,6 +265,31 @@
                 if remaining <= 0:  # let the client wait instead of reading all it sends
                     await pause(self.after, LINGER_TIMEOUT_US)
 
+    async def client_has_left(self, stream: Stream) -> bool:
+        """Return whether a client has closed its connection: what is unread of its requests is not wanted.
+
+        A client that has only finished sending confirms the next answer; one that has closed resets the
+        connection when that arrives. So the second request of such a client waits for either.
+        """
+        state = stream.peer_state
+        if state is PeerState.FINISHED_SENDING and stream not in self._finished_senders:
+            self._finished_senders[stream] = False
+        elif state is PeerState.FINISHED_SENDING and not self._finished_senders[stream]:
+            state = await self._wait_for_confirmation(stream)
+            self._finished_senders[stream] = True
+        if state is PeerState.GONE:
+            self._count_close(ClientCloseReason.LEFT)
+        return state is PeerState.GONE
+
+    async def _wait_for_confirmation(self, stream: Stream) -> PeerState:
+        """Wait until the client confirms its last answer; one that does not in time counts as gone."""
+        for _ in range(LINGER_TIMEOUT_US // CONFIRMATION_CHECK_INTERVAL_US):
+            state = stream.peer_state
+            if state is PeerState.GONE or not stream.unacknowledged_bytes:
+                return state
+            await pause(self.after, CONFIRMATION_CHECK_INTERVAL_US)
+        return PeerState.GONE
+
     # Accepting, eviction and time limits.
 
     async def _accept_metered(self, listening_socket: socket.socket) -> None:
@@ -467,6 +496,7 @@
         finally:
             self.streams.pop(stream, None)
             self.input_memory.forget(stream)
+            self._finished_senders.pop(stream, None)
             used_us = self._new_clients.pop(stream, None)
             if used_us is not None and stream not in self._rejected:
                 self.load_shedder.charge_wasted(used_us)
--- a/rowanrack/net/stream.py
+++ b/rowanrack/net/stream.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections.abc import Callable
 from contextlib import suppress
+from enum import Enum
 
 from rowanrack.net.bounded_reader import READ_CHUNK_BYTES as READ_CHUNK_BYTES
 from rowanrack.net.bounded_reader import BoundedReaderProtocol, PauseReason, do_nothing
@@ -17,6 +21,14 @@
 UNSENT_DATA_TIMEOUT_S = 1.0  # for which unsent data may delay a close
 
 
+class PeerState(Enum):
+    """What the kernel knows of the other side of a connection, whether or not its input has been read."""
+
+    OPEN = "open"
+    FINISHED_SENDING = "finished"  # it may still read, or have closed
+    GONE = "gone"  # it has reset the connection
+
+
 def stream_protocol(
     accept: Callable[[Stream], None], buffer_limit: int = MAX_BUFFER_BYTES
 ) -> asyncio.StreamReaderProtocol:
@@ -92,6 +104,27 @@
         poll.register(sock, select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def peer_state(self) -> PeerState:
+        """The state of the other side; unread input does not hide it."""
+        if self.closing or (sock := self._writer.get_extra_info("socket")) is None:
+            return PeerState.GONE
+        poll = select.poll()
+        poll.register(sock, select.POLLRDHUP)
+        events = poll.poll(0)
+        if not events:
+            return PeerState.OPEN
+        return PeerState.FINISHED_SENDING if events[0][1] == select.POLLRDHUP else PeerState.GONE
+
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Number of written bytes that the other side's kernel has not confirmed; 0 if that is unknown."""
+        try:
+            queued = fcntl.ioctl(self.descriptor, termios.TIOCOUTQ, bytes(struct.calcsize("i")))
+        except (OSError, ValueError):
+            return 0
+        return int(struct.unpack("i", queued)[0])
+
     async def fill(self) -> bool:
         """Wait for more bytes in the receive buffer; return False at the end of the stream."""
         data = await self._reader.read(min(READ_CHUNK_BYTES, self.receive_buffer.room))
