Let only one process of a hot restart at a time look for an id and record it

Cause: a process looks for an id in the other one's file and then records it in its own; two requests at the same moment each look before the other has written.

The test with two processes in the same microseconds by chance was not tried.

--- a/rowanrack/core/exchange.py
+++ b/rowanrack/core/exchange.py
@@ -119,7 +119,10 @@
         """
 
     def take(self, message: Message) -> bool:
-        """Record a message; return False if there is no room for it, its attempts and its final answer."""
+        """Record a message; return False if there is no room for it, its attempts and its final answer.
+
+        Also False if the other process of a hot restart has recorded a message with this id.
+        """
 
     def begin(self, message: Message, attempt_number: int) -> bool:
         """Record that an attempt is about to begin; return False if that is not possible."""
@@ -259,6 +262,17 @@
         self.adopt(message)
         return None
 
+    def submit_or_repeat(self, message: Message) -> Refusal | None:
+        """Accept a message and return None, also if it is accepted already; or refuse it.
+
+        Raises IdInUseError if the id belongs to another message.
+        """
+        if self.find_repeated(message) is not None:
+            return None
+        refusal = self.submit(message)
+        # The other process of a hot restart may have accepted it since it was looked for.
+        return None if refusal is None or self.find_repeated(message) is not None else refusal
+
     def adopt(self, message: Message, served: bool = True, recovered: bool = False) -> None:
         """Own a message that the store already holds: newly accepted, or recovered from the journal.
 
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -149,7 +149,10 @@
         if isinstance(known, End):
             return known
         if known is None and (refusal := self.exchange.submit(message)) is not None:
-            return refusal
+            # The other process of a hot restart may have accepted it since it was looked for.
+            known = self.exchange.find_repeated(message)
+            if known is None or isinstance(known, End):
+                return known or refusal
         if known is not None and not self.exchange.owns(known):
             return await self._wait_for_other_process(known)
         return await self._wait_for_owned((known or message).id)
--- a/rowanrack/fronts/platform/clients.py
+++ b/rowanrack/fronts/platform/clients.py
@@ -135,12 +135,11 @@
         if self._open_requests.conflicts_with(arguments):
             return self._refuse_id(message, "the id belongs to a request of another client that is under way")
         try:
-            if self.exchange.find_repeated(message) is not None:
-                return simple_string("OK")  # a repeat of a message that is already accepted and has one end
+            if (refusal := self.exchange.submit_or_repeat(message)) is not None:
+                return error_line(f"BUSY {refusal.retry_us // 1000}")
         except IdInUseError as error:
             return self._refuse_id(message, str(error))
-        refusal = self.exchange.submit(message)
-        return simple_string("OK") if refusal is None else error_line(f"BUSY {refusal.retry_us // 1000}")
+        return simple_string("OK")  # accepted, or a repeat of a message that is and has one end
 
     def _refuse_id(self, message: Message, reason: str) -> bytes:
         """Return the error for a message whose id is in use."""
--- a/rowanrack/store/journal.py
+++ b/rowanrack/store/journal.py
@@ -29,6 +29,7 @@
 
 from rowanrack.core.identity import content_digest
 from rowanrack.core.messages import End, Message
+from rowanrack.store.claim_lock import ClaimLock
 from rowanrack.store.disk_budget import DiskBudget, slot_bytes
 from rowanrack.store.journal_file import BLOCK_BYTES, JournalFile, round_up_to_blocks
 from rowanrack.store.journal_records import (
@@ -100,6 +101,7 @@
     inherited: Journal | None = None
     inherited_by: Journal | None = None
     _other_slot_reader: OtherSlotReader | None = None
+    _claim_lock: ClaimLock = field(init=False)
     _unwritten: deque[bytes] = field(default_factory=deque)
     _write_failed: bool = False  # the last write failed
     write_error: str = ""  # why no new messages are accepted; empty if they are
@@ -108,6 +110,9 @@
     _compaction_retry_us: int = 0  # earliest time of the next compaction after a failed one; 0 if none failed
     _take_over_retry_us: int = 0
 
+    def __post_init__(self) -> None:
+        self._claim_lock = ClaimLock(self.folder)
+
     @property
     def size(self) -> int:
         """Bytes of complete records."""
@@ -187,6 +192,7 @@
         if self._other_slot_reader is not None:
             self._other_slot_reader.close()
             self._other_slot_reader = None
+        self._claim_lock.close()
         if self.file is not None:
             if self._unwritten and not self._flush():
                 log.error("journal: %d records were not written before shutdown", len(self._unwritten))
@@ -420,6 +426,13 @@
             return False
         if self._holder_of(message.id) is not self:
             return False  # the next process might read the end in the inherited file as the newer record
+        if self.inherited is not None or not self.other_path.exists():
+            return self._record_taken(message)
+        with self._claim_lock.held() as is_held:
+            is_known = not is_held or self.find_in_other_process(message.id) is not None
+            return not is_known and self._record_taken(message)
+
+    def _record_taken(self, message: Message) -> bool:
         record = encode_record(encode_taken(message))
         pending = self._pending_bytes_of(message)
         compacted = len(record) + 2 * (STATUS_RECORD_BYTES + len(message.id))
--- a/tests/test_hot_restart_ids.py
+++ b/tests/test_hot_restart_ids.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import signal
+from contextlib import closing
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -12,7 +14,7 @@
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.net.http import Reply, Request
 from rowanrack.store.journal import Journal
-from tests.rig import Process, Rig, on_loop, silent
+from tests.rig import Process, Rig, answers, on_loop, silent
 from tests.test_identity import ID_IN_USE
 from tests.test_otlp import OK, logs
 
@@ -119,3 +121,41 @@
     assert [m.id for m in first.take_over() or []] == ["owed"]
     assert first.find_in_other_process("owed") is None and "owed" in first.owed
     first.close()
+
+
+@pytest.mark.parametrize("front", ["platform", "otlp"])
+@on_loop
+async def test_one_id_that_reaches_both_processes_at_the_same_moment_runs_once(
+    tmp_path: Path, front: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each process looked for the id before the other one had recorded it."""
+    async with Rig(tmp_path, answers(OK)) as rig:
+        first, second = rig.sender, await rig.start_second()
+        find_repeated, others = first.exchange.find_repeated, list[Message]()
+
+        def find_and_be_overtaken(message: Message) -> Message | End | None:
+            found = find_repeated(message)
+            if not others:
+                others.append(replace(message, unsettled={}, attempts_out={}))
+                assert found is None and second.exchange.submit(others[0]) is None
+            return found
+
+        monkeypatch.setattr(first.exchange, "find_repeated", find_and_be_overtaken)
+        if front == "platform":
+            assert await (await rig.client()).submit("m1", "print-order") == b"+OK\r\n"
+        else:
+            assert (await rig.export(logs(), x_id="m1")).status == 200
+        await rig.wait_for_end("m1")
+        assert not first.exchange.messages and not first.journal.owed
+        assert len(rig.servers[0].requests) == 1 and first.exchange.counts[Ending.DELIVERED] == 0
+
+
+def test_a_message_is_not_accepted_while_the_other_process_holds_the_lock_of_ids(tmp_path: Path) -> None:
+    first, second = (Journal(tmp_path, 1_000_000, lambda: 1) for _ in range(2))
+    with closing(first), closing(second):
+        first.open()
+        second.open()
+        message = Message("m1", "print-order", "", 7, LATER_US, b"x", "platform")
+        with first._claim_lock.held() as is_held:
+            assert is_held and not second.take(message)
+        assert second.take(message) and not first.take(message)
