Send nothing to a process that has taken over the address of an endpoint

Cause: born_ms of discovery's entries was not read. Until the list told that the old endpoint was gone, its messages went to the new process at its address, of whatever destination; and idle connections of an endpoint that had started anew under its name were used on.

Change: of the endpoints listed at one address, only those that started last get calls; equal or unknown times keep both, as one address may serve several destinations. A new start of an endpoint closes its idle connections and settles the calls that wait for one.

Open: between the start of the new process and the list that tells of it the sender cannot know; the protocol has no identity in an answer.

--- a/rowanrack/core/endpoint_list.py
+++ b/rowanrack/core/endpoint_list.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
+from rowanrack.core.endpoint_addresses import EndpointAddresses
 from rowanrack.core.messages import Endpoint
 from rowanspindle import EndpointListUpdate, EndpointStatus, UpdateScope
 
@@ -18,13 +19,19 @@
 
     update: EndpointListUpdate
     changed: tuple[Endpoint, ...] = ()  # the changed endpoints in their current state, removed ones included
-    # Endpoints that take no new calls: draining, removed, or moved to another destination or address.
+    # Endpoints that take no new calls on connections to what they were: draining, removed, started anew,
+    # replaced by another at their address, or moved to another destination or address.
     closed_to_calls: tuple[str, ...] = ()
     removed: tuple[str, ...] = ()
 
 
 class EndpointList:
-    """The known endpoints by name. A full list replaces only the entries of the source that sent it.
+    """The known endpoints by name.
+
+    An endpoint whose address has been taken over by a process that started later gets no calls: the list may
+    tell of the new process before it tells that the old one is gone.
+
+    A full list replaces only the entries of the source that sent it.
 
     If several sources list the same endpoint, the most recent update wins; an endpoint that one source
     removes stays as another source lists it. A detached endpoint is shown as draining. The cost of an update
@@ -34,6 +41,7 @@
     def __init__(self) -> None:
         self.bans: set[str] = set()  # endpoints that an operator has detached
         self._endpoints: dict[str, Endpoint] = {}
+        self._addresses = EndpointAddresses()
         # By name, then by source, the most recent source last.
         self._listed_by_source: dict[str, dict[str, Endpoint]] = {}
         self._names_by_source: dict[str, set[str]] = {}
@@ -76,7 +84,12 @@
         self, changed: Iterable[Endpoint], now_us: int, scope: UpdateScope = UpdateScope.DELTA
     ) -> EndpointListChange:
         """Set these endpoints to the given state, whatever the sources list."""
-        current, closed_to_calls, removed = [self._with_ban(i) for i in changed], list[str](), list[str]()
+        changed_states = [self._with_ban(endpoint) for endpoint in changed]
+        neighbours = self._addresses.update(changed_states)
+        current = [self._unless_replaced(endpoint) for endpoint in changed_states]
+        shown_neighbours = [self._unless_replaced(endpoint) for endpoint in neighbours]
+        current += [e for e in shown_neighbours if e != self._endpoints.get(e.name)]
+        closed_to_calls, removed = list[str](), list[str]()
         for endpoint in current:
             if (old := self._endpoints.get(endpoint.name)) is not None:
                 self._add_to_count(old.dest, -1, now_us)
@@ -93,6 +106,12 @@
         update = EndpointListUpdate(scope, tuple(i.to_entry() for i in current))
         return EndpointListChange(update, tuple(current), tuple(closed_to_calls), tuple(removed))
 
+    def _unless_replaced(self, endpoint: Endpoint) -> Endpoint:
+        """Return an endpoint, as draining if a process that started later listens at its address."""
+        if endpoint.status is EndpointStatus.LISTED and self._addresses.has_newer(endpoint):
+            return replace(endpoint, status=EndpointStatus.DRAINING)
+        return endpoint
+
     def _with_ban(self, endpoint: Endpoint) -> Endpoint:
         if endpoint.name in self.bans and endpoint.status is EndpointStatus.LISTED:
             return replace(endpoint, status=EndpointStatus.DRAINING)
@@ -135,6 +154,6 @@
         return set(self._endpoints)
 
 
-def _call_target(endpoint: Endpoint) -> tuple[int, str, int]:
-    """Return what a call that waits for a connection depends on: destination and address."""
-    return endpoint.dest, endpoint.host, endpoint.port
+def _call_target(endpoint: Endpoint) -> tuple[int, str, int, int]:
+    """Return what a connection depends on: destination, address, and the process that listens there."""
+    return endpoint.dest, endpoint.host, endpoint.port, endpoint.born_ms
--- a/rowanrack/core/messages.py
+++ b/rowanrack/core/messages.py
@@ -75,6 +75,16 @@
     dest: int
     status: EndpointStatus
     rate: float
+    born_ms: int = 0  # when its process started, in Unix time; 0 if unknown or long ago
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self.host, self.port
+
+    def is_same_process(self, other: Endpoint) -> bool:
+        """Return whether a connection to the other one leads to this process, as far as is known."""
+        return (self.address, self.born_ms) == (other.address, other.born_ms)
 
     def to_entry(self) -> EndpointEntry:
         """Return the entry that the decision module uses."""
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -55,6 +55,12 @@
     return rate
 
 
+def parse_start_time(value: Any) -> int:
+    """Parse the time of a start in Unix milliseconds; 0 for anything that is none."""
+    is_number = isinstance(value, int | float) and math.isfinite(value)
+    return max(0, int(value)) if is_number else 0
+
+
 ENTRY_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
@@ -78,6 +84,7 @@
         int(host["block"]),
         STATUSES[host["health"]],
         parse_rate(host.get("share", 0)),
+        parse_start_time(host.get("born_ms")),
     )
 
 
--- a/rowanrack/net/idle_connections.py
+++ b/rowanrack/net/idle_connections.py
@@ -76,7 +76,7 @@
             except asyncio.CancelledError:
                 idle.caller.stream.abort()
                 raise
-            moved = (endpoint.host, endpoint.port) != (idle.endpoint.host, idle.endpoint.port)
+            moved = not endpoint.is_same_process(idle.endpoint)
             # The timer may fire late: by then the endpoint may have closed the connection unnoticed.
             idle_us = self._idle_us(idle)
             if idle.watch.cancelled() and idle.caller.reusable and not moved:
