--- a/tests/rig.py
+++ b/tests/rig.py
@@ -64,15 +64,24 @@
 }
 
 
-def on_loop(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
-    """Run an async test on a new event loop, with a time limit of 30 s."""
+AsyncTest = Callable[..., Coroutine[Any, Any, None]]
 
-    @functools.wraps(test)
-    def run(*args: Any, **kwargs: Any) -> None:
-        with asyncio.Runner(loop_factory=FairLoop) as runner:
-            runner.run(asyncio.wait_for(test(*args, **kwargs), 30))
 
-    return run
+def on_loop_for(limit_s: float) -> Callable[[AsyncTest], Callable[..., None]]:
+    """Run an async test on a new event loop, with a time limit."""
+
+    def decorate(test: AsyncTest) -> Callable[..., None]:
+        @functools.wraps(test)
+        def run(*args: Any, **kwargs: Any) -> None:
+            with asyncio.Runner(loop_factory=FairLoop) as runner:
+                runner.run(asyncio.wait_for(test(*args, **kwargs), limit_s))
+
+        return run
+
+    return decorate
+
+
+on_loop = on_loop_for(30)
 
 
 def answers(*replies: Reply | None) -> Behaviour:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -77,7 +77,7 @@
 
 
 class PatientClient:
-    """A client that submits again on a new connection when a connection ends between two requests."""
+    """A client that submits again on a new connection when one ends, also while the process is down."""
 
     def __init__(self, process: Process) -> None:
         self._process = process
@@ -87,11 +87,14 @@
         """Submit a message until it is accepted."""
         answer = b""
         while answer != b"+OK\r\n":
-            self._client = self._client or await self._process.client()
-            with contextlib.suppress(OSError):
+            try:
+                self._client = self._client or await self._process.client()
                 answer = await self._client.submit(message_id)
+            except OSError:
+                answer = b""
             if not answer:
                 self._client = None
+                await asyncio.sleep(PIECE_INTERVAL_S)
 
 
 @on_loop
