Parse large JSON bodies of OTLP in a thread

Cause: such a body is parsed in one step of the event loop, half a second of Python code; the limit of a body bounds its bytes, not its elements.

Change: JSON above 4 KiB is parsed in one thread, one body at a time; the event loop waits 1 ms at most for the interpreter in place of 5. The time of a request counts from before that. Protobuf is parsed by C code and stays.

The new test blocks the parser until another client is answered, and fails without the change.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import signal
+import sys
 from collections.abc import Callable
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -56,6 +57,8 @@
 log = logging.getLogger(__name__)
 
 PLATFORM_RETENTION_US = 1_000_000  # platform clients do not resubmit an id after the message's deadline
+# How long the event loop waits for a busy thread, each time that it has waited for the kernel.
+THREAD_SWITCH_INTERVAL_S = 0.001
 # Interval at which a shared journal is checked until the previous process of a hot restart releases it.
 JOURNAL_RELEASE_CHECK_INTERVAL_US = 100_000
 # Interval at which the journal of a later process is checked, in case that process has died.
@@ -538,6 +541,7 @@
 async def serve(load: Callable[[], Config]) -> None:
     """Run a sender until SIGTERM or SIGINT; SIGHUP reloads the configuration, completely or not at all."""
     sender: Sender
+    sys.setswitchinterval(THREAD_SWITCH_INTERVAL_S)
     loop = asyncio.get_running_loop()
     # Installed before the configuration is read: the handler of an early signal runs in the loop's first
     # iteration.
--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import functools
 import math
+from concurrent.futures import ThreadPoolExecutor
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.identity import IdInUseError
@@ -42,6 +44,8 @@
 # Interval at which it is checked how a message of the other process of a hot restart has ended, and how long
 # after its deadline at most.
 OTHER_PROCESS_CHECK_INTERVAL_US, OTHER_PROCESS_GRACE_US = 50_000, 1_000_000
+# A larger JSON body is parsed in a thread: its thousands of elements would delay everybody else.
+MAX_JSON_BYTES_ON_LOOP = 4 * 1024
 ID_IN_USE_STATUS = 409  # by the specification, such a request is not sent again
 
 
@@ -64,6 +68,12 @@
         super().__init__(max_connections, exchange, input_memory)
         self.mapping, self.body_limit_bytes = mapping, body_limit
         self._waiting: dict[str, list[asyncio.Future[End]]] = {}
+        self._json_parser = ThreadPoolExecutor(1, "otlp-json")  # its thread starts with the first use
+
+    def close(self) -> None:
+        """Close the port and all connections, and parse nothing more."""
+        super().close()
+        self._json_parser.shutdown(wait=False, cancel_futures=True)
 
     def ended(self, message: Message, end: End) -> None:
         """Answer every request that waits for this message. Called by the exchange when a message ends."""
@@ -106,7 +116,7 @@
             # the same id, whether given or derived from the body, so refusing it now is safe.
             if (overload := self.exchange.refusal_if_overloaded("")) is not None:
                 return retry_later_reply(overload.retry_us, content_type)
-            message = self._parse_message(signal, content_type, request)
+            message = await self._parse_message(signal, content_type, request)
             end = await self._wait_for_end(message)
         except OtlpError as error:
             return error_reply(error.status, str(error), content_type)
@@ -125,18 +135,23 @@
             case _:
                 return error_reply(500, "given up; it may have taken effect", content_type)
 
-    def _parse_message(self, signal: Signal, content_type: str, request: Request) -> Message:
+    async def _parse_message(self, signal: Signal, content_type: str, request: Request) -> Message:
+        received_at_us = self.exchange.clock.unix_us()
         body = decompressed_body(
             request.body, request.headers.get("content-encoding", ""), self.body_limit_bytes
         )
-        export = parse_message(signal.request(), body, content_type)
+        parse = functools.partial(parse_message, signal.request(), body, content_type)
+        if content_type == JSON and len(body) > MAX_JSON_BYTES_ON_LOOP:
+            export = await asyncio.get_running_loop().run_in_executor(self._json_parser, parse)
+        else:
+            export = parse()
         return self.mapping.build_message(
             self.exchange.settings,
             request.headers,
             resource_attributes(signal, export),
             body,
             f"{signal.name} {content_type}",
-            self.exchange.clock.unix_us(),
+            received_at_us,
         )
 
     async def _wait_for_end(self, message: Message) -> End | Refusal:
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -4,10 +4,15 @@
 
 import asyncio
 import logging
+import threading
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from rowanrack.fronts.otlp import clients
+from rowanrack.fronts.otlp.clients import MAX_JSON_BYTES_ON_LOOP
+from rowanrack.fronts.otlp.signals import parse_message
 from rowanrack.net.http import MAX_CHUNKS_PER_TURN, Call, HttpClientConnection, Reply
 from rowanrack.net.stream import READ_CHUNK_BYTES, Stream
 from tests.rig import Rig, after, answers, on_loop
@@ -104,3 +109,26 @@
         while len(stream.receive_buffer) < 12 and await stream.fill():
             pass
         assert stream.receive_buffer.peek(12) == b"HTTP/1.1 " + status
+
+
+@on_loop
+async def test_others_are_answered_while_a_large_json_body_is_parsed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Tens of thousands of its elements were parsed in one step, which took half a second."""
+    begun, released = threading.Event(), threading.Event()
+
+    def parse_once_released(into: Any, body: bytes, content_type: str) -> Any:
+        begun.set()
+        assert released.wait(10), "the event loop did not run meanwhile"
+        return parse_message(into, body, content_type)
+
+    monkeypatch.setattr(clients, "parse_message", parse_once_released)
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        body = b'{"resourceLogs":[' + b"{}," * MAX_JSON_BYTES_ON_LOOP + b"{}]}"
+        export = asyncio.create_task(rig.export(body, content_type="application/json"))
+        while not begun.is_set():
+            await asyncio.sleep(0)
+        assert await (await rig.client()).command("PING") == b"+PONG\r\n"
+        released.set()
+        assert (await export).status == 200
