Bound the memory that parsing JSON bodies of OTLP takes

Change: a body whose elements need more than the memory for clients' input is answered 413; when a quarter of that is taken by bodies that wait, a further one is answered 503 with Retry-After, before anything of it is accepted.

Measured: the three new tests; the rejected one would be parsed without the check (200).

--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -6,7 +6,11 @@
 import contextlib
 import functools
 import math
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from http import HTTPStatus
+
+from google.protobuf.message import Message as ProtobufMessage
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.identity import IdInUseError
@@ -21,6 +25,7 @@
     decompressed_body,
     media_type,
     parse_message,
+    parsed_json_bytes,
     resource_attributes,
     serialize_message,
     serialize_status,
@@ -46,6 +51,7 @@
 OTHER_PROCESS_CHECK_INTERVAL_US, OTHER_PROCESS_GRACE_US = 50_000, 1_000_000
 # A larger JSON body is parsed in a thread: its thousands of elements would delay everybody else.
 MAX_JSON_BYTES_ON_LOOP = 4 * 1024
+WAITING_JSON_SHARE = 0.25  # of the memory for clients' input, for bodies that wait to be parsed
 ID_IN_USE_STATUS = 409  # by the specification, such a request is not sent again
 
 
@@ -68,6 +74,7 @@
         super().__init__(max_connections, exchange, input_memory)
         self.mapping, self.body_limit_bytes = mapping, body_limit
         self._waiting: dict[str, list[asyncio.Future[End]]] = {}
+        self._waiting_json_bytes = 0
         self._json_parser = ThreadPoolExecutor(1, "otlp-json")  # its thread starts with the first use
 
     def close(self) -> None:
@@ -119,6 +126,8 @@
             message = await self._parse_message(signal, content_type, request)
             end = await self._wait_for_end(message)
         except OtlpError as error:
+            if error.status == HTTPStatus.SERVICE_UNAVAILABLE:
+                return retry_later_reply(0, content_type)
             return error_reply(error.status, str(error), content_type)
         except IdInUseError as error:
             self.bad_input_warnings.warning("message %s of a client is refused: %s", message.id, error)
@@ -141,10 +150,8 @@
             request.body, request.headers.get("content-encoding", ""), self.body_limit_bytes
         )
         parse = functools.partial(parse_message, signal.request(), body, content_type)
-        if content_type == JSON and len(body) > MAX_JSON_BYTES_ON_LOOP:
-            export = await asyncio.get_running_loop().run_in_executor(self._json_parser, parse)
-        else:
-            export = parse()
+        is_large_json = content_type == JSON and len(body) > MAX_JSON_BYTES_ON_LOOP
+        export = await self._parse_in_thread(body, parse) if is_large_json else parse()
         return self.mapping.build_message(
             self.exchange.settings,
             request.headers,
@@ -154,6 +161,19 @@
             received_at_us,
         )
 
+    async def _parse_in_thread(self, body: bytes, parse: Callable[[], ProtobufMessage]) -> ProtobufMessage:
+        """Parse a large JSON body. Raises OtlpError if there is no memory for it, or for those before it."""
+        limit_bytes = self.input_memory.limit_bytes
+        if parsed_json_bytes(body) > limit_bytes:
+            raise OtlpError(413, "the body has more elements than there is memory for")
+        if self._waiting_json_bytes + len(body) > limit_bytes * WAITING_JSON_SHARE:
+            raise OtlpError(503, "too many large JSON bodies at once; come again later")
+        self._waiting_json_bytes += len(body)
+        try:
+            return await asyncio.get_running_loop().run_in_executor(self._json_parser, parse)
+        finally:
+            self._waiting_json_bytes -= len(body)
+
     async def _wait_for_end(self, message: Message) -> End | Refusal:
         """Return the end of a message, which is submitted unless it is known already.
 
--- a/rowanrack/fronts/otlp/signals.py
+++ b/rowanrack/fronts/otlp/signals.py
@@ -23,6 +23,9 @@
 from rowanrack.fronts.otlp import OtlpError
 
 PROTOBUF, JSON = "application/x-protobuf", "application/json"
+# Memory that parsing takes: an object or a list in JSON, as a Python object, twice, and as a message; and a
+# further element.
+JSON_CONTAINER_BYTES, JSON_ELEMENT_BYTES = 300, 60
 HEX_FIELDS = frozenset({"traceId", "spanId", "parentSpanId", "trace_id", "span_id", "parent_span_id"})
 
 
@@ -94,6 +97,12 @@
     return decompressed
 
 
+def parsed_json_bytes(body: bytes) -> int:
+    """Return an estimate of the memory that parsing a JSON body takes, which its size does not tell."""
+    containers = body.count(b"{") + body.count(b"[")
+    return containers * JSON_CONTAINER_BYTES + body.count(b",") * JSON_ELEMENT_BYTES
+
+
 def _ids_from_hex(node: Any) -> Any:
     """Convert hexadecimal ids to base64, which the protobuf JSON mapping expects."""
     if isinstance(node, list):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -390,7 +390,9 @@
     async def wait_for_log(self, text: str) -> None:
         """Wait for a log line that contains the text."""
         assert self.child.stderr is not None
-        while line := await self.child.stderr.readline():
-            if text in line.decode():
+        lines = list[str]()
+        while line := (await self.child.stderr.readline()).decode():
+            if text in line:
                 return
-        raise AssertionError(f"the log ended without {text!r}")
+            lines.append(line)
+        raise AssertionError(f"the log ended without {text!r}: {''.join(lines[-5:])}")
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -132,3 +132,42 @@
         assert await (await rig.client()).command("PING") == b"+PONG\r\n"
         released.set()
         assert (await export).status == 200
+
+
+@pytest.mark.parametrize(("limit_bytes", "status"), [(1 << 30, 200), (1_400_000, 413)])
+@on_loop
+async def test_json_with_more_elements_than_memory_is_rejected_unparsed(
+    tmp_path: Path, limit_bytes: int, status: int
+) -> None:
+    """Three bytes of JSON take hundreds of bytes of memory while they are parsed."""
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        rig.sender.input_memory.limit_bytes = limit_bytes
+        body = b'{"resourceLogs":[' + b"{}," * MAX_JSON_BYTES_ON_LOOP + b"{}]}"
+        assert (await rig.export(body, content_type="application/json")).status == status
+
+
+@on_loop
+async def test_json_bodies_that_wait_to_be_parsed_are_bounded(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    released = threading.Event()
+
+    def parse_once_released(into: Any, body: bytes, content_type: str) -> Any:
+        assert released.wait(10)
+        return parse_message(into, body, content_type)
+
+    monkeypatch.setattr(clients, "parse_message", parse_once_released)
+    async with Rig(tmp_path, answers(Reply(200, {}))) as rig:
+        rig.sender.input_memory.limit_bytes = 100_000
+        body = b'{"resourceLogs":[{"schemaUrl":"' + b"x" * 10_000 + b'"}]}'
+        exports = [
+            asyncio.create_task(rig.export(body, content_type="application/json", x_id=f"m{number}"))
+            for number in range(4)
+        ]
+        refused, _ = await asyncio.wait(exports, return_when=asyncio.FIRST_COMPLETED)
+        while len(refused) < 2:
+            refused, _ = await asyncio.wait(set(exports), timeout=0.01)
+        assert [task.result().status for task in refused] == [503, 503]
+        assert all("retry-after" in task.result().headers for task in refused)
+        released.set()
+        assert sorted([(await export).status for export in exports]) == [200, 200, 503, 503]
