--- a/rowanrack/net/listener.py
+++ b/rowanrack/net/listener.py
@@ -23,10 +23,12 @@
 from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.load.load_shedder import Level
 from rowanrack.load.metered import CpuMeteredCoroutine
+from rowanrack.net.accepting import closed_by_client, wait_readable
 from rowanrack.net.bounded_reader import PauseReason
+from rowanrack.net.departures import DepartureCheck
 from rowanrack.net.fair_scheduling import ConnectionPriority, FairSelector, fair_selector_of
 from rowanrack.net.input_memory import InputMemory
-from rowanrack.net.stream import PeerState, Stream, stream_protocol
+from rowanrack.net.stream import Stream, stream_protocol
 from rowanrack.net.timing import After, pause, time_limit
 
 log = logging.getLogger(__name__)
@@ -50,8 +52,6 @@
 CONNECTION_OVERHEAD_US = 60.0  # CPU time that the event loop itself uses for a connection
 LINGER_TIMEOUT_US = 1_000_000  # after the last answer, for the client to close the connection
 MAX_LINGER_BYTES = 1 << 20  # read and discarded meanwhile
-# While a client that has finished sending has not confirmed its last answer.
-CONFIRMATION_CHECK_INTERVAL_US = 10_000
 
 
 class ConnectionState(Enum):
@@ -64,42 +64,6 @@
     LEAVING = "leaving"  # the last answer has been written
 
 
-async def wait_readable(listening_socket: socket.socket) -> None:
-    """Wait until a connection can be accepted on a listening socket.
-
-    Unlike `loop.sock_accept` this accepts none: a cancellation between the accept and the next step of the
-    caller would close the connection with its request unanswered.
-    """
-    loop = asyncio.get_running_loop()
-    ready: asyncio.Future[None] = loop.create_future()
-
-    def set_ready() -> None:
-        if not ready.done():
-            ready.set_result(None)
-
-    loop.add_reader(listening_socket, set_ready)
-    try:
-        await ready
-    finally:
-        loop.remove_reader(listening_socket)
-
-
-def closed_by_client(accepted: socket.socket) -> bool:
-    """Return whether the client has closed without sending anything; close its socket then.
-
-    Clients that connect and leave are cheap this way: a transport and a task cost ten times as much.
-    """
-    try:
-        left = not accepted.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        left = False  # connected, nothing received yet
-    except OSError:
-        left = True
-    if left:
-        accepted.close()
-    return left
-
-
 class Listener(ABC):
     """A listening port that serves each connection until it ends; an error ends only its own connection."""
 
@@ -130,8 +94,7 @@
         self._new_clients: dict[Stream, float] = {}  # no good request yet; CPU time used, in us
         self._paused: set[Stream] = set()  # streams whose reading is paused
         self._rejected: set[Stream] = set()  # streams whose input was bad
-        # Streams whose client has finished sending, and whether it has confirmed an answer since.
-        self._finished_senders: dict[Stream, bool] = {}
+        self._departures = DepartureCheck(self.after)
         self._accept_cpu_us = 0.0  # CPU time used for accepting since the last accepted connection
 
     @abstractmethod
@@ -266,29 +229,10 @@
                     await pause(self.after, LINGER_TIMEOUT_US)
 
     async def client_has_left(self, stream: Stream) -> bool:
-        """Return whether a client has closed its connection: what is unread of its requests is not wanted.
-
-        A client that has only finished sending confirms the next answer; one that has closed resets the
-        connection when that arrives. So the second request of such a client waits for either.
-        """
-        state = stream.peer_state
-        if state is PeerState.FINISHED_SENDING and stream not in self._finished_senders:
-            self._finished_senders[stream] = False
-        elif state is PeerState.FINISHED_SENDING and not self._finished_senders[stream]:
-            state = await self._wait_for_confirmation(stream)
-            self._finished_senders[stream] = True
-        if state is PeerState.GONE:
+        """Return whether a client has closed its connection: what is unread of its requests is not wanted."""
+        if has_left := await self._departures.has_left(stream):
             self._count_close(ClientCloseReason.LEFT)
-        return state is PeerState.GONE
-
-    async def _wait_for_confirmation(self, stream: Stream) -> PeerState:
-        """Wait until the client confirms its last answer; one that does not in time counts as gone."""
-        for _ in range(LINGER_TIMEOUT_US // CONFIRMATION_CHECK_INTERVAL_US):
-            state = stream.peer_state
-            if state is PeerState.GONE or not stream.unacknowledged_bytes:
-                return state
-            await pause(self.after, CONFIRMATION_CHECK_INTERVAL_US)
-        return PeerState.GONE
+        return has_left
 
     # Accepting, eviction and time limits.
 
@@ -496,7 +440,7 @@
         finally:
             self.streams.pop(stream, None)
             self.input_memory.forget(stream)
-            self._finished_senders.pop(stream, None)
+            self._departures.forget(stream)
             used_us = self._new_clients.pop(stream, None)
             if used_us is not None and stream not in self._rejected:
                 self.load_shedder.charge_wasted(used_us)
