--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -25,8 +25,8 @@
 from rowanrack.consul import ConsulSource
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Message
+from rowanrack.detached_endpoints import DetachedEndpoints
 from rowanrack.failure_log import FailureLog
-from rowanrack.fronts.mgmt.calls import NotWrittenError
 from rowanrack.fronts.mgmt.server import ManagementServer
 from rowanrack.fronts.otlp import FRONT_NAME as OTLP
 from rowanrack.fronts.platform import FRONT_NAME as PLATFORM
@@ -43,7 +43,6 @@
 from rowanrack.net.timing import LoopClock, pause
 from rowanrack.recovery import own_recovered
 from rowanrack.shutdown import Phase, Shutdown
-from rowanrack.store.bans import DetachedEndpointFile
 from rowanrack.store.journal import Journal
 from rowanrack.store.outages import OutageFile
 from rowanrack.store.wait_file import WAIT_FILES_BYTES, RetryAfterWaitFiles
@@ -100,11 +99,9 @@
         self.notices: Notices | None = None
         self.otlp: OtlpClients | None = None
         self.recorder: Recorder | None = None
-        self.bans = DetachedEndpointFile(config.state)
+        self.bans = DetachedEndpoints(self.exchange, config.state)
         self.outages = OutageFile(config.state)
         self.waits = RetryAfterWaitFiles(config.state)
-        # Ban changes in force but not on disk yet: True for a ban, False for a lifted one.
-        self.unwritten_bans: dict[str, bool] = {}
         self.mgmt: ManagementServer | None = None
         self.peers: PeerPort | None = None
         self.channels: ChannelPart | None = None
@@ -166,44 +163,8 @@
         return self._change_ban(name, False)
 
     def _change_ban(self, name: str, banned: bool) -> bool:
-        """Change a ban, and write the bans for the next restart and the other process.
-
-        The bans on disk are read first. Raises NotWrittenError if they cannot be written: the change is in
-        force all the same, and is written once there is room.
-        """
-        self._read_bans()
-        if not (self.exchange.detach if banned else self.exchange.attach)(name):
-            return False
-        log.info("mgmt: %s is %s", name, "detached" if banned else "attached again")
-        if self.channels is not None:
-            self.channels.change(name, banned)
-        self.unwritten_bans[name] = banned
-        if reason := self._write_bans():
-            log.error(
-                "mgmt: cannot write the list of detached endpoints, will retry; it is in force: %s", reason
-            )
-            raise NotWrittenError(reason)
-        return True
-
-    def _write_bans(self) -> str:
-        """Write the bans; return the reason if that failed, or an empty string."""
-        try:
-            self.bans.write(self.exchange.bans)
-        except OSError as error:
-            return error.strerror or str(error)
-        self.unwritten_bans.clear()
-        return ""
-
-    def _apply_fleet_bans(self, named: set[str], detached: set[str]) -> None:
-        """Apply the detachments and attachments of the whole fleet to all endpoints that it names."""
-        for name in sorted(named):
-            if (banned := name in detached) is (name in self.exchange.bans):
-                continue
-            (self.exchange.ban if banned else self.exchange.attach)(name)
-            self.unwritten_bans[name] = banned
-            log.info("channels: %s is %s by an operator", name, "detached" if banned else "attached again")
-        if self.unwritten_bans and (reason := self._write_bans()):
-            log.error("channels: cannot write the list of detached endpoints, will retry: %s", reason)
+        notify = self.channels.change if self.channels is not None else None
+        return self.bans.change(name, banned, notify)
 
     def channel_log(self) -> ChannelPart | None:
         """Return the channel log, or None if it is not configured."""
@@ -217,28 +178,16 @@
         for front, _ in self.fronts:
             front.set_lame_duck(on)
 
-    def _read_bans(self) -> None:
-        """Apply the bans from the file if the other process has changed it."""
-        if (bans := self.bans.changed()) is None:
-            return
-        for name, banned in self.unwritten_bans.items():
-            (bans.add if banned else bans.discard)(name)
-        for name in sorted(self.exchange.bans - bans):
-            self.exchange.attach(name)
-        for name in sorted(bans - self.exchange.bans):
-            self.exchange.ban(name)
-
     async def _watch_state_folder(self) -> None:
         """Follow the other process's bans and outages, and save the known outages and unwritten waits."""
         while True:
             await pause(self.exchange.after, STATE_CHECK_INTERVAL_US)
             self._follow_outages()
             self.waits.flush(self.clock.now_us())
-            self._read_bans()
+            self.bans.read()
             self.journal.make_room_for_other_process()
             self.client_limits.set_processes(self._listeners, self._process_count())
-            if self.unwritten_bans and not self._write_bans():
-                log.info("mgmt: the list of detached endpoints has been written")
+            self.bans.write_unwritten()
 
     def _follow_outages(self) -> None:
         """Take over the outages that the other process of a hot restart has found, and save the known ones.
@@ -281,7 +230,7 @@
     async def start(self) -> None:
         """Replay the journal, own its outstanding messages, and open the ports."""
         self.journal.open()
-        self._read_bans()
+        self.bans.read()
         if self.config.record is not None:
             self._start_recorder(self.config.record)
         outstanding = list(self.journal.owed.values())
@@ -374,7 +323,7 @@
     def _start_channels(self, channels: ChannelsConfig) -> None:
         from rowanrack.channels_io.part import ChannelPart  # loads sqlite3, msgspec and blake3 only if used
 
-        config, bans = self.config, self._apply_fleet_bans
+        config, bans = self.config, self.bans.apply_fleet
         part = ChannelPart(channels, config.name, config.state, self.exchange, config.seed, bans)
         part.server.input_memory = self.input_memory
         part.start()
--- a/tests/test_mgmt.py
+++ b/tests/test_mgmt.py
@@ -159,7 +159,7 @@
             reply = answer_locally(detach, rig.sender)
             assert reply.status == 507 and b"No space left" in reply.body and reply.body.count(b"\n") == 1
             assert not rig.sender.exchange.endpoint_list.accepts_calls("i0")
-        while rig.sender.unwritten_bans:
+        while rig.sender.bans.unwritten:
             await asyncio.sleep(0.01)
         assert DetachedEndpointFile(tmp_path).changed() == {"i0"}
         assert answer_locally(detach, rig.sender).status == 200
