--- a/tests/rig.py
+++ b/tests/rig.py
@@ -6,7 +6,6 @@
 import functools
 import json
 import os
-import socket
 import sys
 from collections.abc import Callable, Coroutine, Mapping
 from contextlib import AsyncExitStack
@@ -18,7 +17,7 @@
 from rowanrack.config import Config, OtlpConfig, PlatformConfig
 from rowanrack.core.messages import Attempt, CallVerdict, End, Endpoint, Message
 from rowanrack.fronts.otlp.mapping import RequestMap, ValueSource
-from rowanrack.lab.stand_in import Behaviour, Client, HttpServer
+from rowanrack.lab.stand_in import Behaviour, Client, HttpServer, reserve
 from rowanrack.lab.stand_in import resp as resp
 from rowanrack.net.fair_scheduling import FairLoop
 from rowanrack.net.http import Call, HttpClientConnection, Reply, Request
@@ -336,8 +335,9 @@
         await super().__aenter__()
         await self.enter_async_context(self.platform)
         self.folder.mkdir()
-        with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
-            self.port, self.mgmt_port = free.getsockname()[1], other.getsockname()[1]
+        # Kept open, so that no client of anybody is given one of these ports.
+        reserved = [self.enter_context(reserve()) for _ in range(2)]
+        self.port, self.mgmt_port = (sock.getsockname()[1] for sock in reserved)
         self.configure(self.platform)
         self.push_async_callback(self._end)
         await self.start()
