Count operators' connections among the descriptors

Cause: the 64 connections of the management port were not in the division of the limit.

Change: they are, and take a sixteenth of it at most.

--- a/rowanrack/app.py
+++ b/rowanrack/app.py
@@ -84,7 +84,9 @@
         )
         self.exchange = Exchange(config.settings, config.seed, self.clock, self.journal, config.tick_us)
         self.forms: dict[str, CallProtocol] = {PLATFORM: InboxCallProtocol(config.settings.reports)}
-        descriptors = DescriptorBudget.of(config.sockets, config.settings.slots)
+        descriptors = self.descriptors = DescriptorBudget.of(
+            config.sockets, config.settings.slots, config.mgmt is not None
+        )
         self.pool = EndpointPool(self.exchange, self.forms, descriptors.idle)
         self.input_memory = InputMemory(self.clock.now_us)
         self.client_limits = ClientLimits(
@@ -262,7 +264,7 @@
             except OSError as error:
                 raise ConfigError(f"cannot listen on {host}:{port}: {error.strerror or error}") from None
         if self.config.mgmt is not None:
-            self.mgmt = ManagementServer(self.exchange, self, self.input_memory)
+            self.mgmt = ManagementServer(self.exchange, self, self.input_memory, self.descriptors.management)
             host, port = self.config.mgmt
             try:
                 await self.mgmt.listen(host, port)
--- a/rowanrack/client_limits.py
+++ b/rowanrack/client_limits.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from rowanrack.fronts.mgmt.server import MAX_CONNECTIONS as MAX_MANAGEMENT_CONNECTIONS
 from rowanrack.load.memory_plan import MemoryPlan
 from rowanrack.net.input_memory import InputMemory
 from rowanrack.net.listener import Listener
@@ -16,6 +17,7 @@
 
 # Descriptors for the journal, the ports, discovery, the console, and connections that are being closed.
 RESERVED_DESCRIPTOR_COUNT = 40
+MANAGEMENT_DIVISOR = 16  # part of all descriptors that operators' connections may take
 MIN_CONNECTIONS = 16  # of one front
 
 
@@ -25,13 +27,15 @@
 
     idle: int  # idle connections to endpoints
     clients: int
+    management: int  # connections of operators
 
     @classmethod
-    def of(cls, sockets: int, slots: int) -> DescriptorBudget:
+    def of(cls, sockets: int, slots: int, has_management: bool = True) -> DescriptorBudget:
         """Divide the limit: at most a third for clients' requests, beside silent and idle clients."""
-        unreserved = sockets - RESERVED_DESCRIPTOR_COUNT - slots - sockets // 3
-        idle = max(8, min(3 * slots, unreserved // 2))
-        return cls(idle, sockets - RESERVED_DESCRIPTOR_COUNT - slots - idle)
+        management = min(MAX_MANAGEMENT_CONNECTIONS, sockets // MANAGEMENT_DIVISOR) if has_management else 0
+        available = sockets - RESERVED_DESCRIPTOR_COUNT - slots - management
+        idle = max(8, min(3 * slots, (available - sockets // 3) // 2))
+        return cls(idle, available - idle, max(1, management))
 
 
 class ClientLimits:
--- a/rowanrack/fronts/mgmt/server.py
+++ b/rowanrack/fronts/mgmt/server.py
@@ -28,9 +28,13 @@
     request_eviction_age_us = 100_000
 
     def __init__(
-        self, exchange: Exchange, operations: Operations, input_memory: InputMemory | None = None
+        self,
+        exchange: Exchange,
+        operations: Operations,
+        input_memory: InputMemory | None = None,
+        max_connections: int = MAX_CONNECTIONS,
     ) -> None:
-        super().__init__(MAX_CONNECTIONS, exchange, input_memory)
+        super().__init__(max_connections, exchange, input_memory)
         self.operations = operations
 
     async def serve_connection(self, stream: Stream) -> None:
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
@@ -160,3 +161,25 @@
             answered += client.stream.receive_buffer.read(1 << 16).count(b"\n")
         await sending
         assert process.peak_memory_bytes() <= MEMORY_MB * 1_000_000
+
+
+@pytest.mark.parametrize("sockets", [256, 1024])
+@on_loop
+async def test_crowds_at_all_ports_keep_a_process_under_its_descriptor_limit(
+    tmp_path: Path, sockets: int
+) -> None:
+    """Connections of operators were not counted."""
+    (tmp_path / "rig").mkdir()
+    async with (
+        Rig(tmp_path / "rig", answers(Reply(200, {}))) as rig,
+        Process(rig, tmp_path, {"memory_mb": 192, "sockets": sockets}, mgmt=True) as process,
+    ):
+        client, most = PatientClient(process), 0
+        async with crowd(process.port, nothing), crowd(process.port, nothing):
+            await client.submit("before")
+            async with crowd(process.mgmt_port, nothing):
+                for number in range(int(CROWD_S / PIECE_INTERVAL_S)):
+                    await client.submit(f"m{number}")
+                    most = max(most, len(os.listdir(f"/proc/{process.child.pid}/fd")))
+                    await asyncio.sleep(PIECE_INTERVAL_S)
+        assert most <= sockets
