--- a/review/10/case.py
+++ b/review/10/case.py
@@ -6,7 +6,7 @@
 import gzip
 
 from opentelemetry.proto.collector.logs.v1.logs_service_pb2 import ExportLogsServiceRequest
-from rig import TROUBLE, Case, CouldNotRunError, Reply, Request, Server, free_port, http_call, run_case
+from rig_2 import TROUBLE, Case, CouldNotRunError, Reply, Request, Server, free_port, http_call, run_case
 
 PROTOBUF = "application/x-protobuf"
 EXPORTS, RECORDS = 20, 40
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,7 @@
-"""A change of the list is obeyed though discovery is slow: its answers take 1.5 s to come whole."""
+"""A catalogue answer that runs late does not reopen an endpoint that was deregistered.
+
+The address of that endpoint belongs to an endpoint of another destination by then.
+"""
 
 from __future__ import annotations
 
@@ -6,208 +9,216 @@
 import json
 import time
 
-from rig import (
-    TROUBLE,
-    Case,
-    CouldNotRunError,
-    Reply,
-    Request,
-    RespClient,
-    Server,
-    free_port,
-    read_head,
-    run_case,
-)
-
-ANSWER_S = 1.5  # from the first to the last byte of a list; a change counts as told 2 s after the wait
-PIECES = 15
-TOLD_S = 6.0  # at the latest, after discovery had the change and could be reached
-GRACE_S = 0.5 + 0.05  # drain_grace_us; on sockets every limit is 50 ms longer
-ENDPOINTS = 24  # in the list; two belong to the destination of the case
-EVERY_S = 0.05
-DELETED_AT_S, PLAY_S = 4.0, 20.0
-
+from opentelemetry.proto.collector.logs.v1.logs_service_pb2 import ExportLogsServiceRequest
+from rig_2 import TROUBLE, Case, CouldNotRunError, Reply, Request, Server, free_port, http_call, run_case
 
-class Discovery:
-    """Discovery as the protocol page describes it, whose answers may come in pieces."""
+GRACE_S = (
+    0.5 + 0.05
+)  # nothing new 500 ms after the deregistration was told; every limit is 50 ms longer on sockets
+PROTOBUF = "application/x-protobuf"
+EVERY_S = 0.05
+DEREGISTERED_AT_S = 4.0  # instance a2 of the service lab leaves the catalogue, and its process ends
+REGISTERED_AT_S = 5.0  # instance b1 of the service desk starts at its address
+FAILS_OVER_AT_S = 7.0  # Consul fails over to a server that runs behind
+BEHIND_S = 6.0  # so far behind it is: 2.3 to 9.9 s in the second users' account
+BEHIND_FOR_S = 10.0  # and for so long: 10 to 30 s there
+PLAY_S = 20.0
+
+SITE = """
+name = "site-1"
+state = "{state}"
+disk_mb = 16
+mgmt = "127.0.0.1:{mgmt}"
+
+[settings]
+kinds = ["family-app"]
+weight_kind = "nominal"
+resolution_us = 5000
+
+[[settings.grades]]
+name = "album-update"
+slo_us = 2_500_000
+deadline_us = 16_000_000
+worth = 1.0
+late_worth = 0.3
+effect = "retryable"
+
+[settings.extra]
+slots = 16
+batch_by_kind = [1]
+kind_apart = [false]
+
+[settings.limits]
+most_held = 200
+try_limit = 6
+connect_timeout_us = 1_000_000
+keepalive_us = 10_000_000
+max_retry_after_us = 3_000_000
+
+[settings.rules]
+drain_grace_us = 500_000
+
+[otlp]
+listen = "127.0.0.1:{otlp}"
+
+[otlp.map]
+class = {{ header = "x-message-class", default = "album-update" }}
+destination = {{ header = "x-destination", default = "1" }}
+id = {{ header = "x-message-id" }}
+
+[consul]
+address = "127.0.0.1:{consul}"
+services = ["lab", "desk"]
+"""
+
+
+def export_request(number: int) -> bytes:
+    """Return an export request with one log record."""
+    request = ExportLogsServiceRequest()
+    record = request.resource_logs.add().scope_logs.add().log_records.add()
+    record.body.string_value = f"album update {number}"
+    return request.SerializeToString()
+
+
+class Consul:
+    """A Consul agent: blocking queries for the health of two services, by its published HTTP API.
+
+    The index rises with each change. A blocking query is answered once the index of the server that answers
+    is above the one that the query names, or once its wait is over.
+    """
 
     def __init__(self, case: Case) -> None:
         self._case = case
-        self.seq = 41
-        self.hosts: dict[str, dict[str, object]] = {}
-        self.changed_at: dict[str, int] = {}  # the version of each entry's last change
-        self.port = 0
-        self._server: asyncio.Server | None = None
-
-    async def open(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = int(self._server.sockets[0].getsockname()[1])
-
-    def change(self, name: str, health: str) -> None:
-        """Change the health of an endpoint."""
-        self.seq += 1
-        self.hosts[name]["health"], self.changed_at[name] = health, self.seq
-        self._case.note(f"discovery: {name} is {health}, version {self.seq}")
-
-    def known(self) -> dict[str, object]:
-        """Return the whole list."""
-        present = [host for host in self.hosts.values() if host["health"] != "DELETED"]
-        return {"seq": self.seq, "whole": True, "hosts": present}
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        target = ""
-        try:
-            while True:
-                first, headers = await read_head(reader)
-                method, target, _ = first.split(" ", 2)
-                body = await reader.readexactly(int(headers.get("content-length", "0")))
-                if method == "POST":
-                    self._case.note(f"notice: {body.decode().strip()}")
-                    writer.write(Reply(204).encode())
-                    await writer.drain()
-                    continue
-                data = (await self._list(target)).encode()
-                pieces = PIECES if TROUBLE else 1
-                for piece in range(pieces):
-                    if piece:
-                        await asyncio.sleep(ANSWER_S / (pieces - 1))
-                    writer.write(data[len(data) * piece // pieces : len(data) * (piece + 1) // pieces])
-                    await writer.drain()
-                self._case.note(f"discovery: the answer to {target} is written whole")
-        except (OSError, asyncio.IncompleteReadError):
-            self._case.note(f"discovery: the sender has closed the connection, last call: {target}")
-        finally:
-            writer.close()
-
-    async def _list(self, target: str) -> Reply:
-        query = target.partition("?")[2]
-        fields = dict(pair.partition("=")[::2] for pair in query.split("&")) if query else {}
-        if "index" not in fields:
-            document = self.known()
-        else:
-            index, give_up_at = int(fields["index"]), time.monotonic() + int(fields.get("wait", "0")) / 1000
-            while self.seq <= index and time.monotonic() < give_up_at:
-                await asyncio.sleep(0.01)
-            changed = [self.hosts[name] for name, seq in self.changed_at.items() if seq > index]
-            document = {"seq": self.seq, "whole": False, "hosts": changed}
-        self._case.note(f"discovery: the answer to {target} begins, version {document['seq']}")
-        return Reply(200, {"Content-Type": "application/json"}, json.dumps(document, indent=1).encode())
-
-
-def settings() -> dict[str, object]:
-    """Return the settings, in the form of the wire page."""
-    grade = {
-        "name": "album-update",
-        "slo_us": 2_500_000,
-        "deadline_us": 16_000_000,
-        "worth": 1.0,
-        "late_worth": 0.3,
-        "effect": "retryable",
-    }
-    return {
-        "grades": [grade],
-        "kinds": ["family-app"],
-        "azs": ["a"],
-        "zone": "a",
-        "weight_kind": "nominal",
-        "membership_mode": "on_request",
-        "resolution_us": 5000,
-        "replicas_of_me": 1,
-        "extra": {"slots": 18, "batch_by_kind": [1], "kind_apart": [False]},
-        "limits": {
-            "most_held": 200,
-            "try_limit": 6,
-            "connect_timeout_us": 1_000_000,
-            "keepalive_us": 10_000_000,
-            "max_retry_after_us": 3_000_000,
-            "cancel": True,
-            "second_copies": False,
-            "peers": False,
-        },
-        "rules": {
-            "answer_slack_us": 20_000,
-            "ask_within_us": 10_000_000,
-            "cold_share": 0.26,
-            "drain_grace_us": 500_000,
-            "fall_us": 1_500_000,
-            "overload_factor": 1.5,
-            "ramp_time_us": 9_400_000,
-        },
-    }
+        # For each service, since when it has had which index and which instances, by name, with their ports.
+        self._history: dict[str, list[tuple[float, int, dict[str, int]]]] = {}
+        self._index = 10
+        self._behind = (0.0, 0.0)  # the span in which the answers come from a server that runs behind
+        self.server = Server(self._answer)
+        self.told_at: float | None = None  # when the first answer without a2 was given
+
+    def register(self, service: str, instances: dict[str, int]) -> None:
+        """Set the instances of a service."""
+        self._index += 5
+        since = time.monotonic() if service in self._history else 0.0
+        self._history.setdefault(service, []).append((since, self._index, instances))
+        self._case.note(f"consul: {service} has {', '.join(instances) or 'no instance'}, index {self._index}")
+
+    def fail_over(self) -> None:
+        """End the open queries; for a while another server answers, which runs behind."""
+        now = time.monotonic()
+        self._behind = now, now + BEHIND_FOR_S
+        self._case.note(f"consul: fails over to a server that is {BEHIND_S} s behind for {BEHIND_FOR_S} s")
+        self.server.end_connections()
+
+    def _state(self, service: str) -> tuple[int, dict[str, int]]:
+        """Return what the server that answers now knows of a service: its index and the instances."""
+        now = time.monotonic()
+        begin, end = self._behind
+        as_of = now - BEHIND_S if begin <= now < end else now
+        _, index, instances = [row for row in self._history[service] if row[0] <= as_of][-1]
+        return index, instances
+
+    async def _answer(self, request: Request) -> Reply:
+        path, _, query = request.target.partition("?")
+        service = path.removeprefix("/v1/health/service/")
+        if service not in self._history:
+            return Reply(404)
+        fields = dict(pair.partition("=")[::2] for pair in query.split("&"))
+        asked, wait_s = int(fields.get("index", "0")), float(fields.get("wait", "300s").removesuffix("s"))
+        give_up_at = time.monotonic() + wait_s
+        while asked and self._state(service)[0] <= asked and time.monotonic() < give_up_at:
+            await asyncio.sleep(0.01)
+        index, instances = self._state(service)
+        if service == "lab" and "a2" not in instances and self.told_at is None:
+            self.told_at = time.monotonic()
+        names = ", ".join(instances) or "no instance"
+        self._case.note(f"consul: {service}, query with index {asked}, answered with index {index}: {names}")
+        entries = [
+            {
+                "Node": {"Node": f"node-{name}", "Address": "127.0.0.1", "Datacenter": "halle-nord"},
+                "Service": {
+                    "ID": name,
+                    "Service": service,
+                    "Address": "127.0.0.1",
+                    "Port": port,
+                    "Meta": {"dest": "1" if service == "lab" else "2", "kind": "family-app", "rate": "30"},
+                },
+                "Checks": [{"CheckID": f"service:{name}", "Status": "passing"}],
+            }
+            for name, port in instances.items()
+        ]
+        return Reply(200, {"X-Consul-Index": str(index)}, json.dumps(entries).encode())
 
 
 async def play(case: Case) -> list[str]:
     """Play the case and return what broke the rule."""
-    calls: dict[str, list[float]] = {"s-1": [], "s-2": []}
+    calls: dict[str, list[tuple[float, str]]] = {"a1": [], "a2": [], "b1": []}
 
     def endpoint(name: str) -> Server:
         async def answer(request: Request) -> Reply:
-            calls[name].append(request.at)
-            case.note(f"{name}: {request.headers['x-txn']} runs")
-            await asyncio.sleep(0.14)
-            return Reply(200)
+            export = ExportLogsServiceRequest.FromString(request.body)
+            text = export.resource_logs[0].scope_logs[0].log_records[0].body.string_value
+            calls[name].append((request.at, text))
+            case.note(f"{name}: {text} runs")
+            await asyncio.sleep(0.2)
+            return Reply(200, {"Content-Type": PROTOBUF})
 
         return Server(answer)
 
-    discovery, endpoints = Discovery(case), {name: endpoint(name) for name in calls}
-    await discovery.open()
-    for name, server in endpoints.items():
-        await server.open()
-        discovery.hosts[name] = {"host": name, "dial": f"127.0.0.1:{server.port}", "block": 1}
-    for number in range(3, ENDPOINTS + 1):  # endpoints of other destinations, for which no message comes
-        discovery.hosts[f"s-{number}"] = {
-            "host": f"s-{number}",
-            "dial": f"127.0.0.1:{free_port()}",
-            "block": number,
-        }
-    for host in discovery.hosts.values():
-        host |= {"site": "a", "class": "family-app", "health": "SERVING", "share": 30.0, "born_ms": 0}
-    listen, mgmt = free_port(), free_port()
-    state, path = case.folder / "state", case.folder / "config.json"
+    endpoints = {name: endpoint(name) for name in calls}
+    await endpoints["a1"].open()
+    await endpoints["a2"].open()
+    port_1, port_2 = endpoints["a1"].port, endpoints["a2"].port
+    consul = Consul(case)
+    consul.register("lab", {"a1": port_1, "a2": port_2})
+    consul.register("desk", {})
+    await consul.server.open()
+    mgmt, otlp = free_port(), free_port()
+    state, site = case.folder / "state", case.folder / "site.toml"
     state.mkdir()
-    document = {
-        "name": "n1",
-        "listen": f"127.0.0.1:{listen}",
-        "discovery": f"127.0.0.1:{discovery.port}",
-        "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-        "known": discovery.known(),
-        "settings": settings(),
-    }
-    path.write_text(json.dumps(document))
-    env = {
-        "ROUTER_NAME": "n1",
-        "ROUTER_LISTEN": f"127.0.0.1:{listen}",
-        "ROUTER_DISCOVERY": f"127.0.0.1:{discovery.port}",
-        "ROUTER_STATE": str(state),
-        "ROUTER_CONFIG": str(path),
-        "ROUTER_MGMT": f"127.0.0.1:{mgmt}",
-    }
-    case.start(env=env)
+    site.write_text(SITE.format(state=state, mgmt=mgmt, otlp=otlp, consul=consul.server.port))
+    case.start(f"--config {site}")
     await case.until_ready(mgmt)
-
-    begin, number, deleted_at = time.monotonic(), 0, 0.0
-    client = await RespClient.connect(listen)
-    while time.monotonic() - begin < PLAY_S:
-        if not deleted_at and time.monotonic() - begin >= DELETED_AT_S:
-            discovery.change("s-2", "DELETED")
-            deleted_at = time.monotonic()
-        answer = await client.command(
-            "SUBMIT", "0" * 16, f"{number:016x}", "c=album-update,d=16000,dest=1", "album"
-        )
-        case.note(f"client: {number:016x} answered {answer!r}")
-        number += 1
-        await asyncio.sleep(max(0.0, begin + number * EVERY_S - time.monotonic()))
-    client.close()
-    if not any(at < deleted_at for at in calls["s-2"]) or len(calls["s-1"]) < 50:
-        raise CouldNotRunError("too few calls came to the endpoints")
-    late = [at - deleted_at for at in calls["s-2"] if at > deleted_at + TOLD_S + GRACE_S]
+    await asyncio.sleep(0.5)
+
+    answers: dict[str, int] = {}
+
+    async def client(number: int) -> None:
+        """Hand in one message for destination 1."""
+        headers = {"Content-Type": PROTOBUF, "x-message-id": f"update-{number}", "x-destination": "1"}
+        reply = await http_call(otlp, "POST", "/v1/logs", headers, export_request(number))
+        answers[f"album update {number}"] = reply.status if reply else 0
+        case.note(f"client: album update {number} answered {reply.status if reply else 'nothing'}")
+
+    async def operators() -> None:
+        await asyncio.sleep(DEREGISTERED_AT_S)
+        consul.register("lab", {"a1": port_1})
+        await asyncio.sleep(0.3)  # it drains
+        endpoints["a2"].close()
+        await asyncio.sleep(REGISTERED_AT_S - DEREGISTERED_AT_S - 0.3)
+        await endpoints["b1"].open(port_2)
+        consul.register("desk", {"b1": port_2})
+        await asyncio.sleep(FAILS_OVER_AT_S - REGISTERED_AT_S)
+        if TROUBLE:
+            consul.fail_over()
+
+    clients, changes = [], asyncio.create_task(operators())
+    for number in range(int(PLAY_S / EVERY_S)):
+        clients.append(asyncio.create_task(client(number)))
+        await asyncio.sleep(EVERY_S)
+    await asyncio.gather(changes, *clients)
+    if consul.told_at is None or not calls["a2"] or list(answers.values()).count(200) < 20:
+        raise CouldNotRunError("the deregistration was not told, or too few messages were delivered")
+    due = consul.told_at + GRACE_S
+    late = [(at - consul.told_at, text) for name in ("a2", "b1") for at, text in calls[name] if at > due]
     if not late:
         return []
+    served = {text for name in ("a1", "a2") for _, text in calls[name]}
+    lost = {text for _, text in late if answers.get(text) == 200} - served
     return [
-        f"{len(late)} calls came to s-2 between {late[0]:.2f} and {late[-1]:.2f} s after discovery deleted "
-        f"it, which counts as told after {TOLD_S} s at the latest; nothing may come 0.5 s later"
+        f"{len(late)} calls for destination 1 came to the address of a2 between {late[0][0]:.2f} and "
+        f"{late[-1][0]:.2f} s after the sender was told that it is deregistered; none may come after 0.5 s",
+        f"{len(lost)} messages answered 200 ran at b1 of destination 2 and nowhere else",
     ]
 
 
--- a/review/10/rig.py
+++ b/review/rig_2.py
@@ -1,4 +1,4 @@
-"""Small stand-ins on loopback for one case: HTTP servers, clients, and the sender as a process of its own."""
+"""Stand-ins on loopback for cases 6 to 10: HTTP servers, clients, and the sender as a process of its own."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-HERE = Path(__file__).resolve().parent
-ROOT = HERE.parent.parent
+HERE = Path(sys.argv[0]).resolve().parent  # the folder of the case
+ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 LIMIT_S = 110.0  # a case that takes longer could not run
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -79,9 +79,9 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
-    async def open(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
+    async def open(self, port: int = 0) -> None:
+        """Listen on this port, or on a free one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=1 << 20)
         self.port = int(self._server.sockets[0].getsockname()[1])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -102,6 +102,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    def close(self) -> None:
+        """End as a process does: new connections are refused, and open ones end."""
+        if self._server is not None:
+            self._server.close()
+        self.end_connections()
+
     def end_connections(self) -> None:
         """Close all open connections."""
         for writer in list(self.writers):
@@ -180,7 +186,9 @@
         process = subprocess.Popen(
             ["/bin/sh", "-c", f"{run} {arguments}".strip()],
             cwd=ROOT,
-            env={**os.environ, "TMPDIR": str(self.folder), **(env or {})},
+            env={k: v for k, v in os.environ.items() if k != "PYTHONPATH"}
+            | {"TMPDIR": str(self.folder)}
+            | (env or {}),
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=subprocess.STDOUT,
