--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -17,7 +17,8 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
 from rowanrack.core.rate_limited_log import RateLimitedLog
-from rowanrack.net.http import CALL_ERRORS, HttpClient
+from rowanrack.net.http import CALL_ERRORS
+from rowanrack.net.service_client import ServiceClient
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import EndpointStatus, UpdateScope
 
@@ -146,7 +147,7 @@
     async def _watch_path(self, path: str, subject: str, handle_answer: Callable[[Any], None]) -> None:
         """Make one blocking query after another; after a failure, start again from index 0 with back-off."""
         http, index, retry_delay_us = (
-            HttpClient(self.exchange.after, *self.address, MAX_LIST_BYTES),
+            ServiceClient(self.exchange.after, *self.address, MAX_LIST_BYTES),
             0,
             MIN_RETRY_DELAY_US,
         )
@@ -179,7 +180,7 @@
         finally:
             http.close()
 
-    async def _query(self, http: HttpClient, path: str, index: int) -> tuple[int, Any]:
+    async def _query(self, http: ServiceClient, path: str, index: int) -> tuple[int, Any]:
         # A query with index 0 does not block; Consul adds up to a sixteenth to the wait of others.
         wait_us = BLOCKING_WAIT_S * 1_000_000 * 17 // 16 if index else 0
         async with time_limit(self.exchange.after, wait_us + ANSWER_GRACE_US):
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -12,7 +12,8 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
 from rowanrack.core.rate_limited_log import RateLimitedLog
-from rowanrack.net.http import CALL_ERRORS, BadReplyError, HttpClient
+from rowanrack.net.http import CALL_ERRORS, BadReplyError
+from rowanrack.net.service_client import ServiceClient
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import EndpointStatus, UpdateScope
 
@@ -127,7 +128,7 @@
 
     def __init__(self, exchange: Exchange, host: str, port: int, seq: int, pushed: bool = False) -> None:
         self.exchange, self.seq, self._pushed = exchange, seq, pushed
-        self._http = HttpClient(exchange.after, host, port, MAX_LIST_BYTES)
+        self._http = ServiceClient(exchange.after, host, port, MAX_LIST_BYTES)
         self._task: asyncio.Task[None] | None = None
         self._moved_at_us: int | None = None
         self._next_may_fail = False  # whether the next call may fail, too, and gets a shorter wait
@@ -152,7 +153,7 @@
     def move(self, host: str, port: int) -> None:
         """Switch to another address and continue from the version that was last applied."""
         self.close()
-        self._http = HttpClient(self.exchange.after, host, port, MAX_LIST_BYTES)
+        self._http = ServiceClient(self.exchange.after, host, port, MAX_LIST_BYTES)
         self._moved_at_us, self._next_may_fail = self.exchange.clock.now_us(), True
         self._task = asyncio.create_task(self._follow())
 
--- a/tests/test_copied_service_answers.py
+++ b/tests/test_copied_service_answers.py
@@ -10,7 +10,7 @@
 from rowanrack.channels_io.links import HttpLinks
 from rowanrack.core.messages import End, Ending
 from rowanrack.fronts.platform.notices import Notices
-from rowanrack.net.http import HttpClient
+from rowanrack.net.service_client import ServiceClient
 from rowanrack.net.timing import after
 from tests.rig import on_loop
 
@@ -54,7 +54,7 @@
 @on_loop
 async def test_copied_list_of_discovery_or_consul_is_not_the_answer_to_the_next_query() -> None:
     async with listening(CopyingService()) as port:
-        client = HttpClient(after, "127.0.0.1", port, 4096)
+        client = ServiceClient(after, "127.0.0.1", port, 4096)
         documents = [(await client.get_json("/v1/servers"))[1] for _ in range(3)]
         assert documents == [1, 2, 3]
 
