Give an answer of discovery or Consul that has begun 5 s to come whole

Cause: the body of an answer had 1 s in all, however steadily it came, and the whole answer 1 s behind the wait. The part that had come was parsed as if it were whole, so the log said "not valid JSON".

Change: the wait bounds when an answer begins; then it has 5 s, and 2 s without a further byte. Within the 6 s after which a change counts as known an answer that never ends leaves time for another one, as long as its end is no failure of discovery: counted as one, a pause followed.

--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -17,15 +17,15 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
 from rowanrack.core.rate_limited_log import RateLimitedLog
-from rowanrack.net.http import CALL_ERRORS
+from rowanrack.net.http import CALL_ERRORS, SlowReplyError
 from rowanrack.net.service_client import ServiceClient
-from rowanrack.net.timing import pause, time_limit
+from rowanrack.net.timing import pause
 from rowanspindle import EndpointStatus, UpdateScope
 
 log = logging.getLogger(__name__)
 
 BLOCKING_WAIT_S = 60  # how long a query may block
-ANSWER_GRACE_US = 2_000_000  # for an answer beyond the time that the query may block
+ANSWER_GRACE_US = 2_000_000  # for an answer to begin, beyond the time that the query may block
 # With these delays a change is known within 6 s of an outage, even if one more query gets no answer.
 MIN_RETRY_DELAY_US, MAX_RETRY_DELAY_US = 500_000, 1_750_000
 MAX_LIST_BYTES = 4 << 20
@@ -159,6 +159,8 @@
                     if index:
                         handle_answer(document)
                 except (*CALL_ERRORS, ConsulError) as error:
+                    if isinstance(error, SlowReplyError):
+                        retry_delay_us = MIN_RETRY_DELAY_US  # the agent can be reached
                     self._query_warnings.warning(
                         "consul: the query for %s failed: %s", subject, str(error) or type(error).__name__
                     )
@@ -183,6 +185,6 @@
     async def _query(self, http: ServiceClient, path: str, index: int) -> tuple[int, Any]:
         # A query with index 0 does not block; Consul adds up to a sixteenth to the wait of others.
         wait_us = BLOCKING_WAIT_S * 1_000_000 * 17 // 16 if index else 0
-        async with time_limit(self.exchange.after, wait_us + ANSWER_GRACE_US):
-            headers, document = await http.get_json(f"{path}index={index}&wait={BLOCKING_WAIT_S}s")
+        target = f"{path}index={index}&wait={BLOCKING_WAIT_S}s"
+        headers, document = await http.get_json(target, wait_us + ANSWER_GRACE_US)
         return next_index(index, headers.get("x-consul-index", "")), document
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -12,7 +12,7 @@
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
 from rowanrack.core.rate_limited_log import RateLimitedLog
-from rowanrack.net.http import CALL_ERRORS, BadReplyError
+from rowanrack.net.http import CALL_ERRORS, BadReplyError, SlowReplyError
 from rowanrack.net.service_client import ServiceClient
 from rowanrack.net.timing import pause, time_limit
 from rowanspindle import EndpointStatus, UpdateScope
@@ -28,7 +28,7 @@
 WATCH_WAIT_MS = 10_000
 # Shorter wait for the first call to a new address or after a failure, which may remain unanswered, too.
 SHORT_WATCH_WAIT_MS = 1_000
-# Time beyond the wait within which an answer must arrive: a change counts as known 2 s after the wait.
+# Time beyond the wait within which an answer must begin: a change counts as known 2 s after the wait.
 ANSWER_GRACE_US = 1_000_000
 # After a move, failures are not counted for this time: a change counts as known 4 s after the move.
 MOVE_TOLERANCE_US = 4_000_000
@@ -118,6 +118,15 @@
     return server_list.seq, server_list.scope, server_list.entries
 
 
+def failure_count(error: Exception) -> int:
+    """Return the number of failures that a call counts as: the watch ends after two in a row."""
+    if isinstance(error, SlowReplyError):
+        return 0  # discovery can be reached, and the call took seconds already
+    if isinstance(error, BadReplyError) and error.status != 200:
+        return 2  # discovery is overloaded, so end now and let the module request the list later
+    return 1
+
+
 class DiscoveryWatch:
     """Follows discovery's list, once the decision module has requested it, until it gives up.
 
@@ -167,20 +176,7 @@
         failures = self.failures_since_move = 0
         # After a failure the next call follows at once: one within 200 ms continues the same watch.
         while failures < 2:
-            new_failures = 1
-            try:
-                await self._call()
-                new_failures = 0
-            except (*CALL_ERRORS, ListError) as error:
-                self._limited_warnings.warning(
-                    "discovery: the watch call failed: %s", str(error) or type(error).__name__
-                )
-                # Discovery answers but is overloaded, so end now and let the module request the list later.
-                new_failures = 2 if isinstance(error, BadReplyError) and error.status != 200 else 1
-            except Exception:
-                # Caught so that a defect does not end this task unnoticed.
-                log.exception("discovery: the watch call failed unexpectedly")
-            self._next_may_fail |= new_failures > 0
+            new_failures = await self._try_call()
             failures = failures + new_failures if new_failures else 0
             if failures and self._recently_moved():
                 failures, self.failures_since_move = 0, self.failures_since_move + 1
@@ -188,6 +184,23 @@
         self._first_call_done.set()
         self.exchange.update_endpoints(UpdateScope.FAILED, ())
 
+    async def _try_call(self) -> int:
+        """Make one call; return the number of failures that it counts as, 0 if the next may follow."""
+        try:
+            await self._call()
+            return 0
+        except (*CALL_ERRORS, ListError) as error:
+            self._next_may_fail = True
+            self._limited_warnings.warning(
+                "discovery: the watch call failed: %s", str(error) or type(error).__name__
+            )
+            return failure_count(error)
+        except Exception:
+            # Caught so that a defect does not end this task unnoticed.
+            self._next_may_fail = True
+            log.exception("discovery: the watch call failed unexpectedly")
+            return 1
+
     def _recently_moved(self) -> bool:
         """Whether failures are not counted yet after a move.
 
@@ -202,10 +215,9 @@
         if self._pushed and not self._first_call_done.is_set():
             wait_ms = 0
         called_at = self.exchange.clock.now_us()
-        async with time_limit(self.exchange.after, wait_ms * 1000 + ANSWER_GRACE_US):
-            requests_full_list = self._needs_full_list
-            target = "/v1/servers" if requests_full_list else f"/v1/servers?index={self.seq}&wait={wait_ms}"
-            _, document = await self._http.get_json(target)
+        requests_full_list = self._needs_full_list
+        target = "/v1/servers" if requests_full_list else f"/v1/servers?index={self.seq}&wait={wait_ms}"
+        _, document = await self._http.get_json(target, wait_ms * 1000 + ANSWER_GRACE_US)
         has_changes = self._apply(read_list(document))
         if self._needs_full_list and not requests_full_list:
             self._next_may_fail = True  # the full list is sent without a wait, so silence means a failure
--- a/rowanrack/net/http.py
+++ b/rowanrack/net/http.py
@@ -107,6 +107,10 @@
         self.status = status
 
 
+class SlowReplyError(BadReplyError):
+    """A service has begun a response that did not arrive completely in time."""
+
+
 CALL_ERRORS = (OSError, TimeoutError, CallNotSentError, CallBrokenError, BadReplyError)
 
 
@@ -133,9 +137,13 @@
         body_limit: int,
         after: After,
         rest_timeout_us: int = RESPONSE_REST_TIMEOUT_US,
+        stall_timeout_us: int | None = None,
     ) -> None:
+        """`stall_timeout_us` limits the time without a further byte of a response that has begun."""
         self.stream, self._host, self._body_limit = stream, host, body_limit
         self._after, self._rest_timeout_us = after, rest_timeout_us
+        self._stall_timeout_us = stall_timeout_us
+        self.body_timed_out = False  # whether the body of the last response did not arrive in time
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.statuses = set[int]()  # of all responses so far
         self.carried_calls = 0  # calls that were written, the current one included
@@ -166,6 +174,11 @@
 
     async def call(self, call: Call) -> Reply:
         """Make one call. It is never sent a second time here."""
+        await self.send(call)
+        return await self.reply()
+
+    async def send(self, call: Call) -> None:
+        """Write a call; `reply` then waits for the response."""
         if not self.reusable:
             # Bytes that arrive between the choice of a connection and its use do not answer this call, but
             # would be read as its response.
@@ -175,7 +188,6 @@
             await self.stream.send(self._encode_request(call))
         except OSError as error:
             raise CallNotSentError(str(error)) from None
-        return await self.reply()
 
     def call_now(self, call: Call) -> None:
         """Write a call immediately; `reply` then waits for the response."""
@@ -194,8 +206,14 @@
             )
         )
 
+    async def wait_for_response(self) -> None:
+        """Wait until a response begins or the connection ends."""
+        if not len(self.stream.receive_buffer):
+            await self.stream.wait_for_input()
+
     async def reply(self) -> Reply:
         """Return the response to the call that was written. Raise CallBrokenError."""
+        self.body_timed_out = False
         try:
             head = await self._read_head()
         except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
@@ -208,7 +226,9 @@
             try:
                 async with time_limit(self._after, self._rest_timeout_us, self._has_unread):
                     whole = await self._read_body(body, int(headers.get("content-length", "0")))
-            except (OSError, TimeoutError, h11.RemoteProtocolError):
+            except TimeoutError:
+                whole, self.body_timed_out = False, True
+            except (OSError, h11.RemoteProtocolError):
                 whole = False
         # The body was truncated, late, endless or not of the announced length. A status line with 200 still
         # proves that the call succeeded; with any other status the call may have run.
@@ -240,6 +260,7 @@
             self._response_head[:] = self._h11.trailing_data[0]
             self._head_lines.begin(bytes(self._response_head))
             if not self._response_head:
+                await self.wait_for_response()
                 await self._receive()
             self.response_began_us = int(asyncio.get_running_loop().time() * 1_000_000)
             async with time_limit(self._after, self._rest_timeout_us, self._has_unread):
@@ -302,13 +323,20 @@
 
     async def _receive(self) -> None:
         if not len(self.stream.receive_buffer):
-            await self.stream.fill()
+            await self._fill()
         data = self.stream.receive_buffer.read(len(self.stream.receive_buffer))
         if len(self._response_head) < MAX_HEAD_BYTES:
             self._response_head += data
         self._head_lines.feed(data)
         self._h11.receive_data(data)
 
+    async def _fill(self) -> None:
+        if self._stall_timeout_us is None:
+            await self.stream.fill()
+            return
+        async with time_limit(self._after, self._stall_timeout_us, self._has_unread):
+            await self.stream.fill()
+
 
 def readable_part(head: bytes) -> Reply | None:
     """Return the status and complete headers of an unreadable final response; None without a status."""
--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -26,6 +26,8 @@
 from tests.test_core import SECOND_US, ExchangeHarness
 from tests.test_list_clock import FakeStream, advance_time, http_response
 
+ANSWER_PIECES = 15  # of an answer that comes slowly
+
 
 @dataclass(frozen=True)
 class ListedEndpoint:
@@ -132,6 +134,17 @@
         (await self.next_call())[0].feed(self.document(entries, self.index))
         await self.advance(0.01)
 
+    async def provide_list_slowly(self, duration_s: float, *entries: ListedEndpoint) -> None:
+        """Provide a full list whose answer takes this long from its first byte to its last."""
+        self.index += 1
+        stream, _ = await self.next_call()
+        answer = self.document(entries, self.index)
+        for piece in range(ANSWER_PIECES):
+            stream.feed(
+                answer[len(answer) * piece // ANSWER_PIECES : len(answer) * (piece + 1) // ANSWER_PIECES]
+            )
+            await self.advance(duration_s / ANSWER_PIECES)
+
     async def fail(self, failure_kind: str) -> None:
         stream, _ = await self.next_call()
         complete_answer = self.document((ListedEndpoint("x"),), self.index + 1)
@@ -419,6 +432,16 @@
         ), failure_kind
 
 
+async def answer_that_takes_seconds_to_come_whole_is_applied(source: Source) -> None:
+    """Guards against messages to removed endpoints: answers that took over 1 s were always cut off."""
+    if not isinstance(source, HttpSource):
+        return
+    for duration_s in (1.5, 3.0, 4.5):
+        await source.provide_list(ListedEndpoint("a"), ListedEndpoint("b", 2))
+        await source.provide_list_slowly(duration_s, ListedEndpoint("a"))
+        assert source.listed() == source.names("a"), duration_s
+
+
 async def unanswered_call_is_closed_soon_after_its_wait(source: Source) -> None:
     if isinstance(source, HttpSource):
         await source.provide_list(ListedEndpoint("a"))
@@ -479,6 +502,7 @@
     equal_list_changes_nothing,
     failure_keeps_the_previous_list,
     after_failures_a_change_is_known_within_6_s,
+    answer_that_takes_seconds_to_come_whole_is_applied,
     unanswered_call_is_closed_soon_after_its_wait,
     early_answers_cause_no_busy_loop,
     lower_version_is_treated_as_a_restart,
