Deliver all members of a gzip body

Two exports without an id that differed behind the first member were one message.

Cause: decompression ended with the first member, and what followed (`unused_data`) was dropped. RFC 1952 defines a gzip file as a series of members.

Change: all members are decompressed, and the limit holds for their sum. Bytes behind a member that are no member, and a last member that is cut off, are answered 400.

--- a/rowanrack/fronts/otlp/clients.py
+++ b/rowanrack/fronts/otlp/clients.py
@@ -148,7 +148,7 @@
 
     async def _parse_message(self, signal: Signal, content_type: str, request: Request) -> Message:
         received_at_us = self.exchange.clock.unix_us()
-        body = decompressed_body(
+        body = await decompressed_body(
             request.body, request.headers.get("content-encoding", ""), self.body_limit_bytes
         )
         parse = functools.partial(parse_message, signal.request(), body, content_type)
--- a/rowanrack/fronts/otlp/signals.py
+++ b/rowanrack/fronts/otlp/signals.py
@@ -8,7 +8,6 @@
 
 import base64
 import json
-import zlib
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
@@ -21,6 +20,7 @@
 from opentelemetry.proto.collector.trace.v1 import trace_service_pb2
 
 from rowanrack.fronts.otlp import OtlpError
+from rowanrack.fronts.otlp.gzip_body import gunzip
 
 PROTOBUF, JSON = "application/x-protobuf", "application/json"
 # Memory that parsing takes: an object or a list in JSON, as a Python object, twice, and as a message; and a
@@ -77,24 +77,14 @@
     return content_type
 
 
-def decompressed_body(body: bytes, encoding: str, limit_bytes: int) -> bytes:
-    """Return the decompressed body. Raises OtlpError if it is larger than the limit."""
+async def decompressed_body(body: bytes, encoding: str, limit_bytes: int) -> bytes:
+    """Return the decompressed body. Raises OtlpError if it is larger than the limit or cannot be read."""
     encoding = encoding.strip().lower()
     if encoding in ("", "identity"):
         return body
     if encoding != "gzip":
         raise OtlpError(415, "Content-Encoding must be gzip or identity")
-    decompressor = zlib.decompressobj(wbits=31)
-    try:
-        # The limit protects against a small body that decompresses to gigabytes.
-        decompressed = decompressor.decompress(body, limit_bytes + 1)
-    except zlib.error:
-        raise OtlpError(400, "the body is no gzip") from None
-    if len(decompressed) > limit_bytes:
-        raise OtlpError(413, f"the body is larger than {limit_bytes} bytes")
-    if not decompressor.eof:
-        raise OtlpError(400, "the gzip body is cut off")
-    return decompressed
+    return await gunzip(body, limit_bytes)
 
 
 def parsed_json_bytes(body: bytes) -> int:
--- a/tests/test_flood.py
+++ b/tests/test_flood.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gzip
 import logging
 import threading
 from pathlib import Path
@@ -12,6 +13,7 @@
 
 from rowanrack.fronts.otlp import clients
 from rowanrack.fronts.otlp.clients import MAX_JSON_BYTES_ON_LOOP
+from rowanrack.fronts.otlp.gzip_body import gunzip
 from rowanrack.fronts.otlp.signals import parse_message
 from rowanrack.net.http import MAX_CHUNKS_PER_TURN, Call, HttpClientConnection, Reply
 from rowanrack.net.stream import READ_CHUNK_BYTES, Stream
@@ -23,6 +25,7 @@
 )
 SMALL_CHUNK = b"1\r\nx\r\n"
 CHUNK_COUNT = READ_CHUNK_BYTES // len(SMALL_CHUNK) - 100  # with the head, what one read brings
+MEMBER_COUNT = 10_000  # of a gzip body, 20 bytes each
 
 
 class Turns:
@@ -97,6 +100,14 @@
         stream.abort()
 
 
+@on_loop
+async def test_others_run_while_a_gzip_body_of_very_many_members_is_decompressed() -> None:
+    turns = Turns()
+    assert await gunzip(gzip.compress(b"") * MEMBER_COUNT, 9) == b""
+    assert turns.count >= MEMBER_COUNT // MAX_CHUNKS_PER_TURN
+    turns.stop()
+
+
 @pytest.mark.parametrize(("count", "status"), [(90, b"400"), (3000, b"431")])
 @on_loop
 async def test_many_fields_behind_a_chunked_body_are_rejected_unparsed(
--- a/tests/test_otlp.py
+++ b/tests/test_otlp.py
@@ -86,6 +86,19 @@
         assert (call.target, call.body, call.headers["content-type"]) == (path, body, kind)
 
 
+@on_loop
+async def test_all_members_of_a_gzip_body_are_delivered(tmp_path: Path) -> None:
+    """Guards against records answered as delivered and never sent, and against one id for other records."""
+    bodies = [logs("first") + member for member in (logs("second"), logs("third"), b"")]
+    async with Rig(tmp_path, answers(OK)) as rig:
+        for count, body in enumerate(bodies, 1):
+            members = body[: len(logs("first"))], body[len(logs("first")) :]
+            reply = await rig.export(b"".join(map(gzip.compress, members)), content_encoding="gzip")
+            assert reply.status == 200
+            calls = await rig.servers[0].wait_for_requests(count)
+            assert calls[-1].body == body
+
+
 @pytest.mark.parametrize(
     ("path", "headers", "body", "status"),
     [
@@ -94,7 +107,10 @@
         ("/v1/logs", {"content_encoding": "br"}, logs(), 415),
         ("/v1/logs", {"content_encoding": "gzip"}, b"no gzip", 400),
         ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(logs())[:-9], 400),
+        ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(logs()) + gzip.compress(logs())[:-9], 400),
+        ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(logs()) + b"more", 400),
         ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(bytes(300 * 1024)), 413),
+        ("/v1/logs", {"content_encoding": "gzip"}, gzip.compress(bytes(200 * 1024)) * 2, 413),
         ("/v1/logs", {}, bytes(300 * 1024), 413),
         ("/v1/logs", {}, b"\xff\xff\xff", 400),
         ("/v1/logs", {"content_type": JSON}, b"[1]", 400),
@@ -286,8 +302,9 @@
     assert spans[0]["spanId"] == "7uGbfsPBsXQ="
 
 
-def test_media_type_and_content_encoding_are_parsed() -> None:
+@on_loop
+async def test_media_type_and_content_encoding_are_parsed() -> None:
     assert media_type("application/json; charset=utf-8") == JSON
-    assert decompressed_body(b"x", "Identity", 9) == b"x"
+    assert await decompressed_body(b"x", "Identity", 9) == b"x"
     with pytest.raises(OtlpError):
         media_type("")
