Open no endpoint by a list that is older than one received before

Cause: after a failure the source asked from index 0 and believed whatever came, so an older list replaced a newer one. An index that goes back without a failure was believed the second time. The platform's discovery believed a whole list of a lower version likewise. A replica that lags and a service that counts anew look the same in one answer.

Change: each source keeps what its newest list says and what was removed within 30 s, also for services that have left Consul's catalogue. An older list may close endpoints and opens none that the newer one has closed; versions that stay lower for 30 s are believed. It works without telling the two causes apart, since closing is right for both.

--- a/rowanrack/consul.py
+++ b/rowanrack/consul.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import logging
 import math
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
+from rowanrack.core.outdated_lists import EndpointHistory, VersionCheck
 from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.http import CALL_ERRORS, SlowReplyError
 from rowanrack.net.service_client import ServiceClient
@@ -25,6 +27,7 @@
 log = logging.getLogger(__name__)
 
 BLOCKING_WAIT_S = 60  # how long a query may block
+OUTDATED_WAIT_S = 5  # the same behind an outdated answer, which is asked about again
 ANSWER_GRACE_US = 2_000_000  # for an answer to begin, beyond the time that the query may block
 # With these delays a change is known within 6 s of an outage, even if one more query gets no answer.
 MIN_RETRY_DELAY_US, MAX_RETRY_DELAY_US = 500_000, 1_750_000
@@ -32,6 +35,9 @@
 INDEX_RESET_DELAY_US = 100_000  # before the query that starts again after the index went backwards
 MAINTENANCE_CHECK_PREFIXES = ("_node_maintenance", "_service_maintenance")
 
+# Applies the document of an answer and its index; returns whether the answer is outdated.
+ApplyAnswer = Callable[[Any, int], bool]
+
 
 class ConsulError(ValueError):
     """Raised for an answer that cannot be used."""
@@ -102,15 +108,19 @@
         self.exchange, self.address, self.tag = exchange, address, tag
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._catalogue_task: asyncio.Task[None] | None = None
+        self._catalogue_versions = VersionCheck()
+        # By service, those that have left the catalogue included: it may list them again by a late answer.
+        self._histories: dict[str, EndpointHistory] = {}
         self._configured_services = services
-        # Rate-limited logs: of failed queries, and of entries that are left out.
+        # Rate-limited logs: of failed queries, of entries that are left out, and of outdated answers.
         self._query_warnings, self._skip_warnings = RateLimitedLog(log), RateLimitedLog(log)
+        self._outdated_warnings = RateLimitedLog(log)
 
     def start(self) -> None:
         """Start watching."""
         if self.tag:
-            self._catalogue_task = asyncio.create_task(
-                self._watch_path("/v1/catalog/services?", "the catalogue", self._apply_catalogue)
+            self._catalogue_task = self._start_watch(
+                "/v1/catalog/services?", "the catalogue", self._apply_catalogue
             )
         self._watch_services(set(self._configured_services))
 
@@ -120,11 +130,20 @@
             if task is not None:
                 task.cancel()
 
-    def _apply_catalogue(self, document: Any) -> None:
+    def _apply_catalogue(self, document: Any, index: int) -> bool:
         """Apply an answer of the catalogue: watch the services that carry the tag."""
         if not isinstance(document, dict):
             raise ConsulError("not a map of services to tags")
-        self._watch_services({name for name, tags in document.items() if self.tag in (tags or [])})
+        now_us = self.exchange.clock.now_us()
+        services = {name for name, tags in document.items() if self.tag in (tags or [])}
+        is_outdated = self._catalogue_versions.is_outdated(index, now_us)
+        if not is_outdated:
+            for name in self._histories.keys() - services:
+                self._histories[name].remove_all(now_us)
+        self._watch_services(services)
+        for name in [n for n, h in self._histories.items() if n not in services and h.forgettable(now_us)]:
+            del self._histories[name]
+        return is_outdated
 
     def _watch_services(self, services: set[str]) -> None:
         for name in sorted(self._tasks.keys() - services):
@@ -132,59 +151,88 @@
             self.exchange.update_endpoints(UpdateScope.FULL, (), f"consul {name}")
         for name in sorted(services - self._tasks.keys()):
             path = f"/v1/health/service/{quote(name, safe='')}?"
-            self._tasks[name] = asyncio.create_task(
-                self._watch_path(path, name, self._endpoint_handler(name))
+            self._histories.setdefault(name, EndpointHistory())
+            self._tasks[name] = self._start_watch(path, name, functools.partial(self._apply_health, name))
+
+    def _apply_health(self, name: str, document: Any, index: int) -> bool:
+        """Apply the answer to a health query: the endpoints of one service."""
+        history, listed = self._histories[name], parse_endpoints(document, self._skip_warnings)
+        newest_index = history.newest_version
+        checked = history.check(UpdateScope.FULL, index, listed, self.exchange.clock.now_us())
+        if checked.is_outdated:
+            self._outdated_warnings.warning(
+                "consul: the answer for %s is outdated, its index %d is lower than %d: it opens no endpoint"
+                " that has been closed",
+                name,
+                index,
+                newest_index,
             )
+        self.exchange.update_endpoints(UpdateScope.FULL, checked.endpoints, f"consul {name}")
+        return checked.is_outdated
 
-    def _endpoint_handler(self, name: str) -> Callable[[Any], None]:
-        def handle_answer(document: Any) -> None:
-            self.exchange.update_endpoints(
-                UpdateScope.FULL, parse_endpoints(document, self._skip_warnings), f"consul {name}"
-            )
+    def _start_watch(self, path: str, subject: str, apply: ApplyAnswer) -> asyncio.Task[None]:
+        watch = BlockingWatch(self.exchange, self.address, path, subject, apply, self._query_warnings)
+        return asyncio.create_task(watch.run())
 
-        return handle_answer
 
-    async def _watch_path(self, path: str, subject: str, handle_answer: Callable[[Any], None]) -> None:
-        """Make one blocking query after another; after a failure, start again from index 0 with back-off."""
-        http, index, retry_delay_us = (
-            ServiceClient(self.exchange.after, *self.address, MAX_LIST_BYTES),
-            0,
-            MIN_RETRY_DELAY_US,
-        )
+class BlockingWatch:
+    """Makes one blocking query after another; after a failure, starts again from index 0 with back-off."""
+
+    def __init__(
+        self,
+        exchange: Exchange,
+        address: tuple[str, int],
+        path: str,
+        subject: str,
+        apply: ApplyAnswer,
+        warnings: RateLimitedLog,
+    ) -> None:
+        self._after, self._clock = exchange.after, exchange.clock
+        self._http = ServiceClient(exchange.after, *address, MAX_LIST_BYTES)
+        self._path, self._subject, self._apply, self._warnings = path, subject, apply, warnings
+        self._index, self._wait_s = 0, BLOCKING_WAIT_S
+        self._retry_delay_us = MIN_RETRY_DELAY_US
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
         try:
             while True:
-                previous_index, asked_at_us = index, self.exchange.clock.now_us()
-                try:
-                    index, document = await self._query(http, path, index)
-                    if index:
-                        handle_answer(document)
-                except (*CALL_ERRORS, ConsulError) as error:
-                    if isinstance(error, SlowReplyError):
-                        retry_delay_us = MIN_RETRY_DELAY_US  # the agent can be reached
-                    self._query_warnings.warning(
-                        "consul: the query for %s failed: %s", subject, str(error) or type(error).__name__
-                    )
-                except Exception:
-                    # Caught so that a defect does not end the watch.
-                    log.exception("consul: the query for %s failed unexpectedly", subject)
-                else:
-                    retry_delay_us = MIN_RETRY_DELAY_US
-                    # Avoids a busy loop if the agent answers without blocking or its index goes up and down.
-                    answered_early = self.exchange.clock.now_us() - asked_at_us < BLOCKING_WAIT_S * 1_000_000
-                    if answered_early and index in (0, previous_index):
-                        await pause(
-                            self.exchange.after, MIN_RETRY_DELAY_US if index else INDEX_RESET_DELAY_US
-                        )
-                    continue
-                index = 0
-                await pause(self.exchange.after, retry_delay_us)
-                retry_delay_us = min(2 * retry_delay_us, MAX_RETRY_DELAY_US)
+                delay_us = await self._query_once()
+                if delay_us:
+                    await pause(self._after, delay_us)
         finally:
-            http.close()
+            self._http.close()
 
-    async def _query(self, http: ServiceClient, path: str, index: int) -> tuple[int, Any]:
+    async def _query_once(self) -> int:
+        """Make one query and apply its answer; return the delay before the next one."""
+        try:
+            return await self._query()
+        except (*CALL_ERRORS, ConsulError) as error:
+            if isinstance(error, SlowReplyError):
+                self._retry_delay_us = MIN_RETRY_DELAY_US  # the agent can be reached
+            self._warnings.warning(
+                "consul: the query for %s failed: %s", self._subject, str(error) or type(error).__name__
+            )
+        except Exception:
+            # Caught so that a defect does not end the watch.
+            log.exception("consul: the query for %s failed unexpectedly", self._subject)
+        self._index, delay_us = 0, self._retry_delay_us
+        self._retry_delay_us = min(2 * self._retry_delay_us, MAX_RETRY_DELAY_US)
+        return delay_us
+
+    async def _query(self) -> int:
+        previous_index, wait_us, asked_at_us = self._index, self._wait_s * 1_000_000, self._clock.now_us()
+        target = f"{self._path}index={previous_index}&wait={self._wait_s}s"
         # A query with index 0 does not block; Consul adds up to a sixteenth to the wait of others.
-        wait_us = BLOCKING_WAIT_S * 1_000_000 * 17 // 16 if index else 0
-        target = f"{path}index={index}&wait={BLOCKING_WAIT_S}s"
-        headers, document = await http.get_json(target, wait_us + ANSWER_GRACE_US)
-        return next_index(index, headers.get("x-consul-index", "")), document
+        begins_within_us = (wait_us * 17 // 16 if previous_index else 0) + ANSWER_GRACE_US
+        headers, document = await self._http.get_json(target, begins_within_us)
+        self._index = next_index(previous_index, headers.get("x-consul-index", ""))
+        if self._index:
+            is_outdated = self._apply(document, self._index)
+            self._wait_s = OUTDATED_WAIT_S if is_outdated else BLOCKING_WAIT_S
+        self._retry_delay_us = MIN_RETRY_DELAY_US
+        # Avoids a busy loop if the agent answers without blocking or its index goes up and down.
+        answered_early = self._clock.now_us() - asked_at_us < wait_us
+        if answered_early and self._index in (0, previous_index):
+            return MIN_RETRY_DELAY_US if self._index else INDEX_RESET_DELAY_US
+        return 0
--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -11,6 +11,7 @@
 
 from rowanrack.core.exchange import Exchange
 from rowanrack.core.messages import Endpoint
+from rowanrack.core.outdated_lists import EndpointHistory
 from rowanrack.core.rate_limited_log import RateLimitedLog
 from rowanrack.net.http import CALL_ERRORS, BadReplyError, SlowReplyError
 from rowanrack.net.service_client import ServiceClient
@@ -141,8 +142,10 @@
         self._task: asyncio.Task[None] | None = None
         self._moved_at_us: int | None = None
         self._next_may_fail = False  # whether the next call may fail, too, and gets a shorter wait
-        # Whether the last answer may be stale or corrupted, so that the full list is requested.
+        # Whether the last answer may be outdated or corrupted, so that the full list is requested.
         self._needs_full_list = False
+        self._history = EndpointHistory(seq)
+        self._is_outdated = False  # whether the list in force is an outdated one
         self._first_call_done = asyncio.Event()
         self._limited_warnings = RateLimitedLog(log)
         self.failures_since_move = 0
@@ -238,14 +241,30 @@
             self._limited_warnings.warning(
                 "discovery: %d entries left out, they cannot be parsed: %s", count, first
             )
-        self.exchange.update_endpoints(server_list.scope, server_list.entries)
+        self._update_endpoints(server_list)
         previous_seq, self.seq = self.seq, server_list.seq
         return server_list.seq > previous_seq and bool(server_list.entries)
 
+    def _update_endpoints(self, server_list: ServerList) -> None:
+        newest_seq, now_us = self._history.newest_version, self.exchange.clock.now_us()
+        checked = self._history.check(server_list.scope, server_list.seq, server_list.entries, now_us)
+        if checked.is_outdated:
+            self._limited_warnings.warning(
+                "discovery: the list is outdated, its version %d is lower than %d: it opens no endpoint that"
+                " has been closed",
+                server_list.seq,
+                newest_seq,
+            )
+        self.exchange.update_endpoints(server_list.scope, checked.endpoints)
+        # Changes do not tell of endpoints that the outdated list could not open.
+        is_still_partial = self._is_outdated and server_list.scope is UpdateScope.DELTA
+        self._needs_full_list = is_still_partial and not checked.is_outdated
+        self._is_outdated = checked.is_outdated
+
     def _must_confirm(self, server_list: ServerList) -> bool:
         """Whether the full list must be requested before an answer is applied; that list is then trusted.
 
-        An answer with a lower version may be stale, or discovery has restarted its version count, so that
+        An answer with a lower version may be outdated, or discovery has restarted its version count, so that
         changes since our version are unknown. An entry that cannot be parsed may be corrupted in transit.
         """
         if self._needs_full_list and server_list.scope is UpdateScope.FULL:
--- a/tests/contracts/test_sources.py
+++ b/tests/contracts/test_sources.py
@@ -19,6 +19,7 @@
 from rowanrack.app import Sender
 from rowanrack.config import Config, operator_config
 from rowanrack.consul import ConsulSource
+from rowanrack.core.outdated_lists import MAX_LAG_US
 from rowanrack.fronts.platform.discovery import MAX_LIST_BYTES, DiscoveryWatch
 from rowanrack.net.stream import Stream
 from rowanspindle import EndpointStatus, UpdateScope
@@ -92,6 +93,7 @@
 class HttpSource(Source):
     """A source that is requested over HTTP; each call waits until an answer is provided."""
 
+    answers_to_an_outdated_list = 1  # before it is believed
     failure_kinds = ("silent", "broken", "refused", "busy", "slow", "cut off", "no HTTP", "no JSON",
                      "no list", "a bad type", "overlong", "endless")  # fmt: skip
 
@@ -196,6 +198,13 @@
         self.index = 2
         await self.advance(0.01)
 
+    async def provide_outdated_list(self, *entries: ListedEndpoint, index: int) -> None:
+        """Answer from a replica that lags behind, after the connections to the one before have ended."""
+        (await self.next_call())[0].end()
+        for _ in range(self.answers_to_an_outdated_list):
+            (await self.next_call())[0].feed(self.document(entries, index))
+            await self.advance(0.01)
+
     def empty_delta(self, index: int) -> bytes:
         return http_response(json.dumps({"seq": index, "whole": False, "hosts": []}).encode())
 
@@ -203,6 +212,8 @@
 class Discovery(HttpSource):
     """The platform's discovery service."""
 
+    answers_to_an_outdated_list = 2
+
     def start(self) -> None:
         self.watch = DiscoveryWatch(self.desk.exchange, "discovery", 1, 5)
         self.desk.exchange.request_list = self.watch.start
@@ -475,6 +486,43 @@
     assert source.index == 3 and source.listed() == source.names("c")
 
 
+OLDER_LIST = tuple(ListedEndpoint(name, port) for port, name in enumerate("abcd", 1))
+NEWER_LIST = ListedEndpoint("a", 1), ListedEndpoint("b", 2, drains=True), ListedEndpoint("c", 9)
+
+
+async def outdated_list_opens_no_endpoint_that_was_closed(source: Source) -> None:
+    """Guards against a replica that lags behind: messages went to a deregistered endpoint's address."""
+    if not isinstance(source, HttpSource):
+        return
+    await source.provide_list(*OLDER_LIST)
+    older_index = source.index
+    await source.provide_list(*NEWER_LIST)
+    assert source.listed() == source.names("ac")
+    for _ in range(2):
+        await source.provide_outdated_list(*OLDER_LIST, index=older_index)
+        assert source.listed() == source.names("a")  # b drains, c has moved, d is gone
+    await source.provide_outdated_list(ListedEndpoint("c", 9), index=older_index)
+    assert source.listed() == source.names("c")  # closing is obeyed
+    await source.provide_list(*OLDER_LIST)
+    assert source.listed() == source.names("abcd")
+
+
+async def versions_that_stay_lower_are_believed(source: Source) -> None:
+    """Guards against endpoints that stay closed for ever once the service counts its versions anew."""
+    if not isinstance(source, HttpSource):
+        return
+    source.index = 50
+    await source.provide_list(*NEWER_LIST)
+    await source.provide_outdated_list(*OLDER_LIST, index=5)
+    assert source.listed() == source.names("ad")
+    source.index = 5
+    for _ in range(10):
+        await source.advance(MAX_LAG_US / SECOND_US / 5)
+        (await source.next_call())[0].feed(source.document(OLDER_LIST, source.index))
+        await source.advance(0.2)
+    assert source.listed() == source.names("abcd")
+
+
 async def endpoint_of_two_sources_stays_until_both_have_removed_it(source: Source) -> None:
     name, exchange = source.listed_name("a"), source.desk.exchange
     await source.provide_list(ListedEndpoint("a"))
@@ -506,6 +554,8 @@
     unanswered_call_is_closed_soon_after_its_wait,
     early_answers_cause_no_busy_loop,
     lower_version_is_treated_as_a_restart,
+    outdated_list_opens_no_endpoint_that_was_closed,
+    versions_that_stay_lower_are_believed,
     endpoint_of_two_sources_stays_until_both_have_removed_it,
 ]
 
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -18,17 +18,19 @@
 
 
 class FakeAgent(HttpStandIn):
-    """A fake agent that gives the answers of each path in turn and then blocks."""
+    """A fake agent that gives the answers of each path in turn, waiting at each event, and then blocks."""
 
-    def __init__(self, **paths: list[tuple[int, Any]]) -> None:
+    def __init__(self, **paths: list[tuple[int, Any] | asyncio.Event]) -> None:
         super().__init__(self._behave)
         self.paths = paths
 
     async def _behave(self, request: Request) -> Reply | None:
         remaining_answers = self.paths[request.target.split("?")[0].rsplit("/", 1)[1]]
-        if not remaining_answers:
-            await asyncio.Event().wait()
-        index, doc = remaining_answers.pop(0)
+        answer = remaining_answers.pop(0) if remaining_answers else asyncio.Event()
+        if isinstance(answer, asyncio.Event):
+            await answer.wait()
+            return await self._behave(request)
+        index, doc = answer
         if index < 0:
             return Reply(500, {})
         return Reply(200, {"X-Consul-Index": str(index)}, json.dumps(doc).encode())
@@ -93,7 +95,7 @@
 async def test_endpoints_of_tagged_services_get_messages_unless_in_maintenance(tmp_path: Path) -> None:
     async with Rig(tmp_path, answers(OK), answers(OK)) as rig:
         first, second = (s.port for s in rig.servers)
-        labs = [
+        labs: list[tuple[int, Any] | asyncio.Event] = [
             (4, [health_entry("a", first), health_entry("b", second)]),
             (6, [health_entry("a", first, "_service_maintenance:a"), health_entry("b", second)]),
         ]
@@ -130,3 +132,31 @@
             indexes = [int(r.target.partition("index=")[2].partition("&")[0]) for r in agent.requests]
             assert indexes == [0, 8, 0, 9, 0, 3]
             assert not rig.sender.exchange.endpoint_list.names()
+
+
+@on_loop
+async def test_late_catalogue_answer_reopens_no_endpoint_of_a_deregistered_service(tmp_path: Path) -> None:
+    """Guards against a history that ends with the watch of its service."""
+    removal, failure, registration = asyncio.Event(), asyncio.Event(), asyncio.Event()
+    with_labs, with_endpoint = {"labs": ["sender"]}, [health_entry("a", 1)]
+    agent = FakeAgent(
+        services=[(3, with_labs), removal, (5, {}), failure, (-1, None), (3, with_labs)],
+        labs=[(4, with_endpoint)],
+    )
+    async with Rig(tmp_path) as rig, agent:
+        rig.sender.exchange.update_endpoints(UpdateScope.FULL, ())
+        source = ConsulSource(rig.sender.exchange, ("127.0.0.1", agent.port), (), "sender")
+        rig.callback(source.close)
+        source.start()
+        await agent.wait_for_requests(4)  # two of each path
+        assert rig.sender.exchange.endpoint_list.names() == {"n/a"}
+        removal.set()
+        await agent.wait_for_requests(5)
+        assert not rig.sender.exchange.endpoint_list.names()
+        agent.paths["labs"] += [(4, with_endpoint), registration, (6, with_endpoint)]
+        failure.set()
+        await agent.wait_for_requests(9)  # the catalogue, twice, and the service, twice
+        assert not rig.sender.exchange.endpoint_list.names()
+        registration.set()
+        await agent.wait_for_requests(10)
+        assert rig.sender.exchange.endpoint_list.names() == {"n/a"}
