Wait for the rest of a first list that has begun

Where lists are pushed, what the agent has counts as known from a process's first moment, and the start waited 1 s in all for the first list. With answers that take 1.5 s it sent by the list of its configuration for half a second.

--- a/rowanrack/fronts/platform/discovery.py
+++ b/rowanrack/fronts/platform/discovery.py
@@ -34,7 +34,8 @@
 # After a move, failures are not counted for this time: a change counts as known 4 s after the move.
 MOVE_TOLERANCE_US = 4_000_000
 RETRY_DELAY_US = 100_000  # between calls after a move, and after an early answer without changes
-FIRST_LIST_TIMEOUT_US = 1_000_000  # limit of the wait for the first list at start-up, where lists are pushed
+# Limits of the wait at start-up for the first list to begin, where lists are pushed, and for the rest of it.
+FIRST_LIST_TIMEOUT_US, FIRST_LIST_REST_TIMEOUT_US = 1_000_000, 3_000_000
 MAX_LIST_BYTES = 4 << 20
 
 
@@ -156,10 +157,15 @@
             self._task = asyncio.create_task(self._follow())
 
     async def wait_for_first_list(self) -> None:
-        """Start the watch and wait for the first list or a failure, for FIRST_LIST_TIMEOUT_US at most."""
+        """Start the watch and wait for the first list or a failure, for a limited time."""
         self.start()
+        await self._wait_for_first_call(FIRST_LIST_TIMEOUT_US)
+        if self._http.receiving:
+            await self._wait_for_first_call(FIRST_LIST_REST_TIMEOUT_US)
+
+    async def _wait_for_first_call(self, limit_us: int) -> None:
         with suppress(TimeoutError):
-            async with time_limit(self.exchange.after, FIRST_LIST_TIMEOUT_US):
+            async with time_limit(self.exchange.after, limit_us):
                 await self._first_call_done.wait()
 
     def move(self, host: str, port: int) -> None:
--- a/rowanrack/net/service_client.py
+++ b/rowanrack/net/service_client.py
@@ -31,6 +31,7 @@
     def __init__(self, after: After, host: str, port: int, body_limit: int) -> None:
         self._after, self._host, self._port, self._body_limit = after, host, port, body_limit
         self._stream: Stream | None = None
+        self.receiving = False  # whether a response has begun that is not complete yet
 
     async def get_json(self, target: str, begins_within_us: int) -> tuple[dict[str, str], Any]:
         """Return the headers and the JSON document at a path. Raise one of CALL_ERRORS.
@@ -44,6 +45,7 @@
                     connection = await self._connect()
                     await connection.send(Call("GET", target))
                     await connection.wait_for_response()
+                self.receiving = True
                 reply = await connection.reply()
         finally:
             self.close()
@@ -61,6 +63,7 @@
 
     def close(self) -> None:
         """Abort the connection of the current call."""
+        self.receiving = False
         if self._stream is not None:
             self._stream.abort()
             self._stream = None
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -641,6 +641,27 @@
         assert first.done()
 
 
+@in_virtual_time
+async def test_in_pushed_mode_a_first_list_that_has_begun_is_waited_for(
+    make_discovery: Callable[..., FakeDiscovery],
+) -> None:
+    """Guards against calls to endpoints that drain: a list that took over 1 s was not waited for."""
+    fake = make_discovery(change_at_s=0.0)
+    fake.answer_duration_s = 1.5
+    fake.watch = DiscoveryWatch(fake.exchange, "discovery", OLD_PORT, 5, pushed=True)
+    first = asyncio.ensure_future(fake.watch.wait_for_first_list())
+    await fake.run(1.3)
+    assert not first.done()
+    await fake.run(1.5)
+    assert first.done() and fake.known_s is not None
+    slow = make_discovery(change_at_s=0.0)
+    slow.answer_duration_s = 20.0
+    slow.watch = DiscoveryWatch(slow.exchange, "discovery", OLD_PORT, 5, pushed=True)
+    first = asyncio.ensure_future(slow.watch.wait_for_first_list())
+    await slow.run(4.1)
+    assert first.done()  # it does not hold up the start without end
+
+
 @on_loop
 async def test_in_pushed_mode_a_restart_sends_nothing_to_an_endpoint_that_drained_meanwhile(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
