--- a/rowanrack/fronts/otlp/gzip_body.py
+++ b/rowanrack/fronts/otlp/gzip_body.py
@@ -21,6 +21,8 @@
     decompressor = zlib.decompressobj(GZIP_WINDOW_BITS)
     while rest:
         if decompressor.eof:
+            if not any(rest):
+                break  # padding, which gzip ignores, too
             decompressor = zlib.decompressobj(GZIP_WINDOW_BITS)
         chunk = rest[:CHUNK_BYTES]
         try:
