Move the parser of discovery's lists to a module of its own

fronts/platform/discovery.py held the parser and the watch; the configuration needs only the parser. No behaviour changes.

--- a/rowanrack/config.py
+++ b/rowanrack/config.py
@@ -12,7 +12,7 @@
 
 from rowanrack.core.messages import HEADER_SAFE, Endpoint
 from rowanrack.fronts.otlp.mapping import RequestMap, ValueSource
-from rowanrack.fronts.platform.discovery import ListError, parse_address, parse_list
+from rowanrack.fronts.platform.server_list import ListError, parse_address, parse_list
 from rowanspindle import EndpointStatus, Settings
 from rowanspindle.gossip import notes_enabled
 from rowanspindle.wire import WireError, parse_settings
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -21,6 +21,7 @@
 from rowanrack.config import Config, PlatformConfig, platform_config
 from rowanrack.fronts.platform import discovery
 from rowanrack.fronts.platform.discovery import DiscoveryWatch
+from rowanrack.fronts.platform.server_list import STATUSES
 from rowanrack.net.http import Reply
 from rowanrack.net.ring import RingBuffer
 from rowanrack.net.stream import Stream
@@ -377,14 +378,15 @@
     assert len(fake.handlers) == 0 and len(fake.calls) <= len(case.handlers) + 6
 
 
+@pytest.mark.parametrize("duration_s", [1.5, 3.0])
 @pytest.mark.parametrize("change_at_s", [3.0, 9.9, 10.1, 10.9, 11.2, 25.0])
 @in_virtual_time
 async def test_change_is_known_within_6_s_while_each_answer_takes_seconds_to_come_whole(
-    make_discovery: Callable[..., FakeDiscovery], change_at_s: float
+    make_discovery: Callable[..., FakeDiscovery], change_at_s: float, duration_s: float
 ) -> None:
     """Guards against answers that were cut off 1 s after their first byte, or 1 s after the wait."""
     fake = make_discovery(change_at_s=change_at_s)
-    fake.answer_duration_s = 1.5
+    fake.answer_duration_s = duration_s
     await fake.run(change_at_s + 6.0)
     assert fake.known_s is not None
     assert all(target.endswith("wait=10000") for _, _, target in fake.calls)  # shorter after a failure
@@ -740,4 +742,4 @@
 
 
 def test_each_status_of_the_protocol_is_mapped() -> None:
-    assert {discovery.STATUSES[word] for word in ("SERVING", "DRAINING", "DELETED")} == set(EndpointStatus)
+    assert {STATUSES[word] for word in ("SERVING", "DRAINING", "DELETED")} == set(EndpointStatus)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,9 +14,9 @@
 from rowanrack.config import ConfigError, operator_config, platform_config
 from rowanrack.core.messages import End, Ending, Message
 from rowanrack.fronts.platform.clients import read_submit
-from rowanrack.fronts.platform.discovery import ListError, parse_list
 from rowanrack.fronts.platform.notices import encode_notice
 from rowanrack.fronts.platform.resp import RespError, parse_command
+from rowanrack.fronts.platform.server_list import ListError, parse_list
 from rowanrack.net.ring import RingBuffer
 from rowanrack.store.journal import Journal
 from rowanrack.store.journal_records import JournalError
--- a/tests/test_replaced_endpoints.py
+++ b/tests/test_replaced_endpoints.py
@@ -10,7 +10,7 @@
 
 from rowanrack.core.endpoint_list import EndpointList
 from rowanrack.core.messages import Ending
-from rowanrack.fronts.platform.discovery import parse_start_time
+from rowanrack.fronts.platform.server_list import parse_start_time
 from rowanrack.net.http import Reply
 from rowanspindle import EndpointStatus, UpdateScope
 from tests.rig import Rig, answers, make_endpoint, on_loop
