--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -508,6 +508,25 @@
     )
 
 
+@in_virtual_time
+async def test_full_list_is_requested_when_restarted_versions_have_caught_up(
+    make_discovery: Callable[..., FakeDiscovery],
+) -> None:
+    """Guards against an endpoint that stays closed: changes do not tell of it again."""
+    fake = make_discovery()
+
+    def restart_versions() -> None:
+        fake.seq, fake.hosts = 2, {"i0": (1, discovery_entry("i0", 1))}
+
+    fake.at(4.0, restart_versions)
+    await fake.run(16)
+    assert fake.watch.seq == 2 and not fake.reverted
+    while fake.seq < 7:
+        fake.change(discovery_entry("i1", 2))
+    await fake.run(16.1)
+    assert fake.exchange.endpoint_list.accepts_calls("i0")
+
+
 def send_old_list(scope: str) -> CallHandler:
     """Make a handler that answers with the list from before the change."""
 
